--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Benches of briarslip."""
+
+from __future__ import annotations
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,3 @@
+"""A demonstration of briarslip."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/briarslip/connection/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one connection: caller HTTP, peer links, backend pools."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/briarslip/console/__init__.py
@@ -0,0 +1,3 @@
+"""The command-line programs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/briarslip/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One module for each operator command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/briarslip/process/clock.py
@@ -0,0 +1,33 @@
+"""The clock interface that every decision is given."""
+
+from __future__ import annotations
+
+import time
+from datetime import UTC
+from datetime import datetime
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of wall time and of monotonic time."""
+
+    def now(self) -> datetime:
+        """Return the wall time as an aware UTC datetime."""
+
+    def monotonic(self) -> float:
+        """Return seconds that never go back, from an arbitrary origin."""
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    def now(self) -> datetime:
+        """Return the wall time as an aware UTC datetime."""
+        return datetime.now(UTC)
+
+    def monotonic(self) -> float:
+        """Return the seconds of the system's monotonic clock."""
+        return time.monotonic()
+
+
+__all__ = ["Clock", "SystemClock"]
--- /dev/null
+++ b/src/briarslip/version/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for one configuration version: records, snapshots, rollouts."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of briarslip."""
+
+from __future__ import annotations
