--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
+export PYTHONPATH := src
 STAMP := $(VENV)/.installed
 
 .PHONY: demo test format lint types bench bench-quick chaos check clean
