--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the stand-ins."""
+
+from __future__ import annotations
