--- /dev/null
+++ b/src/briarslip/process/etcd_gateway.py
@@ -0,0 +1,442 @@
+"""Platform client over the JSON gateway of etcd v3."""
+
+from __future__ import annotations
+
+import base64
+import json
+import math
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from io import BytesIO
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from result import Err
+from result import Ok
+from result import Result
+from twisted.internet import error
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import connectionDone
+from twisted.web.client import Agent
+from twisted.web.client import FileBodyProducer
+from twisted.web.client import HTTPConnectionPool
+from twisted.web.client import readBody
+from twisted.web.http_headers import Headers
+
+from briarslip.process.platform import KeyValue
+from briarslip.process.platform import PlatformError
+from briarslip.process.platform import RangeReply
+from briarslip.process.platform import SwapReply
+from briarslip.process.platform import WatchClosed
+from briarslip.process.platform import WatchEvent
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from twisted.internet.interfaces import IDelayedCall
+    from twisted.python.failure import Failure
+    from twisted.web.iweb import IResponse
+
+    from briarslip.process.platform import Watch
+
+
+T = TypeVar("T")
+
+DEFAULT_TIMEOUT = timedelta(seconds=2)
+DEFAULT_SILENCE = timedelta(seconds=5)
+MAX_WATCH_LINE_BYTES = 8 * 1024 * 1024
+# Below 1, so that a failed connect is told apart from a lost answer.
+CONNECT_SHARE = 0.5
+GRPC_NOT_FOUND = 5
+NEVER_APPLIED_STATUSES = frozenset(
+    {
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.UNAUTHORIZED,
+        HTTPStatus.FORBIDDEN,
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.METHOD_NOT_ALLOWED,
+        HTTPStatus.CONFLICT,
+        HTTPStatus.PRECONDITION_FAILED,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.NOT_IMPLEMENTED,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The status and the body of one HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+def encode(raw: bytes) -> str:
+    """Return bytes as the gateway's JSON carries them."""
+    return base64.b64encode(raw).decode("ascii")
+
+
+def decode(text: str) -> bytes:
+    """Return the bytes that the gateway's JSON carries."""
+    return base64.b64decode(text, validate=True)
+
+
+def prefix_range(prefix: str) -> tuple[bytes, bytes]:
+    """Return the first key and the end (exclusive) of a prefix's range."""
+    raw = prefix.encode()
+    if not raw:
+        return b"\0", b"\0"
+    # No byte of UTF-8 is 0xff, so the last byte can always be raised.
+    return raw, raw[:-1] + bytes([raw[-1] + 1])
+
+
+def _key_value(item: dict[str, Any]) -> KeyValue:
+    return KeyValue(
+        key=decode(item["key"]).decode(),
+        value=decode(item.get("value", "")),
+        mod_revision=int(item["mod_revision"]),
+        lease_id=int(item.get("lease", 0)),
+    )
+
+
+def _range_reply(reply: dict[str, Any]) -> RangeReply:
+    items = tuple(_key_value(item) for item in reply.get("kvs", ()))
+    return RangeReply(items, int(reply["header"]["revision"]))
+
+
+def _swap_reply(reply: dict[str, Any]) -> SwapReply:
+    revision = int(reply["header"]["revision"])
+    if reply.get("succeeded", False):
+        return SwapReply(swapped=True, revision=revision)
+    items = reply["responses"][0]["response_range"].get("kvs", ())
+    current = _key_value(items[0]) if items else None
+    return SwapReply(swapped=False, revision=revision, current=current)
+
+
+def _time_left(reply: dict[str, Any]) -> timedelta | None:
+    seconds = int(reply["result"].get("TTL", 0))
+    return timedelta(seconds=seconds) if seconds > 0 else None
+
+
+def _watch_event(event: dict[str, Any]) -> WatchEvent:
+    item = event["kv"]
+    deleted = event.get("type") == "DELETE"
+    return WatchEvent(
+        key=decode(item["key"]).decode(),
+        value=None if deleted else decode(item.get("value", "")),
+        mod_revision=int(item["mod_revision"]),
+    )
+
+
+def _is_lapsed(answer: _Answer) -> bool:
+    if answer.status != HTTPStatus.NOT_FOUND:
+        return False
+    try:
+        return bool(json.loads(answer.body).get("code") == GRPC_NOT_FOUND)
+    except (ValueError, AttributeError):
+        return False
+
+
+def _status_error(answer: _Answer, *, is_write: bool) -> PlatformError:
+    text = answer.body[:200].decode("utf-8", "replace").strip()
+    unclear = answer.status not in NEVER_APPLIED_STATUSES
+    return PlatformError(f"HTTP status {answer.status}: {text}", is_write and unclear)
+
+
+def _describe(problem: BaseException) -> str:
+    return f"{type(problem).__name__}: {problem}"
+
+
+def _send(agent: Agent, url: bytes, message: dict[str, Any]) -> Deferred[IResponse]:
+    return agent.request(
+        b"POST",
+        url,
+        Headers({b"Content-Type": [b"application/json"]}),
+        FileBodyProducer(BytesIO(json.dumps(message).encode())),
+    )
+
+
+class _GatewayWatch(Protocol):
+    """One long answer of the gateway, read line by line."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        silence: timedelta,
+        on_events: Callable[[tuple[WatchEvent, ...]], None],
+        on_closed: Callable[[WatchClosed], None],
+    ) -> None:
+        self._reactor = reactor
+        self._silence = silence
+        self._on_events = on_events
+        self._on_closed = on_closed
+        self._buffer = bytearray()
+        self._pending: Deferred[Any] | None = None
+        self._ended = False
+        self._timer: IDelayedCall = reactor.callLater(
+            silence.total_seconds(), self._end, "no line within the silence allowed"
+        )
+
+    def start(self, pending: Deferred[IResponse]) -> None:
+        """Take over the request that opens the watch."""
+        self._pending = pending
+        pending.addCallbacks(self._opened, self._failed)
+
+    def stop(self) -> None:
+        """Stop the watch; no callback runs afterwards."""
+        if self._ended:
+            return
+        self._ended = True
+        self._buffer.clear()
+        if self._timer.active():
+            self._timer.cancel()
+        if self.transport is not None:
+            self.transport.loseConnection()
+        elif self._pending is not None:
+            self._pending.cancel()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Take the complete lines out of what came."""
+        if self._ended:
+            return
+        self._buffer += data
+        *lines, rest = self._buffer.split(b"\n")
+        self._buffer = rest
+        if lines:
+            self._timer.reset(self._silence.total_seconds())
+        for line in lines:
+            if line.strip() and not self._ended:
+                self._take_line(line)
+        if len(self._buffer) > MAX_WATCH_LINE_BYTES:
+            self._end("a line is too long")
+
+    def connectionLost(  # noqa: N802 - Twisted's name
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Tell that the connection is gone."""
+        self._end(f"connection lost: {reason.getErrorMessage()}")
+
+    def _opened(self, response: IResponse) -> None:
+        if not self._ended and response.code != HTTPStatus.OK:
+            response.deliverBody(self)
+            self._end(f"HTTP status {response.code}")
+            return
+        response.deliverBody(self)
+        if self._ended and self.transport is not None:
+            self.transport.loseConnection()
+
+    def _failed(self, failure: Failure) -> None:
+        self._end(_describe(failure.value))
+
+    def _take_line(self, line: bytes | bytearray) -> None:
+        try:
+            message = json.loads(line)
+            if "error" in message:
+                self._end(f"watch refused: {message['error']}")
+                return
+            result = message["result"]
+            compact_revision = int(result.get("compact_revision", 0))
+            canceled = result.get("canceled", False)
+            events = tuple(_watch_event(event) for event in result.get("events", ()))
+        except (KeyError, TypeError, ValueError, AttributeError) as problem:
+            self._end(f"malformed line: {_describe(problem)}")
+            return
+        if canceled or compact_revision:
+            reason = result.get("cancel_reason", "") or "canceled by the service"
+            self._end(reason, compacted=compact_revision > 0)
+        elif events:
+            self._on_events(events)
+
+    def _end(self, reason: str, *, compacted: bool = False) -> None:
+        if self._ended:
+            return
+        self.stop()
+        self._on_closed(WatchClosed(reason, compacted))
+
+
+class EtcdGatewayClient:
+    """A platform client that speaks to one etcd gateway.
+
+    The coroutines must be driven by Twisted (``Deferred.fromCoroutine``).
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        agent: Agent,
+        watch_agent: Agent,
+        base_url: str,
+        timeout: timedelta,
+        silence: timedelta,
+    ) -> None:
+        self._reactor = reactor
+        self._agent = agent
+        self._watch_agent = watch_agent
+        self._base_url = base_url
+        self._timeout = timeout
+        self._silence = silence
+
+    @classmethod
+    def from_address(
+        cls,
+        reactor: Any,
+        host: str,
+        port: int,
+        timeout: timedelta = DEFAULT_TIMEOUT,
+        silence: timedelta = DEFAULT_SILENCE,
+    ) -> EtcdGatewayClient:
+        """Make a client of the gateway at an address.
+
+        A watch that brings no line for ``silence`` counts as closed.
+        """
+        connect = timeout.total_seconds() * CONNECT_SHARE
+        pool = HTTPConnectionPool(reactor, persistent=True)
+        return cls(
+            reactor,
+            Agent(reactor, connectTimeout=connect, pool=pool),
+            Agent(reactor, connectTimeout=connect),
+            f"http://{host}:{port}",
+            timeout,
+            silence,
+        )
+
+    async def get(self, key: str) -> Result[KeyValue | None, PlatformError]:
+        """Read one key."""
+        message = {"key": encode(key.encode())}
+        reply = await self._call("kv/range", message, _range_reply, is_write=False)
+        return reply.map(lambda found: found.items[0] if found.items else None)
+
+    async def range(self, prefix: str) -> Result[RangeReply, PlatformError]:
+        """Read every key under a prefix, in key order."""
+        start, end = prefix_range(prefix)
+        message = {"key": encode(start), "range_end": encode(end)}
+        return await self._call("kv/range", message, _range_reply, is_write=False)
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes | None,
+        expected_revision: int,
+        lease_id: int = 0,
+    ) -> Result[SwapReply, PlatformError]:
+        """Write ``value`` if the key's mod revision is ``expected_revision``."""
+        name = encode(key.encode())
+        compare = {
+            "key": name,
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(expected_revision),
+        }
+        success: dict[str, Any] = {"request_delete_range": {"key": name}}
+        if value is not None:
+            put = {"key": name, "value": encode(value), "lease": str(lease_id)}
+            success = {"request_put": put}
+        message = {
+            "compare": [compare],
+            "success": [success],
+            "failure": [{"request_range": {"key": name}}],
+        }
+        return await self._call("kv/txn", message, _swap_reply, is_write=True)
+
+    async def grant_lease(self, ttl: timedelta) -> Result[int, PlatformError]:
+        """Grant a lease, in whole seconds rounded up, and return its id."""
+        seconds = max(1, math.ceil(ttl.total_seconds()))
+        return await self._call(
+            "lease/grant",
+            {"TTL": str(seconds)},
+            lambda reply: int(reply["ID"]),
+            is_write=True,
+        )
+
+    async def keep_alive(
+        self, lease_id: int
+    ) -> Result[timedelta | None, PlatformError]:
+        """Renew a lease; return what is left of it, None if it has lapsed."""
+        message = {"ID": str(lease_id)}
+        return await self._call("lease/keepalive", message, _time_left, is_write=True)
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, PlatformError]:
+        """Revoke a lease; one that has lapsed already counts as revoked."""
+        answer = await self._exchange(
+            "lease/revoke", {"ID": str(lease_id)}, is_write=True
+        )
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status == HTTPStatus.OK or _is_lapsed(answer.ok_value):
+            return Ok(None)
+        return Err(_status_error(answer.ok_value, is_write=True))
+
+    def watch(
+        self,
+        prefix: str,
+        start_revision: int,
+        on_events: Callable[[tuple[WatchEvent, ...]], None],
+        on_closed: Callable[[WatchClosed], None],
+    ) -> Watch:
+        """Watch a prefix from ``start_revision`` on (inclusive)."""
+        start, end = prefix_range(prefix)
+        create = {
+            "key": encode(start),
+            "range_end": encode(end),
+            "start_revision": str(start_revision),
+            "progress_notify": True,
+        }
+        watch = _GatewayWatch(self._reactor, self._silence, on_events, on_closed)
+        url = self._url("watch")
+        watch.start(_send(self._watch_agent, url, {"create_request": create}))
+        return watch
+
+    def _url(self, path: str) -> bytes:
+        return f"{self._base_url}/v3/{path}".encode()
+
+    async def _call(
+        self,
+        path: str,
+        message: dict[str, Any],
+        read: Callable[[dict[str, Any]], T],
+        *,
+        is_write: bool,
+    ) -> Result[T, PlatformError]:
+        answer = await self._exchange(path, message, is_write=is_write)
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status != HTTPStatus.OK:
+            return Err(_status_error(answer.ok_value, is_write=is_write))
+        try:
+            return Ok(read(json.loads(answer.ok_value.body)))
+        except (KeyError, IndexError, TypeError, ValueError, AttributeError) as problem:
+            return Err(
+                PlatformError(f"malformed answer: {_describe(problem)}", is_write)
+            )
+
+    async def _exchange(
+        self, path: str, message: dict[str, Any], *, is_write: bool
+    ) -> Result[_Answer, PlatformError]:
+        exchange = Deferred.fromCoroutine(self._fetch(path, message))
+        exchange.addTimeout(self._timeout.total_seconds(), self._reactor)
+        try:
+            return Ok(await exchange)
+        except error.ConnectError as problem:
+            return Err(PlatformError(_describe(problem)))
+        except Exception as problem:
+            # Twisted's HTTP client has no common base for its failures.
+            return Err(PlatformError(_describe(problem), is_write))
+
+    async def _fetch(self, path: str, message: dict[str, Any]) -> _Answer:
+        response = await _send(self._agent, self._url(path), message)
+        return _Answer(response.code, await readBody(response))
+
+
+__all__ = [
+    "DEFAULT_SILENCE",
+    "DEFAULT_TIMEOUT",
+    "EtcdGatewayClient",
+    "decode",
+    "encode",
+    "prefix_range",
+]
--- /dev/null
+++ b/standins/local_platform.py
@@ -0,0 +1,182 @@
+"""A platform client directly on the stand-in's state, without sockets."""
+
+from __future__ import annotations
+
+import math
+from datetime import timedelta
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from result import Err
+from result import Ok
+from result import Result
+from twisted.internet.defer import Deferred
+
+from briarslip.process.etcd_gateway import DEFAULT_TIMEOUT
+from briarslip.process.etcd_gateway import prefix_range
+from briarslip.process.platform import KeyValue
+from briarslip.process.platform import PlatformError
+from briarslip.process.platform import RangeReply
+from briarslip.process.platform import SwapReply
+from briarslip.process.platform import WatchClosed
+from briarslip.process.platform import WatchEvent
+from standins.platform import WRITE_KINDS
+from standins.platform import LeaseNotFoundError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briarslip.process.platform import Watch
+    from standins.platform import PlatformStandIn
+    from standins.platform import StandInWatch
+
+
+T = TypeVar("T")
+
+
+class _LocalWatch:
+    """A watch whose callbacks run through ``call_later``."""
+
+    def __init__(self, call_later: Callable[..., object]) -> None:
+        self._call_later = call_later
+        self._stopped = False
+        self.inner: StandInWatch | None = None
+
+    def stop(self) -> None:
+        """Stop the watch; no callback runs afterwards."""
+        self._stopped = True
+        if self.inner is not None:
+            self.inner.stop()
+
+    def schedule(self, callback: Callable[[T], None], argument: T) -> None:
+        """Run a callback soon, unless the watch is stopped by then."""
+        self._call_later(0, self._run, callback, argument)
+
+    def _run(self, callback: Callable[[T], None], argument: T) -> None:
+        if not self._stopped:
+            callback(argument)
+
+
+class LocalPlatformClient:
+    """A platform client for tests in virtual time.
+
+    Calls return at once unless ``delay_ms`` is set on the state. A frozen
+    watch stays silent: there is no limit on silence here.
+    """
+
+    def __init__(
+        self,
+        state: PlatformStandIn,
+        call_later: Callable[..., object],
+        timeout: timedelta = DEFAULT_TIMEOUT,
+    ) -> None:
+        self._state = state
+        self._call_later = call_later
+        self._timeout = timeout
+
+    async def get(self, key: str) -> Result[KeyValue | None, PlatformError]:
+        """Read one key."""
+        return await self._call("range", lambda: self._state.get(key))
+
+    async def range(self, prefix: str) -> Result[RangeReply, PlatformError]:
+        """Read every key under a prefix, in key order."""
+        return await self._call(
+            "range",
+            lambda: RangeReply(
+                self._state.range(prefix_range(prefix)), self._state.revision
+            ),
+        )
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes | None,
+        expected_revision: int,
+        lease_id: int = 0,
+    ) -> Result[SwapReply, PlatformError]:
+        """Write ``value`` if the key's mod revision is ``expected_revision``."""
+        return await self._call(
+            "txn", lambda: self._state.swap(key, value, expected_revision, lease_id)
+        )
+
+    async def grant_lease(self, ttl: timedelta) -> Result[int, PlatformError]:
+        """Grant a lease, in whole seconds rounded up, and return its id."""
+        whole = timedelta(seconds=max(1, math.ceil(ttl.total_seconds())))
+        return await self._call("lease_grant", lambda: self._state.grant_lease(whole))
+
+    async def keep_alive(
+        self, lease_id: int
+    ) -> Result[timedelta | None, PlatformError]:
+        """Renew a lease; return what is left of it, None if it has lapsed."""
+        return await self._call(
+            "lease_keepalive", lambda: self._state.keep_alive(lease_id)
+        )
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, PlatformError]:
+        """Revoke a lease; one that has lapsed already counts as revoked."""
+        reply = await self._call(
+            "lease_revoke", lambda: self._state.lapse_lease(lease_id)
+        )
+        return reply.map(lambda _: None)
+
+    def watch(
+        self,
+        prefix: str,
+        start_revision: int,
+        on_events: Callable[[tuple[WatchEvent, ...]], None],
+        on_closed: Callable[[WatchClosed], None],
+    ) -> Watch:
+        """Watch a prefix from ``start_revision`` on (inclusive)."""
+        self._state.counts["watch"] += 1
+        watch = _LocalWatch(self._call_later)
+        if self._state.outage:
+            watch.schedule(on_closed, WatchClosed("outage"))
+            return watch
+
+        def close(reason: str, compact_revision: int) -> None:
+            watch.schedule(on_closed, WatchClosed(reason, compact_revision > 0))
+
+        watch.inner = self._state.open_watch(
+            prefix_range(prefix),
+            start_revision,
+            lambda events: watch.schedule(on_events, events),
+            close,
+        )
+        return watch
+
+    async def _call(
+        self, kind: str, operation: Callable[[], T]
+    ) -> Result[T, PlatformError]:
+        is_write = kind in WRITE_KINDS
+        self._state.counts[kind] += 1
+        if self._state.outage:
+            # As over the wire, where a closed connection tells nothing.
+            return Err(PlatformError("outage", is_write))
+        delay = timedelta(milliseconds=self._state.delay_ms)
+        if delay > self._timeout:
+            self._call_later(delay.total_seconds(), self._finish, kind, operation)
+            await self._sleep(self._timeout)
+            return Err(PlatformError("timed out", is_write))
+        if delay:
+            await self._sleep(delay)
+        return self._finish(kind, operation)
+
+    def _finish(
+        self, kind: str, operation: Callable[[], T]
+    ) -> Result[T, PlatformError]:
+        try:
+            value = operation()
+        except LeaseNotFoundError:
+            return Err(PlatformError("lease not found"))
+        if self._state.take_lost_answer(kind):
+            return Err(PlatformError("answer lost", maybe_applied=True))
+        return Ok(value)
+
+    async def _sleep(self, length: timedelta) -> None:
+        waiting: Deferred[None] = Deferred()
+        self._call_later(length.total_seconds(), waiting.callback, None)
+        await waiting
+
+
+__all__ = ["LocalPlatformClient"]
--- /dev/null
+++ b/tests/process/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the process layer."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/process/test_etcd_gateway.py
@@ -0,0 +1,331 @@
+"""The gateway client and the local client against the stand-in."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from contextlib import asynccontextmanager
+from datetime import timedelta
+from io import BytesIO
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+from twisted.internet.task import deferLater
+from twisted.web.client import Agent
+from twisted.web.client import FileBodyProducer
+from twisted.web.client import readBody
+
+from briarslip.process.etcd_gateway import EtcdGatewayClient
+from briarslip.process.platform import KeyValue
+from briarslip.process.platform import PlatformError
+from briarslip.process.platform import WatchClosed
+from briarslip.process.platform import WatchEvent
+from standins.local_platform import LocalPlatformClient
+from standins.platform import PlatformStandIn
+from standins.platform import make_site
+from tests.support.reactor import run
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from briarslip.process.platform import PlatformClient
+
+
+TIMEOUT = timedelta(seconds=1)
+SILENCE = timedelta(seconds=1.5)
+POLL_SECONDS = 0.01
+
+
+class Setting:
+    """A stand-in, its client, and what its watches said."""
+
+    def __init__(
+        self,
+        state: PlatformStandIn,
+        client: PlatformClient,
+        sleep: Callable[[float], Awaitable[None]],
+        port: int = 0,
+    ) -> None:
+        self.state = state
+        self.client = client
+        self.sleep = sleep
+        self.port = port
+        self.events: list[WatchEvent] = []
+        self.closed: list[WatchClosed] = []
+
+    def watch(self, prefix: str, start: int) -> Any:
+        """Watch and gather what comes."""
+        return self.client.watch(prefix, start, self.events.extend, self.closed.append)
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Wait for a condition; the test's own limit ends a vain wait."""
+        while not condition():
+            await self.sleep(POLL_SECONDS)
+
+
+@asynccontextmanager
+async def gateway(reactor: Any, history: int = 100) -> AsyncIterator[Setting]:
+    """Serve a stand-in on a free port."""
+    state = PlatformStandIn(reactor, history)
+    listening = reactor.listenTCP(0, make_site(state), interface="127.0.0.1")
+    port = listening.getHost().port
+    client = EtcdGatewayClient.from_address(
+        reactor, "127.0.0.1", port, TIMEOUT, SILENCE
+    )
+
+    async def sleep(seconds: float) -> None:
+        await deferLater(reactor, seconds)
+
+    try:
+        yield Setting(state, client, sleep, port)
+    finally:
+        await listening.stopListening()
+
+
+@asynccontextmanager
+async def local(clock: Any, history: int = 100) -> AsyncIterator[Setting]:
+    """Make a stand-in in virtual time; sleeping moves the clock."""
+    state = PlatformStandIn(clock, history)
+
+    async def sleep(seconds: float) -> None:
+        clock.advance(seconds)
+
+    yield Setting(state, LocalPlatformClient(state, clock.callLater), sleep)
+
+
+class SharedCases:
+    """What holds for both clients."""
+
+    def check(self, case: Callable[[Setting], Any], history: int = 100) -> None:
+        raise NotImplementedError
+
+    def test_create_swap_delete(self) -> None:
+        async def case(at: Setting) -> None:
+            made = (await at.client.swap("a/1", b"x", 0)).unwrap()
+            assert made.swapped
+            empty = (await at.client.swap("a/2", b"", made.revision)).unwrap()
+            assert (empty.swapped, empty.current) == (False, None)
+            assert (await at.client.swap("a/1", b"", made.revision)).unwrap().swapped
+            found = (await at.client.get("a/1")).unwrap()
+            assert found == KeyValue("a/1", b"", made.revision + 1)
+            gone = await at.client.swap("a/1", None, found.mod_revision)
+            assert gone.unwrap().swapped
+            assert (await at.client.get("a/1")).unwrap() is None
+
+        self.check(case)
+
+    def test_lost_race_brings_current_value(self) -> None:
+        async def case(at: Setting) -> None:
+            made = (await at.client.swap("k", b"first", 0)).unwrap()
+            lost = (await at.client.swap("k", b"second", 0)).unwrap()
+            assert not lost.swapped
+            assert lost.current == KeyValue("k", b"first", made.revision)
+
+        self.check(case)
+
+    def test_range_is_ordered_and_bounded(self) -> None:
+        async def case(at: Setting) -> None:
+            for key in ("p/b", "p/a", "p0", "o", "p/é"):
+                (await at.client.swap(key, b"v", 0)).unwrap()
+            reply = (await at.client.range("p/")).unwrap()
+            assert [item.key for item in reply.items] == ["p/a", "p/b", "p/é"]
+            assert reply.revision == at.state.revision
+            assert len((await at.client.range("")).unwrap().items) == 5
+
+        self.check(case)
+
+    def test_lost_answer_then_read_back(self) -> None:
+        async def case(at: Setting) -> None:
+            at.state.lose_answers = 1
+            problem = (await at.client.swap("k", b"nonce", 0)).unwrap_err()
+            assert problem.maybe_applied
+            found = (await at.client.get("k")).unwrap()
+            assert found is not None
+            assert found.value == b"nonce"
+            assert (await at.client.swap("j", b"", 0)).unwrap().swapped
+
+        self.check(case)
+
+    def test_outage_and_recovery(self) -> None:
+        async def case(at: Setting) -> None:
+            at.watch("", 1)
+            await at.until(lambda: at.state.waiting_watches == 1)
+            for how in ("close", "503"):
+                at.state.outage = how
+                problem = (await at.client.get("k")).unwrap_err()
+                assert not problem.maybe_applied
+                assert (await at.client.swap("k", b"", 0)).unwrap_err().maybe_applied
+            await at.until(lambda: at.closed)
+            assert not at.closed[0].compacted
+            at.watch("", 1)
+            await at.until(lambda: len(at.closed) == 2)
+            at.state.outage = ""
+            assert (await at.client.get("k")).unwrap() is None
+
+        self.check(case)
+
+    def test_lease_lapse_deletes_its_keys(self) -> None:
+        async def case(at: Setting) -> None:
+            lease = (await at.client.grant_lease(timedelta(seconds=1))).unwrap()
+            (await at.client.swap("k", b"", 0, lease)).unwrap()
+            left = (await at.client.keep_alive(lease)).unwrap()
+            assert left == timedelta(seconds=1)
+            await at.until(lambda: at.state.get("k") is None)
+            assert (await at.client.keep_alive(lease)).unwrap() is None
+            assert (await at.client.revoke_lease(lease)).is_ok()
+            late = (await at.client.swap("k", b"", 0, lease)).unwrap_err()
+            assert not late.maybe_applied
+
+        self.check(case)
+
+    def test_lapse_switch_and_revoke(self) -> None:
+        async def case(at: Setting) -> None:
+            for end in ("lapse", "revoke"):
+                lease = (await at.client.grant_lease(timedelta(seconds=60))).unwrap()
+                (await at.client.swap(end, b"", 0, lease)).unwrap()
+                if end == "lapse":
+                    at.state.lapse_lease(lease)
+                else:
+                    (await at.client.revoke_lease(lease)).unwrap()
+                assert (await at.client.get(end)).unwrap() is None
+
+        self.check(case)
+
+    def test_watch_from_revision(self) -> None:
+        async def case(at: Setting) -> None:
+            (await at.client.swap("a/0", b"old", 0)).unwrap()
+            first = (await at.client.swap("a/1", b"x", 0)).unwrap().revision
+            (await at.client.swap("b/1", b"other", 0)).unwrap()
+            watch = at.watch("a/", first)
+            await at.until(lambda: at.events)
+            (await at.client.swap("a/1", None, first)).unwrap()
+            await at.until(lambda: len(at.events) == 2)
+            assert at.events == [
+                WatchEvent("a/1", b"x", first),
+                WatchEvent("a/1", None, first + 2),
+            ]
+            watch.stop()
+            await at.until(lambda: at.state.waiting_watches == 0)
+            assert at.closed == []
+            assert at.state.counts["watch"] == 1
+
+        self.check(case)
+
+    def test_watch_of_compacted_revision(self) -> None:
+        async def case(at: Setting) -> None:
+            for number in range(5):
+                (await at.client.swap(f"k{number}", b"", 0)).unwrap()
+            at.watch("k", 2)
+            await at.until(lambda: at.closed)
+            assert at.closed[0].compacted
+            assert at.events == []
+
+        self.check(case, history=2)
+
+    def test_frozen_watch_catches_up(self) -> None:
+        async def case(at: Setting) -> None:
+            watch = at.watch("k", 1)
+            await at.until(lambda: at.state.waiting_watches == 1)
+            at.state.freeze_watches = True
+            (await at.client.swap("k", b"", 0)).unwrap()
+            await at.sleep(0.1)
+            assert at.events == []
+            at.state.freeze_watches = False
+            await at.until(lambda: at.events)
+            watch.stop()
+            await at.until(lambda: at.state.waiting_watches == 0)
+
+        self.check(case)
+
+
+class GatewayTest(SharedCases, unittest.TestCase):
+    """The client over HTTP."""
+
+    def check(self, case: Callable[[Setting], Any], history: int = 100) -> None:
+        async def whole(reactor: Any) -> None:
+            async with gateway(reactor, history) as at:
+                await case(at)
+
+        run(whole)
+
+    def test_refused_connection_never_applied(self) -> None:
+        async def whole(reactor: Any) -> PlatformError:
+            async with gateway(reactor) as at:
+                client = at.client
+            return (await client.swap("k", b"", 0)).unwrap_err()
+
+        self.assertFalse(run(whole).maybe_applied)
+
+    def test_timeout_leaves_a_write_unclear(self) -> None:
+        async def case(at: Setting) -> None:
+            at.state.delay_ms = 1500
+            assert (await at.client.swap("k", b"", 0)).unwrap_err().maybe_applied
+            assert not (await at.client.get("k")).unwrap_err().maybe_applied
+            await at.until(lambda: at.state.get("k"))
+            await at.sleep(1)
+
+        self.check(case)
+
+    def test_silent_watch_counts_as_closed(self) -> None:
+        async def case(at: Setting) -> None:
+            at.watch("k", 1)
+            await at.sleep(SILENCE.total_seconds() * 1.4)
+            assert at.closed == []
+            at.state.freeze_watches = True
+            await at.until(lambda: at.closed)
+
+        self.check(case)
+
+    def test_switches_and_counts_over_http(self) -> None:
+        async def whole(reactor: Any) -> None:
+            async with gateway(reactor) as at:
+                base = f"http://127.0.0.1:{at.port}/standin/".encode()
+                agent = Agent(reactor)
+                body = FileBodyProducer(BytesIO(b'{"lose_answers": 2}'))
+                put = await agent.request(b"PUT", base + b"switches", bodyProducer=body)
+                await readBody(put)
+                assert (put.code, at.state.lose_answers) == (200, 2)
+                (await at.client.get("k")).unwrap()
+                answer = await agent.request(b"GET", base + b"counts")
+                counts = json.loads(await readBody(answer))
+                assert counts["calls"] == {"range": 1}
+                assert counts["gauges"] == {"waiting_watches": 0}
+
+        run(whole)
+
+
+class LocalTest(SharedCases, unittest.TestCase):
+    """The client without sockets, in virtual time."""
+
+    def check(self, case: Callable[[Setting], Any], history: int = 100) -> None:
+        clock = Clock()
+
+        async def whole() -> None:
+            async with local(clock, history) as at:
+                await case(at)
+
+        done: list[object] = []
+        Deferred.fromCoroutine(whole()).addBoth(done.append)
+        self.assertEqual(done, [None])
+
+    def test_delay_beyond_timeout(self) -> None:
+        clock = Clock()
+        state = PlatformStandIn(clock)
+        client = LocalPlatformClient(state, clock.callLater, TIMEOUT)
+        state.delay_ms = 1500
+        done: list[Any] = []
+        Deferred.fromCoroutine(client.swap("k", b"", 0)).addBoth(done.append)
+        clock.advance(1)
+        self.assertTrue(done[0].unwrap_err().maybe_applied)
+        self.assertIsNone(state.get("k"))
+        clock.advance(0.5)
+        self.assertIsNotNone(state.get("k"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,3 @@
+"""Helpers shared by the tests."""
+
+from __future__ import annotations
