--- a/src/briarslip/process/etcd_gateway.py
+++ b/src/briarslip/process/etcd_gateway.py
@@ -20,10 +20,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
-from twisted.web.client import Agent
-from twisted.web.client import FileBodyProducer
-from twisted.web.client import HTTPConnectionPool
-from twisted.web.client import readBody
+from twisted.web import client
 from twisted.web.http_headers import Headers
 
 from briarslip.process.platform import KeyValue
@@ -37,15 +34,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.interfaces import IDelayedCall
+    from twisted.internet.base import DelayedCall
     from twisted.python.failure import Failure
-    from twisted.web.iweb import IResponse
 
     from briarslip.process.platform import Watch
 
 
 T = TypeVar("T")
 
+# Most of Twisted's HTTP client has no types that mypy can use.
+_http: Any = client
+
 DEFAULT_TIMEOUT = timedelta(seconds=2)
 DEFAULT_SILENCE = timedelta(seconds=5)
 MAX_WATCH_LINE_BYTES = 8 * 1024 * 1024
@@ -152,13 +151,42 @@
     return f"{type(problem).__name__}: {problem}"
 
 
-def _send(agent: Agent, url: bytes, message: dict[str, Any]) -> Deferred[IResponse]:
-    return agent.request(
+def _send(agent: Any, url: bytes, message: dict[str, Any]) -> Deferred[Any]:
+    request: Deferred[Any] = agent.request(
         b"POST",
         url,
         Headers({b"Content-Type": [b"application/json"]}),
-        FileBodyProducer(BytesIO(json.dumps(message).encode())),
+        _http.FileBodyProducer(BytesIO(json.dumps(message).encode())),
     )
+    return request
+
+
+class _Body(Protocol):
+    """Gathers one answer; to cancel ``finished`` closes the connection."""
+
+    def __init__(self) -> None:
+        self._received = bytearray()
+        self.finished: Deferred[bytes] = Deferred(lambda _: _close(self.transport))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Keep what came."""
+        self._received += data
+
+    def connectionLost(  # noqa: N802 - Twisted's name
+        self, reason: Failure = connectionDone
+    ) -> None:
+        """Tell that the answer is whole or broken off."""
+        if self.finished.called:
+            return
+        if isinstance(reason.value, (_http.ResponseDone, _http.PotentialDataLoss)):
+            self.finished.callback(bytes(self._received))
+        else:
+            self.finished.errback(reason)
+
+
+def _close(transport: Any) -> None:
+    if transport is not None:
+        transport.loseConnection()
 
 
 class _GatewayWatch(Protocol):
@@ -178,11 +206,11 @@
         self._buffer = bytearray()
         self._pending: Deferred[Any] | None = None
         self._ended = False
-        self._timer: IDelayedCall = reactor.callLater(
+        self._timer: DelayedCall = reactor.callLater(
             silence.total_seconds(), self._end, "no line within the silence allowed"
         )
 
-    def start(self, pending: Deferred[IResponse]) -> None:
+    def start(self, pending: Deferred[Any]) -> None:
         """Take over the request that opens the watch."""
         self._pending = pending
         pending.addCallbacks(self._opened, self._failed)
@@ -196,7 +224,7 @@
         if self._timer.active():
             self._timer.cancel()
         if self.transport is not None:
-            self.transport.loseConnection()
+            _close(self.transport)
         elif self._pending is not None:
             self._pending.cancel()
 
@@ -221,17 +249,17 @@
         """Tell that the connection is gone."""
         self._end(f"connection lost: {reason.getErrorMessage()}")
 
-    def _opened(self, response: IResponse) -> None:
+    def _opened(self, response: Any) -> None:
         if not self._ended and response.code != HTTPStatus.OK:
             response.deliverBody(self)
             self._end(f"HTTP status {response.code}")
             return
         response.deliverBody(self)
-        if self._ended and self.transport is not None:
-            self.transport.loseConnection()
+        if self._ended:
+            _close(self.transport)
 
     def _failed(self, failure: Failure) -> None:
-        self._end(_describe(failure.value))
+        self._end(failure.getErrorMessage())
 
     def _take_line(self, line: bytes | bytearray) -> None:
         try:
@@ -268,8 +296,8 @@
     def __init__(
         self,
         reactor: Any,
-        agent: Agent,
-        watch_agent: Agent,
+        agent: Any,
+        watch_agent: Any,
         base_url: str,
         timeout: timedelta,
         silence: timedelta,
@@ -295,11 +323,11 @@
         A watch that brings no line for ``silence`` counts as closed.
         """
         connect = timeout.total_seconds() * CONNECT_SHARE
-        pool = HTTPConnectionPool(reactor, persistent=True)
+        pool = _http.HTTPConnectionPool(reactor, persistent=True)
         return cls(
             reactor,
-            Agent(reactor, connectTimeout=connect, pool=pool),
-            Agent(reactor, connectTimeout=connect),
+            _http.Agent(reactor, connectTimeout=connect, pool=pool),
+            _http.Agent(reactor, connectTimeout=connect),
             f"http://{host}:{port}",
             timeout,
             silence,
@@ -429,7 +457,9 @@
 
     async def _fetch(self, path: str, message: dict[str, Any]) -> _Answer:
         response = await _send(self._agent, self._url(path), message)
-        return _Answer(response.code, await readBody(response))
+        body = _Body()
+        response.deliverBody(body)
+        return _Answer(response.code, await body.finished)
 
 
 __all__ = [
