--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -51,7 +51,7 @@
 
     def _reset(self) -> None:
         self.firstLine = True
-        self.length = None
+        self.length: int | None = None
         self.status = 0
         self.lines: list[bytes] = []
         self.shed = False
@@ -151,7 +151,7 @@
     def _end(self, data: bytes) -> None:
         sink, self.sink = self.sink, None
         if self.keep:
-            super().setLineMode(b"")
+            self.setLineMode(b"")
             self.firstLine = True
             self.on_idle(self)
         else:
--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -62,7 +62,7 @@
         if len(request.body) > self.factory.max_body_bytes:
             self._refuse(Reason.BODY_TOO_LARGE)
             return
-        self.notifyFinish().addErrback(self._disconnected)
+        self.notifyFinish().addErrback(self._caller_left)
         cancel = self.factory.forward(request, self)
         if not self.answered:
             self.cancel = cancel
@@ -134,7 +134,7 @@
         self.write(text)
         self.finish()
 
-    def _disconnected(self, _: object) -> None:
+    def _caller_left(self, _: object) -> None:
         if not self.answered:
             self.answered = True
             if self.cancel is not None:
--- a/src/briarslip/connection/peer_link.py
+++ b/src/briarslip/connection/peer_link.py
@@ -85,7 +85,7 @@
 
     def send(self, frame: Frame) -> None:
         """Send one frame."""
-        super().sendString(encode_frame(frame))
+        self.sendString(encode_frame(frame))
 
     def stringReceived(self, data: bytes) -> None:
         """Decode and act on one frame; a malformed one ends the link."""
--- /dev/null
+++ b/src/briarslip/console/daemon.py
@@ -0,0 +1,69 @@
+"""The daemon program, ``briarslipd``."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from briarslip.finding import report
+from briarslip.process.settings import Settings
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon until it is told to stop; return the exit status."""
+    options = _parser().parse_args(arguments)
+    path = Path(options.settings)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"briarslipd: {path}: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings = Settings.from_ini(text, str(path))
+    if isinstance(settings, Err):
+        print(report(settings.err_value), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if options.check:
+        print(f"{path}: settings are good")
+        return 0
+    return _run(settings.ok_value)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="briarslipd", description=__doc__)
+    parser.add_argument("settings", help="INI file with the settings")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    return parser
+
+
+def _run(settings: Settings) -> int:
+    from twisted.internet import reactor
+
+    from briarslip.process.daemon import Daemon
+
+    daemon = Daemon.from_settings(settings, reactor)
+    reactor.callWhenRunning(daemon.start)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(daemon.drain))
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
+
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/briarslip/console/record_files.py
@@ -0,0 +1,44 @@
+"""Reading of operators' record files."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from briarslip.console.session import EXIT_BAD_INPUT
+from briarslip.finding import Finding
+from briarslip.finding import report
+from briarslip.version.record import records_from_ini
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+    from briarslip.version.record import Record
+    from briarslip.version.record import RecordKey
+
+
+def read_files(paths: Iterable[Path]) -> list[Record]:
+    """Read and check every file; print all findings and exit if there are any."""
+    records: dict[RecordKey, Record] = {}
+    findings: list[Finding] = []
+    for path in paths:
+        result = records_from_ini(path.read_text(encoding="utf-8"), str(path))
+        if isinstance(result, Err):
+            findings.extend(result.err_value)
+            continue
+        for record in result.ok_value:
+            if record.key in records:
+                reason = "stands in two files"
+                findings.append(Finding(str(path), 0, str(record.key), "", reason))
+            records[record.key] = record
+    if findings:
+        print(report(tuple(findings)), file=sys.stderr)
+        raise SystemExit(EXIT_BAD_INPUT)
+    return list(records.values())
+
+
+__all__ = ["read_files"]
--- /dev/null
+++ b/src/briarslip/process/announcements.py
@@ -0,0 +1,73 @@
+"""Announcements of the backend servers beside this daemon."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+from result import Ok
+from result import Result
+
+from briarslip import fields
+from briarslip.finding import Finding
+from briarslip.process.member import Endpoint
+
+
+if TYPE_CHECKING:
+    from briarslip.address import Address
+
+
+SOURCE = "announcement"
+MAX_COUNT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a backend server says of itself."""
+
+    endpoint: Endpoint
+    address: Address
+
+
+def parse_announcement(
+    body: bytes,
+) -> Result[Announcement, tuple[Finding, ...]]:
+    """Read an announcement's JSON; the error holds all findings."""
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        return Err((Finding(SOURCE, 0, "", "", f"is not JSON: {error}"),))
+    if not isinstance(document, dict):
+        return Err((Finding(SOURCE, 0, "", "", "is not a JSON object"),))
+    values: dict[str, Any] = {}
+    findings: list[Finding] = []
+    for spec in ANNOUNCEMENT_FIELDS:
+        raw = document.get(spec.name, spec.default)
+        if raw is fields.REQUIRED:
+            findings.append(Finding(SOURCE, 0, "", spec.name, "is missing"))
+            continue
+        result = spec.parse(raw if isinstance(raw, str) else json.dumps(raw))
+        if isinstance(result, Err):
+            findings.append(Finding(SOURCE, 0, "", spec.name, result.err_value))
+        else:
+            values[spec.name] = result.ok_value
+    if findings:
+        return Err(tuple(findings))
+    address = values.pop("address")
+    return Ok(Announcement(Endpoint(**values), address))
+
+
+ANNOUNCEMENT_FIELDS = (
+    fields.FieldSpec("service", fields.name),
+    fields.FieldSpec("version", fields.name),
+    fields.FieldSpec("address", fields.address),
+    fields.FieldSpec("slots", fields.integer(1, MAX_COUNT)),
+    fields.FieldSpec("connections", fields.integer(1, MAX_COUNT)),
+    fields.FieldSpec("draining", fields.boolean, "false"),
+)
+
+
+__all__ = ["Announcement", "parse_announcement"]
--- a/src/briarslip/process/etcd_gateway.py
+++ b/src/briarslip/process/etcd_gateway.py
@@ -168,13 +168,11 @@
         self._received = bytearray()
         self.finished: Deferred[bytes] = Deferred(lambda _: _close(self.transport))
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+    def dataReceived(self, data: bytes) -> None:
         """Keep what came."""
         self._received += data
 
-    def connectionLost(  # noqa: N802 - Twisted's name
-        self, reason: Failure = connectionDone
-    ) -> None:
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Tell that the answer is whole or broken off."""
         if self.finished.called:
             return
@@ -228,7 +226,7 @@
         elif self._pending is not None:
             self._pending.cancel()
 
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+    def dataReceived(self, data: bytes) -> None:
         """Take the complete lines out of what came."""
         if self._ended:
             return
@@ -243,9 +241,7 @@
         if len(self._buffer) > MAX_WATCH_LINE_BYTES:
             self._end("a line is too long")
 
-    def connectionLost(  # noqa: N802 - Twisted's name
-        self, reason: Failure = connectionDone
-    ) -> None:
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Tell that the connection is gone."""
         self._end(f"connection lost: {reason.getErrorMessage()}")
 
--- a/src/briarslip/process/member.py
+++ b/src/briarslip/process/member.py
@@ -4,8 +4,11 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
-from briarslip.address import Address
+
+if TYPE_CHECKING:
+    from briarslip.address import Address
 
 
 class Status(IntEnum):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -354,7 +354,7 @@
             return _refuse(request, HTTPStatus.BAD_REQUEST, 3, str(problem))
         return b"{}"
 
-    def render_POST(self, request: Any) -> bytes | int:  # noqa: N802 - Twisted's name
+    def render_POST(self, request: Any) -> Any:  # noqa: N802 - Twisted's name
         """Serve one gateway call."""
         kind = KINDS.get(request.path.decode("utf-8", "replace"))
         if kind is None:
--- a/tests/process/test_etcd_gateway.py
+++ b/tests/process/test_etcd_gateway.py
@@ -283,13 +283,11 @@
 
             ended = False
 
-            def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+            def dataReceived(self, data: bytes) -> None:
                 transport: Any = self.transport
                 transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{")
 
-            def connectionLost(  # noqa: N802 - Twisted's name
-                self, reason: Failure = connectionDone
-            ) -> None:
+            def connectionLost(self, reason: Failure = connectionDone) -> None:
                 Stalling.ended = True
 
         async def whole(reactor: Any) -> None:
