--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/python -m demo
 
 test: $(STAMP)
-	$(BIN)/python -m unittest discover --start-directory tests --top-level-directory .
+	$(BIN)/python -m tests
 
 format: $(STAMP)
 	$(BIN)/ruff format .
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,13 +1,33 @@
-"""Run the benches and check their regression bounds."""
+"""Run the benches and check their regression bounds.
+
+A bench is a module of this package with ``run(quick) -> list[Figure]``.
+"""
 
 from __future__ import annotations
 
+import argparse
+import importlib
+import sys
+
+
+BENCHES: tuple[str, ...] = ()
+
 
 def main() -> int:
-    """Run every bench and return the exit status."""
-    print("no benches yet")
-    return 0
+    """Run the chosen benches and return the exit status."""
+    parser = argparse.ArgumentParser(prog="bench", description=__doc__)
+    parser.add_argument("names", nargs="*", default=BENCHES, help="benches to run")
+    parser.add_argument("--quick", action="store_true", help="small sizes, for CI")
+    options = parser.parse_args()
+    missed = 0
+    for name in options.names:
+        print(f"== {name}", flush=True)
+        for figure in importlib.import_module(f"bench.{name}").run(options.quick):
+            print(figure, flush=True)
+            missed += not figure.within
+    print(f"{missed} bounds missed")
+    return 1 if missed else 0
 
 
 if __name__ == "__main__":
-    raise SystemExit(main())
+    sys.exit(main())
--- /dev/null
+++ b/bench/figure.py
@@ -0,0 +1,33 @@
+"""Figures that benches report."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Figure:
+    """A measured value; ``bound`` is the most it may be, None if unbounded.
+
+    Bounds come from the stated target and are counts or ratios where a check
+    has to give the same verdict on every machine.
+    """
+
+    name: str
+    value: float
+    unit: str
+    bound: float | None = None
+
+    @property
+    def within(self) -> bool:
+        """Whether the value keeps its bound."""
+        return self.bound is None or self.value <= self.bound
+
+    def __str__(self) -> str:
+        text = f"{self.name}: {self.value:.4g} {self.unit}".rstrip()
+        if self.bound is None:
+            return text
+        return f"{text} (at most {self.bound:.4g}) {'ok' if self.within else 'MISSED'}"
+
+
+__all__ = ["Figure"]
--- a/src/briarslip/console/daemon.py
+++ b/src/briarslip/console/daemon.py
@@ -53,7 +53,9 @@
     from twisted.internet import reactor
 
     from briarslip.process.daemon import Daemon
+    from briarslip.process.events import install_log
 
+    install_log(settings.log)
     daemon = Daemon.from_settings(settings, reactor)
     reactor.callWhenRunning(daemon.start)
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/src/briarslip/process/admin.py
@@ -0,0 +1,59 @@
+"""The daemon's read-only endpoints for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briarslip.connection.local_http import JsonReply
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from briarslip.process.daemon import Daemon
+
+
+def admin_endpoints(
+    daemon: Daemon,
+) -> Mapping[tuple[str, str], Callable[[bytes], JsonReply]]:
+    """Return the endpoints by method and path."""
+    return {
+        ("GET", "/v1/status"): lambda _: _status(daemon),
+        ("GET", "/v1/members"): lambda _: _members(daemon),
+    }
+
+
+def _status(daemon: Daemon) -> JsonReply:
+    snapshot = daemon.distribution.snapshot
+    return JsonReply(
+        200,
+        {
+            "peer": str(daemon.settings.listen.peers),
+            "availability_zone": daemon.settings.daemon.availability_zone,
+            "running_version": snapshot.version,
+            "digest": snapshot.digest,
+            "routes": [route.name for route in daemon.distribution.table.routes],
+            "relay": daemon.distribution.relay.active,
+            "draining": daemon.draining,
+        },
+    )
+
+
+def _members(daemon: Daemon) -> JsonReply:
+    return JsonReply(
+        200,
+        [
+            {
+                "peer": str(member.address),
+                "availability_zone": member.availability_zone,
+                "status": member.status.name.lower(),
+                "running_version": member.running_version,
+                "services": [endpoint.service for endpoint in member.endpoints],
+            }
+            for member in daemon.membership.known
+        ],
+    )
+
+
+__all__ = ["admin_endpoints"]
--- /dev/null
+++ b/src/briarslip/process/events.py
@@ -0,0 +1,95 @@
+"""Numbered log events; ``docs/EVENTS.md`` is their catalogue."""
+
+from __future__ import annotations
+
+import json
+import sys
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import Any
+
+import logbook
+
+
+if TYPE_CHECKING:
+    from typing import TextIO
+
+    from briarslip.process.settings import LogSettings
+
+
+class Level(Enum):
+    """How much an event matters."""
+
+    DEBUG = logbook.DEBUG
+    INFO = logbook.INFO
+    WARNING = logbook.WARNING
+    ERROR = logbook.ERROR
+
+
+class Event(Enum):
+    """An event: its number, level and text; the fields stand beside it.
+
+    Numbers are never reused. Hundreds: 1 process, 2 membership, 3
+    configuration, 4 requests, 5 rollouts, 6 platform.
+    """
+
+    DAEMON_STARTED = (101, Level.INFO, "daemon started")
+    DAEMON_DRAINING = (102, Level.INFO, "daemon is draining")
+    DAEMON_STOPPED = (103, Level.INFO, "daemon stopped")
+    SERVER_ANNOUNCED = (201, Level.INFO, "backend server announced itself")
+    SERVER_EXPIRED = (202, Level.WARNING, "backend server stopped announcing itself")
+    VERSION_ACTIVE = (301, Level.INFO, "configuration version is active")
+    VERSION_REFUSED = (302, Level.ERROR, "configuration version was refused")
+    RELAY_STARTED = (303, Level.INFO, "acting as a relay")
+    RELAY_STOPPED = (304, Level.INFO, "no longer acting as a relay")
+    MESSAGE_REFUSED = (401, Level.WARNING, "message was refused")
+    PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
+
+    def __init__(self, number: int, level: Level, text: str) -> None:
+        self.number = number
+        self.level = level
+        self.text = text
+
+
+LOGGER = logbook.Logger("briarslip")
+
+
+def emit(event: Event, **fields: Any) -> None:
+    """Log an event with its fields."""
+    LOGGER.log(
+        event.level.value, event.text, extra={"event": event.number, "fields": fields}
+    )
+
+
+def handler_from_settings(settings: LogSettings, stream: TextIO) -> logbook.Handler:
+    """Return the handler that writes events as the settings ask."""
+    level = logbook.lookup_level(settings.level.upper())
+    handler = logbook.StreamHandler(stream, level=level)
+    handler.formatter = _format_json if settings.format == "json" else _format_text
+    return handler
+
+
+def install_log(settings: LogSettings) -> None:
+    """Write this process's events to its standard error."""
+    handler_from_settings(settings, sys.stderr).push_application()
+
+
+def _format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    document = {
+        "time": record.time.isoformat(),
+        "level": record.level_name.lower(),
+        "event": record.extra.get("event", 0),
+        "text": record.message,
+        **record.extra.get("fields", {}),
+    }
+    return json.dumps(document, default=str)
+
+
+def _format_text(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    fields = " ".join(f"{k}={v}" for k, v in record.extra.get("fields", {}).items())
+    number = record.extra.get("event", 0)
+    time = record.time.isoformat(timespec="milliseconds")
+    return f"{time} {record.level_name:<7} {number} {record.message} {fields}".rstrip()
+
+
+__all__ = ["Event", "Level", "emit", "handler_from_settings", "install_log"]
--- /dev/null
+++ b/src/briarslip/process/local_servers.py
@@ -0,0 +1,99 @@
+"""The backend servers beside this daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from briarslip.connection.backend_pool import BackendPool
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.request.admission import Admission
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briarslip.address import Address
+    from briarslip.process.announcements import Announcement
+    from briarslip.process.clock import Clock
+    from briarslip.process.member import Endpoint
+
+
+class LocalServer:
+    """One backend server with its connections and its admission."""
+
+    def __init__(
+        self, announcement: Announcement, now: float, reactor: Any, clock: Clock
+    ) -> None:
+        self.announcement = announcement
+        self.heard = now
+        slots = announcement.endpoint.slots
+        self.pool = BackendPool(reactor, announcement.address, slots)
+        self.admission = Admission(clock, slots, self.pool)
+
+
+class LocalServers:
+    """Keeps the servers that announce themselves, each for a lease."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        lease_seconds: float,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.lease_seconds = lease_seconds
+        self.on_change = on_change
+        self.servers: dict[Address, LocalServer] = {}
+
+    @property
+    def endpoints(self) -> tuple[Endpoint, ...]:
+        """What members are told of the servers."""
+        return tuple(s.announcement.endpoint for s in self.servers.values())
+
+    @property
+    def in_flight(self) -> int:
+        """The calls at all servers."""
+        return sum(server.admission.in_flight for server in self.servers.values())
+
+    def take(self, announcement: Announcement) -> None:
+        """Take or renew a server's announcement."""
+        now = self.clock.monotonic()
+        server = self.servers.get(announcement.address)
+        if server is None:
+            server = LocalServer(announcement, now, self.reactor, self.clock)
+            self.servers[announcement.address] = server
+            emit(Event.SERVER_ANNOUNCED, server=announcement.address)
+            self.on_change()
+        server.heard = now
+        if server.announcement != announcement:
+            server.announcement = announcement
+            self.on_change()
+
+    def expire(self) -> None:
+        """Forget the servers whose lease has lapsed."""
+        now = self.clock.monotonic()
+        for address, server in list(self.servers.items()):
+            if now - server.heard > self.lease_seconds:
+                del self.servers[address]
+                server.pool.close()
+                emit(Event.SERVER_EXPIRED, server=address)
+                self.on_change()
+
+    def admission(self, service: str, version: str) -> Admission | None:
+        """Return the admission of a server; ``version`` empty admits all."""
+        for server in self.servers.values():
+            endpoint = server.announcement.endpoint
+            if (
+                endpoint.service == service
+                and version in ("", endpoint.version)
+                and not endpoint.draining
+            ):
+                return server.admission
+        return None
+
+
+__all__ = ["LocalServer", "LocalServers"]
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -12,6 +12,7 @@
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
+from briarslip.request.sample import Sample
 
 
 if TYPE_CHECKING:
@@ -53,10 +54,13 @@
     availability_zone: str
     table: Callable[[], RoutingTable]
     members: Callable[[], Iterable[Member]]
-    local: Callable[[str], Dispatch | None]
+    local: Callable[[str, str], Dispatch | None]
     remote: Callable[[Address, Call, ResponseSink], Callable[[], None]]
+    version_for: Callable[[Route], str]
+    record: Callable[[Sample], None]
 
 
+FIRST_ERROR_STATUS = 500
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
 
 
@@ -82,7 +86,8 @@
         if route is None:
             return _refuse(sink, Reason.NO_ROUTE)
         call = self._call(request, route)
-        members = candidates(self.surroundings.members(), call.service, "")
+        version = call.service_version
+        members = candidates(self.surroundings.members(), call.service, version)
         zone = self.surroundings.availability_zone
         member = choose(members, zone, self.in_flight.__getitem__, self.rng)
         if member is None:
@@ -99,7 +104,7 @@
             headers=request.headers,
             body=request.body,
             service=route.service,
-            service_version="",
+            service_version=self.surroundings.version_for(route),
             route=route.name,
             urgent=route.priority == "urgent",
             idempotent=route.idempotent or request.method in IDEMPOTENT_METHODS,
@@ -111,10 +116,10 @@
         self, address: Address, call: Call, sink: ResponseSink
     ) -> Callable[[], None]:
         self.in_flight[address] += 1
-        attempt = Attempt(self, address, sink)
+        attempt = Attempt(self, address, call, sink)
         if address != self.surroundings.own_address:
             return self.surroundings.remote(address, call, attempt)
-        dispatch = self.surroundings.local(call.service)
+        dispatch = self.surroundings.local(call.service, call.service_version)
         if dispatch is None:
             attempt.failed(Failure(Outcome.NOT_RUN, Reason.NO_SERVER), None)
             return _nothing
@@ -125,27 +130,53 @@
     """One hand-over of a call to one server."""
 
     def __init__(
-        self, forwarder: Forwarder, address: Address, sink: ResponseSink
+        self,
+        forwarder: Forwarder,
+        address: Address,
+        call: Call,
+        sink: ResponseSink,
     ) -> None:
         self.forwarder = forwarder
         self.address = address
+        self.call = call
         self.sink = sink
+        self.began = forwarder.clock.monotonic()
+        self.outcome = Outcome.UNKNOWN
+        self.status = 0
 
     def head(self, head: ResponseHead) -> None:
         """Pass the head on."""
+        self.outcome = head.outcome
+        self.status = head.status
         self.sink.head(head)
 
     def body(self, data: bytes, last: bool) -> None:
         """Pass a body part on."""
         if last:
-            self.forwarder.in_flight[self.address] -= 1
+            self._end(self.outcome, self.status >= FIRST_ERROR_STATUS)
         self.sink.body(data, last)
 
     def failed(self, failure: Failure, load: Load | None) -> None:
         """Pass a failure on."""
-        self.forwarder.in_flight[self.address] -= 1
+        self._end(failure.outcome, True)
         self.sink.failed(failure, load)
 
+    def _end(self, outcome: Outcome, failed: bool) -> None:
+        self.forwarder.in_flight[self.address] -= 1
+        latency = self.forwarder.clock.monotonic() - self.began
+        call = self.call
+        self.forwarder.surroundings.record(
+            Sample(
+                service=call.service,
+                version=call.service_version,
+                route=call.route,
+                server=self.address,
+                outcome=outcome,
+                failed=failed,
+                latency=latency,
+            )
+        )
+
 
 def _nothing() -> None:
     """Cancel nothing: the call has ended."""
--- /dev/null
+++ b/standins/mesh.py
@@ -0,0 +1,298 @@
+"""A mesh of real processes on loopback: platform, daemons, backend servers."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from pathlib import Path
+    from types import TracebackType
+
+
+HOST = "127.0.0.1"
+START_SECONDS = 20.0
+STOP_SECONDS = 30.0
+POLL_SECONDS = 0.02
+SETTINGS = """\
+[daemon]
+availability_zone = {zone}
+region = {region}
+
+[listen]
+callers = {callers}
+peers = {peers}
+admin = {admin}
+announcements = {announcements}
+
+[platform]
+address = {platform}
+
+[membership]
+seeds = {seeds}
+"""
+
+
+@dataclass(frozen=True)
+class Node:
+    """The addresses of one daemon."""
+
+    zone: str
+    region: str
+    callers: str
+    peers: str
+    admin: str
+    announcements: str
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a caller got: status, outcome header and body."""
+
+    status: int
+    outcome: str
+    body: bytes
+
+
+def free_address() -> str:
+    """Return an address whose port is free for TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind((HOST, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((HOST, port))
+            except OSError:
+                continue
+            return f"{HOST}:{port}"
+
+
+def get_json(address: str, path: str) -> Any:
+    """Read a JSON endpoint."""
+    with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as reply:
+        return json.load(reply)
+
+
+def put_json(address: str, path: str, body: Any) -> Any:
+    """Write to a JSON endpoint."""
+    data = json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method="PUT")
+    with urllib.request.urlopen(request, timeout=5) as reply:
+        return json.load(reply)
+
+
+def wait_until(condition: Callable[[], bool], seconds: float = START_SECONDS) -> float:
+    """Poll a condition; return the seconds it took or raise TimeoutError."""
+    began = time.monotonic()
+    while time.monotonic() - began < seconds:
+        if condition():
+            return time.monotonic() - began
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f"condition not met after {seconds} s")
+
+
+class Mesh:
+    """Starts processes and stops each of them by its own id."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.platform = free_address()
+        self.nodes: list[Node] = []
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Mesh:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop what still runs."""
+        self.stop_all()
+
+    def start(self, name: str, *arguments: str) -> subprocess.Popen[bytes]:
+        """Start a Python module; its output goes to a file by its name."""
+        with (self.directory / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ, PYTHONUNBUFFERED="1"),
+            )
+        self.processes[name] = process
+        return process
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in and wait until it answers."""
+        port = self.platform.rpartition(":")[2]
+        self.start("platform", "standins.platform", "--port", port)
+        wait_until(lambda: _answers(self.platform, "/standin/counts"))
+
+    def add_nodes(self, zones: Iterable[str], region: str = "default") -> None:
+        """Give addresses to daemons, one for each zone named."""
+        for zone in zones:
+            addresses = [free_address() for _ in range(4)]
+            self.nodes.append(Node(zone, region, *addresses))
+
+    def start_daemon(self, number: int, extra: str = "") -> subprocess.Popen[bytes]:
+        """Start one daemon; ``extra`` is INI text added to its settings."""
+        node = self.nodes[number]
+        path = self.directory / f"daemon-{number}.ini"
+        seeds = ", ".join(n.peers for n in self.nodes[:4] if n is not node)
+        text = SETTINGS.format(platform=self.platform, seeds=seeds, **vars(node))
+        path.write_text(f"{text}\n{extra}")
+        return self.start(f"daemon-{number}", "briarslip.console.daemon", str(path))
+
+    def start_daemons(self, extra: str = "") -> None:
+        """Start every daemon and wait until all answer."""
+        for number in range(len(self.nodes)):
+            self.start_daemon(number, extra)
+        for node in self.nodes:
+            wait_until(lambda node=node: _answers(node.admin, "/v1/status"))  # type: ignore[misc]
+
+    def start_backend(
+        self, number: int, service: str, version: str = "1", *options: str
+    ) -> str:
+        """Start a backend server beside a daemon; return its address."""
+        address = free_address()
+        port = address.rpartition(":")[2]
+        self.start(
+            f"backend-{port}",
+            "standins.backend",
+            "--port",
+            port,
+            "--service",
+            service,
+            "--version",
+            version,
+            "--daemon",
+            self.nodes[number].announcements,
+            *options,
+        )
+        wait_until(lambda: _answers(address, "/healthz"))
+        return address
+
+    def apply(self, text: str) -> str:
+        """Apply records given as INI text with the operators' command."""
+        path = self.directory / "records.ini"
+        path.write_text(text)
+        return self.command("apply", str(path), "--platform", self.platform)
+
+    def command(self, *arguments: str) -> str:
+        """Run an operators' command and return what it printed."""
+        done = subprocess.run(
+            [sys.executable, "-m", "briarslip.console.application", *arguments],
+            check=True,
+            capture_output=True,
+            text=True,
+        )
+        return done.stdout.strip()
+
+    def running_version(self, number: int) -> int:
+        """Return the version a daemon runs, -1 if it doesn't answer."""
+        try:
+            return int(
+                get_json(self.nodes[number].admin, "/v1/status")["running_version"]
+            )
+        except OSError:
+            return -1
+
+    def wait_for_version(
+        self, version: int, numbers: Iterable[int] | None = None
+    ) -> float:
+        """Wait until daemons run a version; return the seconds it took."""
+        chosen = list(range(len(self.nodes)) if numbers is None else numbers)
+        return wait_until(
+            lambda: all(self.running_version(n) >= version for n in chosen)
+        )
+
+    def call(
+        self,
+        number: int,
+        path: str,
+        method: str = "GET",
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send a request through a daemon."""
+        request = urllib.request.Request(
+            f"http://{self.nodes[number].callers}{path}",
+            data=body,
+            method=method,
+            headers=headers or {},
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=30) as reply:
+                return Answer(
+                    reply.status, reply.headers["Briarslip-Outcome"], reply.read()
+                )
+        except urllib.error.HTTPError as error:
+            outcome = error.headers.get("Briarslip-Outcome", "")
+            return Answer(error.code, outcome, error.read())
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill one process and forget it."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self, name: str) -> int:
+        """Stop one process with SIGTERM and return its exit status."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout=STOP_SECONDS)
+
+    def stop_all(self) -> dict[str, int]:
+        """Stop every process; return the exit statuses by name."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGTERM)
+        statuses = {}
+        for name, process in self.processes.items():
+            try:
+                statuses[name] = process.wait(timeout=STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                statuses[name] = process.wait()
+        self.processes.clear()
+        return statuses
+
+
+def _answers(address: str, path: str) -> bool:
+    try:
+        get_json(address, path)
+    except urllib.error.HTTPError:
+        return True
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+__all__ = [
+    "Answer",
+    "Mesh",
+    "Node",
+    "free_address",
+    "get_json",
+    "put_json",
+    "wait_until",
+]
