--- /dev/null
+++ b/src/briarslip/console/load.py
@@ -0,0 +1,85 @@
+"""The load generator's program, ``briarslip-load``."""
+
+from __future__ import annotations
+
+import gc
+import json
+from pathlib import Path
+from typing import Annotated
+from typing import Any
+
+import typer
+from result import Err
+
+from briarslip.finding import report
+from briarslip.load.answer import Verdict
+from briarslip.load.plan import Plan
+from briarslip.load.report import report_html
+from briarslip.load.report import report_json
+from briarslip.load.runner import Runner
+from briarslip.load.tally import Tally
+
+
+EXIT_FAULTY_ANSWERS = 1
+EXIT_BAD_PLAN = 2
+
+
+PlanArgument = Annotated[
+    Path, typer.Argument(help="INI file with the plan", exists=True)
+]
+JsonOption = Annotated[
+    Path | None, typer.Option("--json", help="Write the result here")
+]
+HtmlOption = Annotated[
+    Path | None, typer.Option("--html", help="Write a page with a plot here")
+]
+
+
+def load(
+    plan: PlanArgument, json_file: JsonOption = None, html_file: HtmlOption = None
+) -> None:
+    """Run a load plan; the exit status is 1 if any answer was wrong or cut."""
+    parsed = Plan.from_ini(plan.read_text(encoding="utf-8"), str(plan))
+    if isinstance(parsed, Err):
+        typer.echo(report(parsed.err_value), err=True)
+        raise typer.Exit(EXIT_BAD_PLAN)
+    tally = run_plan(parsed.ok_value)
+    text = json.dumps(report_json(parsed.ok_value, tally), indent=2)
+    if json_file is None:
+        typer.echo(text)
+    else:
+        json_file.write_text(text, encoding="utf-8")
+    if html_file is not None:
+        page = report_html(parsed.ok_value, tally)
+        html_file.write_text(page, encoding="utf-8")
+    if tally.count(Verdict.WRONG) or tally.count(Verdict.CUT):
+        raise typer.Exit(EXIT_FAULTY_ANSWERS)
+
+
+def run_plan(plan: Plan) -> Tally:
+    """Run a plan on this process's reactor, which can be done only once."""
+    from twisted.internet import reactor as default_reactor
+
+    reactor: Any = default_reactor
+    tallies: list[Tally] = []
+
+    def done(tally: Tally) -> None:
+        tallies.append(tally)
+        reactor.stop()
+
+    reactor.callWhenRunning(Runner(plan, reactor, done).start)
+    gc.freeze()
+    reactor.run()
+    return tallies[0] if tallies else Tally()
+
+
+def main() -> None:
+    """Run the program."""
+    typer.run(load)
+
+
+if __name__ == "__main__":
+    main()
+
+
+__all__ = ["load", "main", "run_plan"]
