Requests: true outcomes, retry budget, admission by deadline and urgency, choice by outcomes

Cause: the thin path held no deadline (a frozen server kept its caller and its slot for ever), never retried, passed a shed answer on as an answer, leaked the in-flight count of cancelled calls, knew no version of a server when any was admitted, chose by its own in-flight count only, walked through all members for each call, and told nested calls neither depth nor deadline.

Ruled out: a budget of 10% at each hop (nested 8 deep that is 1.1^8 = 2.1x); an allowance carried in the call (a hop can't tell that one further in has used it); a tick list for deadlines (the reactor's timers suffice).

Change: one exchange per request with attempts that end once; not-run may go elsewhere for any method, unknown only if idempotent, never after a head has gone out. The outermost call pays 3% of a retry into the bucket, a nested one 0.9%; what is nested in a retry is marked and is not retried. Admission sheds what can't end in time, also from the queue by timer, frees slots at the deadline, and keeps a reserve that follows what urgent calls need. The choice weighs learned slowness per route mean, true occupancy from answers, warm-up, ejection (half at most) and zones. Versions: exact per attempt, excluded ones get nothing in choice, retry, admission and queue.

--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -36,7 +36,12 @@
     Reason.BAD_REQUEST: http.BAD_REQUEST,
     Reason.BODY_TOO_LARGE: http.REQUEST_ENTITY_TOO_LARGE,
     Reason.DEADLINE: http.GATEWAY_TIMEOUT,
+    Reason.HANDED_OVER: http.CONFLICT,
+    Reason.KEY_MISMATCH: 422,
 }
+# A whole second is the least that the header can say.
+RETRY_AFTER = b"1"
+OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.TOO_MANY_OUTSTANDING))
 
 
 class CallerHttpRequest(http.Request):
@@ -131,6 +136,8 @@
         self.setHeader(b"content-type", b"text/plain; charset=utf-8")
         self.setHeader(b"content-length", b"%d" % len(text))
         self.setHeader(OUTCOME_HEADER, outcome.value.encode())
+        if reason in OVERLOAD_REASONS:
+            self.setHeader(b"retry-after", RETRY_AFTER)
         self.write(text)
         self.finish()
 
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -16,6 +16,7 @@
 from briarslip.connection.peer_links import PeerLinks
 from briarslip.process.admin import admin_endpoints
 from briarslip.process.announcements import parse_announcement
+from briarslip.process.claims import PlatformClaims
 from briarslip.process.clock import SystemClock
 from briarslip.process.distribution_task import DistributionTask
 from briarslip.process.etcd_gateway import EtcdGatewayClient
@@ -72,7 +73,9 @@
             clock,
             settings.limits.announcement_lease.total_seconds(),
             self.update_membership,
+            self.excluded,
         )
+        self.claims = PlatformClaims(self.platform, clock, rng, reactor.callLater)
         hello = Hello(str(own_address), zone)
         self.links = PeerLinks(reactor, clock, hello, self.serve, self.take_control)
         self.membership = MembershipTask(
@@ -121,6 +124,9 @@
             remote=self.links.dispatch_to,
             version_for=self.version_for,
             record=self.record,
+            excluded=self.excluded,
+            call_later=self.reactor.callLater,
+            claims=self.claims,
         )
 
     def start(self) -> None:
@@ -172,6 +178,10 @@
         """Return the service version a call of this route must go to, if any."""
         return ""
 
+    def excluded(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that must get no work."""
+        return frozenset()
+
     def record(self, sample: Sample) -> None:
         """Take what a finished attempt tells about its server."""
 
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -43,6 +43,8 @@
     RELAY_STARTED = (303, Level.INFO, "acting as a relay")
     RELAY_STOPPED = (304, Level.INFO, "no longer acting as a relay")
     MESSAGE_REFUSED = (401, Level.WARNING, "message was refused")
+    CLAIMS_UNAVAILABLE = (451, Level.WARNING, "claims can't be made")
+    CLAIM_LEFT = (452, Level.WARNING, "a claim of a request not run was left standing")
     PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
 
     def __init__(self, number: int, level: Level, text: str) -> None:
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -24,13 +24,18 @@
     """One backend server with its connections and its admission."""
 
     def __init__(
-        self, announcement: Announcement, now: float, reactor: Any, clock: Clock
+        self,
+        announcement: Announcement,
+        now: float,
+        reactor: Any,
+        clock: Clock,
+        excluded: Callable[[str], frozenset[str]],
     ) -> None:
         self.announcement = announcement
         self.heard = now
         slots = announcement.endpoint.slots
         self.pool = BackendPool(reactor, announcement.address, slots)
-        self.admission = Admission(clock, slots, self.pool)
+        self.admission = Admission(clock, slots, self.pool, reactor.callLater, excluded)
 
 
 class LocalServers:
@@ -42,11 +47,13 @@
         clock: Clock,
         lease_seconds: float,
         on_change: Callable[[], None],
+        excluded: Callable[[str], frozenset[str]],
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.lease_seconds = lease_seconds
         self.on_change = on_change
+        self.excluded = excluded
         self.servers: dict[Address, LocalServer] = {}
 
     @property
@@ -64,7 +71,9 @@
         now = self.clock.monotonic()
         server = self.servers.get(announcement.address)
         if server is None:
-            server = LocalServer(announcement, now, self.reactor, self.clock)
+            server = LocalServer(
+                announcement, now, self.reactor, self.clock, self.excluded
+            )
             self.servers[announcement.address] = server
             emit(Event.SERVER_ANNOUNCED, server=announcement.address)
             self.on_change()
--- /dev/null
+++ b/src/briarslip/request/admitted_call.py
@@ -0,0 +1,119 @@
+"""A call at the daemon of the server that is to run it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from briarslip.request.propagation import deadline_line
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briarslip.request.admission import Admission
+    from briarslip.request.call import Call
+    from briarslip.request.call import Load
+    from briarslip.request.call import ResponseHead
+    from briarslip.request.call import ResponseSink
+    from briarslip.request.timer import Timer
+
+
+class AdmittedCall:
+    """A call that waits for a slot or holds one."""
+
+    def __init__(self, admission: Admission, call: Call, sink: ResponseSink) -> None:
+        self.admission = admission
+        self.call = call
+        self.sink = sink
+        self.cancel_backend: Callable[[], None] | None = None
+        self.timer: Timer | None = None
+        self.began: float | None = None
+        self.not_run = False
+        self.ended = False
+
+    def set_timer(self) -> None:
+        """Bound the call by its deadline."""
+        remaining = self.call.deadline - self.admission.clock.monotonic()
+        self.timer = self.admission.call_later(max(0.0, remaining), self.time_out)
+
+    def start(self, remaining: float) -> None:
+        """Hand the call to the backend server."""
+        self.began = self.admission.clock.monotonic()
+        call = replace(self.call, headers=self.call.headers + deadline_line(remaining))
+        self.cancel_backend = self.admission.backend(call, self)
+
+    def refuse(self, reason: Reason) -> None:
+        """Answer that the call was not run."""
+        self._stop_timer()
+        self.ended = True
+        self.sink.failed(Failure(Outcome.NOT_RUN, reason), self.admission.load)
+
+    def head(self, head: ResponseHead) -> None:
+        """Pass the head on with the occupancy, those that wait included."""
+        if self.ended:
+            return
+        self.not_run = head.outcome is Outcome.NOT_RUN
+        self.sink.head(replace(head, load=self.admission.load))
+
+    def body(self, data: bytes, last: bool) -> None:
+        """Pass a body part on; the last one frees the slot."""
+        if self.ended:
+            return
+        if last:
+            self._finish(learn=not self.not_run)
+        self.sink.body(data, last)
+
+    def failed(self, failure: Failure, load: Load | None) -> None:
+        """Pass a failure on and free the slot."""
+        if self.ended:
+            return
+        self._finish(learn=False)
+        self.sink.failed(failure, self.admission.load)
+
+    def time_out(self) -> None:
+        """End the call at its deadline; what the server got, it may have run."""
+        if self.ended:
+            return
+        if self.began is None:
+            self.admission.withdrawn(self)
+            self.refuse(Reason.DEADLINE)
+            return
+        self.timer = None
+        if self.cancel_backend is not None:
+            self.cancel_backend()
+        # A server that doesn't answer in time is slow: let the mean know.
+        self._finish(learn=True)
+        self.sink.failed(Failure(Outcome.UNKNOWN, Reason.DEADLINE), self.admission.load)
+
+    def cancel(self) -> None:
+        """Give the call up."""
+        if self.ended:
+            return
+        if self.began is None:
+            self._stop_timer()
+            self.ended = True
+            self.admission.withdrawn(self)
+            return
+        if self.cancel_backend is not None:
+            self.cancel_backend()
+        self._finish(learn=False)
+
+    def _finish(self, learn: bool) -> None:
+        self._stop_timer()
+        self.ended = True
+        if learn and self.began is not None:
+            seconds = self.admission.clock.monotonic() - self.began
+            self.admission.learn(self.call, seconds)
+        self.admission.finished(self.call)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+__all__ = ["AdmittedCall"]
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -20,7 +20,8 @@
 
     ``headers`` holds header lines in HTTP wire form, each ended by CRLF,
     without hop-by-hop headers. ``deadline`` is a reading of the local
-    monotonic clock in seconds.
+    monotonic clock in seconds. ``service_version`` is that of the chosen
+    server, so that no other version runs the call.
     """
 
     method: str
--- a/src/briarslip/request/choice.py
+++ b/src/briarslip/request/choice.py
@@ -4,50 +4,69 @@
 
 from typing import TYPE_CHECKING
 
+from briarslip.request.ejection import eligible
+from briarslip.request.server import expected_wait
+
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
-    from collections.abc import Iterable
     from collections.abc import Sequence
 
-    from briarslip.address import Address
-    from briarslip.process.member import Member
-
+    from briarslip.request.server import Server
 
-def candidates(
-    members: Iterable[Member], service: str, version: str
-) -> tuple[Member, ...]:
-    """Return the members with a server of a service that takes new work.
 
-    An empty ``version`` admits every version.
-    """
-    return tuple(
-        member
-        for member in members
-        if any(
-            endpoint.service == service
-            and not endpoint.draining
-            and version in ("", endpoint.version)
-            for endpoint in member.endpoints
-        )
-    )
+SPILL_FACTOR = 2.0
+WARM_UP_SECONDS = 10.0
+LEAST_WARM_SHARE = 0.1
 
 
 def choose(
-    members: Sequence[Member],
+    servers: Sequence[Server],
     availability_zone: str,
-    in_flight: Callable[[Address], int],
+    now: float,
     rng: random.Random,
-) -> Member | None:
-    """Choose the less busy of two random members, own zone first."""
-    near = [m for m in members if m.availability_zone == availability_zone]
-    pool = near or members
-    if not pool:
+) -> Server | None:
+    """Choose the server with the shorter wait of two random ones.
+
+    The own availability zone goes first; another one is taken when its wait
+    is shorter by more than the spill factor. Health and load endpoints have no
+    part in it.
+    """
+    usable = eligible(servers, now)
+    near = [s for s in usable if s.availability_zone == availability_zone]
+    best_near = _better_of_two(near, now, rng)
+    if len(near) == len(usable):
+        return best_near
+    far = [s for s in usable if s.availability_zone != availability_zone]
+    best_far = _better_of_two(far, now, rng)
+    if best_near is None or best_far is None:
+        return best_near or best_far
+    spills = expected_wait(best_near, now) > SPILL_FACTOR * expected_wait(best_far, now)
+    return best_far if spills else best_near
+
+
+def _better_of_two(
+    servers: Sequence[Server], now: float, rng: random.Random
+) -> Server | None:
+    if not servers:
         return None
-    first = rng.choice(pool)
-    second = rng.choice(pool)
-    return min(first, second, key=lambda member: in_flight(member.address))
+    if len(servers) == 1:
+        return servers[0]
+    first = servers[int(rng.random() * len(servers))]
+    second = servers[int(rng.random() * len(servers))]
+    if first is second:
+        return first
+    if first.warm_at > now or second.warm_at > now:
+        first_ready = _passes_warm_up(first, now, rng)
+        if first_ready != _passes_warm_up(second, now, rng):
+            return first if first_ready else second
+    return first if expected_wait(first, now) <= expected_wait(second, now) else second
+
+
+def _passes_warm_up(server: Server, now: float, rng: random.Random) -> bool:
+    """Let a growing share of calls through to a server that is new."""
+    left = (server.warm_at - now) / WARM_UP_SECONDS
+    return left <= 0.0 or rng.random() < max(LEAST_WARM_SHARE, 1.0 - left)
 
 
-__all__ = ["candidates", "choose"]
+__all__ = ["WARM_UP_SECONDS", "choose"]
--- /dev/null
+++ b/src/briarslip/request/exchange.py
@@ -0,0 +1,240 @@
+"""One caller's request from its arrival to the end of its answer."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from briarslip.request.attempt import Attempt
+from briarslip.request.call import Load
+from briarslip.request.call import ResponseHead
+from briarslip.request.choice import choose
+from briarslip.request.claim import MAX_ANSWER_BYTES
+from briarslip.request.claim import ClaimRequest
+from briarslip.request.claim import HandedOver
+from briarslip.request.claim import HeldClaim
+from briarslip.request.claim import KeyMismatch
+from briarslip.request.claim import NoPlatform
+from briarslip.request.claim import Replay
+from briarslip.request.claim import StoredAnswer
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from briarslip.request.propagation import context_lines
+from briarslip.request.retry import MAX_ATTEMPTS
+from briarslip.request.retry import is_retryable
+
+
+if TYPE_CHECKING:
+    from briarslip.request.call import Call
+    from briarslip.request.call import ResponseSink
+    from briarslip.request.claim import Decision
+    from briarslip.request.forwarder import Forwarder
+    from briarslip.request.server import Server
+    from briarslip.request.timer import Timer
+
+
+# The serving daemon ends a call at its deadline; this is for its word to come.
+GRACE_SECONDS = 0.05
+REPLAYED_LINE = b"Briarslip-Replayed: 1\r\n"
+
+
+class Exchange:
+    """Sends a call until it has an answer that may be passed on.
+
+    ``retried`` is true when the call came as part of a retry further out, which
+    must not be retried again here.
+    """
+
+    def __init__(
+        self, forwarder: Forwarder, call: Call, retried: bool, sink: ResponseSink
+    ) -> None:
+        self.forwarder = forwarder
+        self.call = call
+        self.retried = retried
+        self.sink = sink
+        self.attempt: Attempt | None = None
+        self.tried: set[Server] = set()
+        self.attempts = 0
+        self.head_sent = False
+        self.answer: StoredAnswer | None = None
+        self.parts: list[bytes] = []
+        self.held: HeldClaim | None = None
+        self.claim_required = True
+        self.timer: Timer | None = None
+        self.ended = False
+
+    def start(self, caller_key: bytes, claims: str) -> None:
+        """Begin; a non-idempotent call with a key gets a claim first."""
+        forwarder = self.forwarder
+        remaining = self.call.deadline - forwarder.clock.monotonic()
+        self.timer = forwarder.surroundings.call_later(
+            remaining + GRACE_SECONDS, self._time_out
+        )
+        if self.call.idempotent or not caller_key or claims == "none":
+            self._send_first()
+            return
+        self.claim_required = claims == "required"
+        request = ClaimRequest.from_call(self.call, caller_key)
+        forwarder.surroundings.claims.acquire(request, self._claimed)
+
+    def _claimed(self, decision: Decision) -> None:
+        if self.ended:
+            self._give_back(decision)
+            return
+        match decision:
+            case HeldClaim():
+                self.held = decision
+                self._send_first()
+            case Replay():
+                self._replay(decision.answer)
+            case HandedOver():
+                self._fail(Failure(Outcome.UNKNOWN, Reason.HANDED_OVER))
+            case KeyMismatch():
+                self._fail(Failure(Outcome.NOT_RUN, Reason.KEY_MISMATCH))
+            case NoPlatform():
+                self._go_without_claim(decision)
+
+    def _go_without_claim(self, decision: NoPlatform) -> None:
+        self.held = decision.unclear
+        if self.claim_required:
+            self._fail(Failure(Outcome.NOT_RUN, Reason.NO_CLAIM))
+        else:
+            self._send_first()
+
+    def _give_back(self, decision: Decision) -> None:
+        held = decision.unclear if isinstance(decision, NoPlatform) else decision
+        if isinstance(held, HeldClaim):
+            self.forwarder.surroundings.claims.release(held)
+
+    def _replay(self, answer: StoredAnswer) -> None:
+        headers = answer.headers + REPLAYED_LINE
+        load = Load(0, 0)
+        self._finish()
+        self.sink.head(ResponseHead(answer.status, headers, Outcome.RAN, load))
+        self.sink.body(answer.body, True)
+
+    def _send_first(self) -> None:
+        self.forwarder.budget.pay_in(self.call.depth, self.retried)
+        server = self._choose()
+        if server is None:
+            self._fail(Failure(Outcome.NOT_RUN, Reason.NO_SERVER))
+            return
+        self._send(server, self.retried)
+
+    def _choose(self) -> Server | None:
+        servers = self.forwarder.servers(self.call)
+        if self.tried:
+            servers = [server for server in servers if server not in self.tried]
+        forwarder = self.forwarder
+        zone = forwarder.surroundings.availability_zone
+        return choose(servers, zone, forwarder.clock.monotonic(), forwarder.rng)
+
+    def _send(self, server: Server, retried: bool) -> None:
+        self.attempts += 1
+        self.tried.add(server)
+        call = self.call
+        context = context_lines(call.depth, call.urgent, retried)
+        call = replace(
+            call, service_version=server.version, headers=call.headers + context
+        )
+        self.attempt = Attempt(self.forwarder, server, call, self)
+        self.attempt.start()
+
+    def may_retry(self, failure: Failure) -> bool:
+        """Tell whether a failed attempt is to be followed by another.
+
+        A true answer takes a retry out of the budget.
+        """
+        if (
+            self.head_sent
+            or self.retried
+            or self.attempts >= MAX_ATTEMPTS
+            or self.call.deadline <= self.forwarder.clock.monotonic()
+            or not is_retryable(failure, self.call.idempotent)
+        ):
+            return False
+        return self._choose() is not None and self.forwarder.budget.take()
+
+    def retry(self) -> None:
+        """Make another attempt, after ``may_retry``."""
+        server = self._choose()
+        if server is None:
+            self._fail(Failure(Outcome.NOT_RUN, Reason.NO_SERVER))
+            return
+        self._send(server, True)
+
+    def attempt_failed(self, failure: Failure) -> None:
+        """Retry after a failed attempt, or end with its failure."""
+        if self.may_retry(failure):
+            self.retry()
+        else:
+            self._fail(failure)
+
+    def head(self, head: ResponseHead) -> None:
+        """Pass on the head of the attempt that is the answer."""
+        self.head_sent = True
+        if self.held is not None:
+            self.answer = StoredAnswer(head.status, head.headers, b"")
+            if head.outcome is Outcome.NOT_RUN:
+                self._release()
+        self.sink.head(head)
+
+    def body(self, data: bytes, last: bool) -> None:
+        """Pass on a body part, kept for later copies where there is a claim."""
+        if self.held is not None:
+            self._keep(data, last)
+        if last:
+            self._finish()
+        self.sink.body(data, last)
+
+    def _keep(self, data: bytes, last: bool) -> None:
+        answer = self.answer
+        if answer is None or self.held is None:
+            return
+        self.parts.append(data)
+        size = answer.size + sum(map(len, self.parts))
+        if size > MAX_ANSWER_BYTES:
+            self.answer = None
+        elif last:
+            whole = replace(answer, body=b"".join(self.parts))
+            self.forwarder.surroundings.claims.store(self.held, whole)
+
+    def cancel(self) -> None:
+        """Give the request up: the caller has gone."""
+        if self.ended:
+            return
+        self._finish()
+        if self.attempt is not None:
+            self.attempt.cancel(Reason.CANCELLED)
+
+    def _time_out(self) -> None:
+        self.timer = None
+        outcome = Outcome.NOT_RUN
+        if self.attempt is not None:
+            outcome = Outcome.UNKNOWN
+            self.attempt.cancel(Reason.DEADLINE)
+        self._fail(Failure(outcome, Reason.DEADLINE))
+
+    def _fail(self, failure: Failure) -> None:
+        if self.ended:
+            return
+        if failure.outcome is Outcome.NOT_RUN and not self.head_sent:
+            self._release()
+        self._finish()
+        self.sink.failed(failure, None)
+
+    def _release(self) -> None:
+        held, self.held = self.held, None
+        if held is not None:
+            self.forwarder.surroundings.claims.release(held)
+
+    def _finish(self) -> None:
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        self.forwarder.finished(self.call)
+
+
+__all__ = ["Exchange"]
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -2,33 +2,33 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from briarslip.request.call import Call
-from briarslip.request.choice import candidates
-from briarslip.request.choice import choose
+from briarslip.request.claim import MAX_KEY_BYTES
+from briarslip.request.directory import Directory
+from briarslip.request.exchange import Exchange
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
-from briarslip.request.sample import Sample
+from briarslip.request.outstanding import Outstanding
+from briarslip.request.propagation import read_context
+from briarslip.request.retry import RetryBudget
+from briarslip.request.service_time import ServiceTimes
+from briarslip.request.surroundings import Surroundings
 
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
-    from briarslip.address import Address
     from briarslip.process.clock import Clock
-    from briarslip.process.member import Member
-    from briarslip.request.call import Dispatch
-    from briarslip.request.call import Load
-    from briarslip.request.call import ResponseHead
     from briarslip.request.call import ResponseSink
+    from briarslip.request.propagation import CallContext
+    from briarslip.request.server import Server
     from briarslip.version.record import Route
-    from briarslip.version.routing_table import RoutingTable
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,21 +46,6 @@
     timeout: float | None
 
 
-@dataclass(frozen=True, slots=True)
-class Surroundings:
-    """What the forwarder sees of the daemon around it."""
-
-    own_address: Address
-    availability_zone: str
-    table: Callable[[], RoutingTable]
-    members: Callable[[], Iterable[Member]]
-    local: Callable[[str, str], Dispatch | None]
-    remote: Callable[[Address, Call, ResponseSink], Callable[[], None]]
-    version_for: Callable[[Route], str]
-    record: Callable[[Sample], None]
-
-
-FIRST_ERROR_STATUS = 500
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
 
 
@@ -73,7 +58,10 @@
         self.clock = clock
         self.rng = rng
         self.surroundings = surroundings
-        self.in_flight: Counter[Address] = Counter()
+        self.directory = Directory(surroundings.members)
+        self.budget = RetryBudget()
+        self.latencies = ServiceTimes()
+        self.outstanding = Outstanding()
 
     def __call__(
         self, request: CallerRequest, sink: ResponseSink
@@ -85,97 +73,43 @@
         route = table.match(request.target)
         if route is None:
             return _refuse(sink, Reason.NO_ROUTE)
-        call = self._call(request, route)
-        version = call.service_version
-        members = candidates(self.surroundings.members(), call.service, version)
-        zone = self.surroundings.availability_zone
-        member = choose(members, zone, self.in_flight.__getitem__, self.rng)
-        if member is None:
-            return _refuse(sink, Reason.NO_SERVER)
-        return self._send(member.address, call, sink)
-
-    def _call(self, request: CallerRequest, route: Route) -> Call:
+        context = read_context(request.headers)
+        if len(context.key) > MAX_KEY_BYTES:
+            return _refuse(sink, Reason.BAD_REQUEST)
+        call = self._call(request, route, context)
+        if not self.outstanding.enter(call.service, call.urgent):
+            return _refuse(sink, Reason.TOO_MANY_OUTSTANDING)
+        exchange = Exchange(self, call, context.retried, sink)
+        exchange.start(context.key, route.claims)
+        return exchange.cancel
+
+    def _call(self, request: CallerRequest, route: Route, context: CallContext) -> Call:
         timeout = route.timeout.total_seconds()
         if request.timeout is not None:
             timeout = min(timeout, request.timeout)
         return Call(
             method=request.method,
             target=request.target,
-            headers=request.headers,
+            headers=context.headers,
             body=request.body,
             service=route.service,
             service_version=self.surroundings.version_for(route),
             route=route.name,
-            urgent=route.priority == "urgent",
+            urgent=route.priority == "urgent" and not context.bulk,
             idempotent=route.idempotent or request.method in IDEMPOTENT_METHODS,
             depth=request.depth + 1,
             deadline=self.clock.monotonic() + timeout,
         )
 
-    def _send(
-        self, address: Address, call: Call, sink: ResponseSink
-    ) -> Callable[[], None]:
-        self.in_flight[address] += 1
-        attempt = Attempt(self, address, call, sink)
-        if address != self.surroundings.own_address:
-            return self.surroundings.remote(address, call, attempt)
-        dispatch = self.surroundings.local(call.service, call.service_version)
-        if dispatch is None:
-            attempt.failed(Failure(Outcome.NOT_RUN, Reason.NO_SERVER), None)
-            return _nothing
-        return dispatch(call, attempt)
-
-
-class Attempt:
-    """One hand-over of a call to one server."""
+    def servers(self, call: Call) -> Sequence[Server]:
+        """Return the servers that a call may go to."""
+        excluded = self.surroundings.excluded(call.service)
+        now = self.clock.monotonic()
+        return self.directory.find(call.service, call.service_version, excluded, now)
 
-    def __init__(
-        self,
-        forwarder: Forwarder,
-        address: Address,
-        call: Call,
-        sink: ResponseSink,
-    ) -> None:
-        self.forwarder = forwarder
-        self.address = address
-        self.call = call
-        self.sink = sink
-        self.began = forwarder.clock.monotonic()
-        self.outcome = Outcome.UNKNOWN
-        self.status = 0
-
-    def head(self, head: ResponseHead) -> None:
-        """Pass the head on."""
-        self.outcome = head.outcome
-        self.status = head.status
-        self.sink.head(head)
-
-    def body(self, data: bytes, last: bool) -> None:
-        """Pass a body part on."""
-        if last:
-            self._end(self.outcome, self.status >= FIRST_ERROR_STATUS)
-        self.sink.body(data, last)
-
-    def failed(self, failure: Failure, load: Load | None) -> None:
-        """Pass a failure on."""
-        self._end(failure.outcome, True)
-        self.sink.failed(failure, load)
-
-    def _end(self, outcome: Outcome, failed: bool) -> None:
-        self.forwarder.in_flight[self.address] -= 1
-        latency = self.forwarder.clock.monotonic() - self.began
-        call = self.call
-        self.forwarder.surroundings.record(
-            Sample(
-                service=call.service,
-                version=call.service_version,
-                route=call.route,
-                server=self.address,
-                outcome=outcome,
-                failed=failed,
-                latency=latency,
-            )
-        )
+    def finished(self, call: Call) -> None:
+        """Count a request out."""
+        self.outstanding.leave(call.service, call.urgent)
 
 
 def _nothing() -> None:
--- a/src/briarslip/request/outcome.py
+++ b/src/briarslip/request/outcome.py
@@ -30,6 +30,11 @@
     CANCELLED = "the caller went away"
     BODY_TOO_LARGE = "the body is too large"
     BAD_REQUEST = "the request is malformed"
+    VERSION_EXCLUDED = "the server's version gets no work"
+    TOO_MANY_OUTSTANDING = "too many requests of the service are under way"
+    NO_CLAIM = "no claim could be made for the idempotency key"
+    KEY_MISMATCH = "the idempotency key belongs to another request"
+    HANDED_OVER = "already handed over, outcome unknown"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/briarslip/request/surroundings.py
@@ -0,0 +1,48 @@
+"""What a daemon's forwarder sees of the daemon around it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from briarslip.address import Address
+    from briarslip.process.member import Member
+    from briarslip.request.call import Call
+    from briarslip.request.call import Dispatch
+    from briarslip.request.call import ResponseSink
+    from briarslip.request.claim import Claims
+    from briarslip.request.sample import Sample
+    from briarslip.request.timer import CallLater
+    from briarslip.version.record import Route
+    from briarslip.version.routing_table import RoutingTable
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """The parts of the daemon that requests need.
+
+    ``version_for`` returns the service version that a call must go to, empty
+    for any. ``excluded`` returns the versions of a service that must get no
+    work. ``local`` returns what serves a service and version here, if anything
+    does. ``record`` takes the end of each attempt.
+    """
+
+    own_address: Address
+    availability_zone: str
+    table: Callable[[], RoutingTable]
+    members: Callable[[], Iterable[Member]]
+    local: Callable[[str, str], Dispatch | None]
+    remote: Callable[[Address, Call, ResponseSink], Callable[[], None]]
+    version_for: Callable[[Route], str]
+    record: Callable[[Sample], None]
+    excluded: Callable[[str], frozenset[str]]
+    call_later: CallLater
+    claims: Claims
+
+
+__all__ = ["Surroundings"]
--- /dev/null
+++ b/tests/request/support.py
@@ -0,0 +1,214 @@
+"""Fakes at the interfaces of the request layer."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from briarslip.address import Address
+from briarslip.process.member import Endpoint
+from briarslip.process.member import Member
+from briarslip.process.member import Status
+from briarslip.request.call import Call
+from briarslip.request.call import Load
+from briarslip.request.call import ResponseHead
+from briarslip.request.claim import ClaimRequest
+from briarslip.request.claim import HeldClaim
+from briarslip.request.claim import NoPlatform
+from briarslip.request.claim import StoredAnswer
+from briarslip.request.forwarder import CallerRequest
+from briarslip.request.forwarder import Forwarder
+from briarslip.request.forwarder import Surroundings
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from briarslip.version.record import Route
+from briarslip.version.record import Service
+from briarslip.version.routing_table import RoutingTable
+from standins.virtual_time import VirtualTime
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briarslip.request.call import ResponseSink
+    from briarslip.request.claim import Decision
+    from briarslip.request.sample import Sample
+
+
+SEED = 11
+TIMEOUT = 2.0
+ROUTE = Route("r", "holds", "/", "urgent", timedelta(seconds=TIMEOUT), False, "none")
+NOT_RUN = Failure(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+UNKNOWN = Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+
+
+def address(number: int) -> Address:
+    """Return the address of a daemon."""
+    return Address("127.0.0.1", 9000 + number)
+
+
+def member(
+    number: int, version: str = "1", zone: str = "klang", slots: int = 10
+) -> Member:
+    """Return a member with one backend server."""
+    endpoint = Endpoint("holds", version, slots, 100, False)
+    where = address(number)
+    return Member(where, zone, "default", 1, Status.ALIVE, 1, (endpoint,))
+
+
+def call(urgent: bool = True, timeout: float = TIMEOUT, now: float = 1000.0) -> Call:
+    """Return a call as a serving daemon gets it."""
+    return Call("GET", "/", b"", b"", "holds", "1", "r", urgent, True, 1, now + timeout)
+
+
+@dataclass
+class Sink:
+    """Keeps an answer; fails when it ends twice or goes on after its end."""
+
+    heads: list[ResponseHead] = field(default_factory=list)
+    data: bytes = b""
+    failure: Failure | None = None
+    ended: bool = False
+
+    def head(self, head: ResponseHead) -> None:
+        """Take the head."""
+        assert not self.ended
+        self.heads.append(head)
+
+    def body(self, data: bytes, last: bool) -> None:
+        """Take a body part."""
+        assert not self.ended
+        assert self.heads
+        self.data += data
+        self.ended = last
+
+    def failed(self, failure: Failure, load: Load | None) -> None:
+        """Take a failure."""
+        assert not self.ended
+        self.failure = failure
+        self.ended = True
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """What the caller is told."""
+        if self.failure is not None:
+            return self.failure.outcome
+        return self.heads[-1].outcome if self.heads else None
+
+
+@dataclass
+class Sent:
+    """A call as a fake server got it."""
+
+    address: Address
+    call: Call
+    sink: ResponseSink
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Take note of the cancellation."""
+        self.cancelled = True
+
+    def answer(
+        self, body: bytes = b"ok", status: int = 200, outcome: Outcome = Outcome.RAN
+    ) -> None:
+        """Answer in one piece."""
+        self.sink.head(ResponseHead(status, b"", outcome, Load(1, 10)))
+        self.sink.body(body, True)
+
+
+@dataclass
+class FakeClaims:
+    """Claims whose decision the test gives."""
+
+    decision: Decision | None = None
+    waiting: list[Callable[[Decision], None]] = field(default_factory=list)
+    stored: list[StoredAnswer] = field(default_factory=list)
+    released: list[HeldClaim] = field(default_factory=list)
+
+    def acquire(self, request: ClaimRequest, then: Callable[[Decision], None]) -> None:
+        """Decide at once if there is a decision."""
+        if self.decision is None:
+            self.waiting.append(then)
+        else:
+            then(self.decision)
+
+    def store(self, held: HeldClaim, answer: StoredAnswer) -> None:
+        """Keep the answer."""
+        self.stored.append(answer)
+
+    def release(self, held: HeldClaim) -> None:
+        """Take note of the release."""
+        self.released.append(held)
+
+
+class Bench:
+    """A forwarder among fake servers, in virtual time."""
+
+    def __init__(
+        self, *members: Member, route: Route = ROUTE, seed: int = SEED
+    ) -> None:
+        self.time = VirtualTime()
+        self.members = members
+        self.sent: list[Sent] = []
+        self.samples: list[Sample] = []
+        self.excluded: frozenset[str] = frozenset()
+        self.version = ""
+        self.claims = FakeClaims(NoPlatform())
+        self.react: Callable[[Sent], None] = lambda sent: None
+        table = RoutingTable(1, {"holds": Service("holds")}, (route,), {}, {})
+        surroundings = Surroundings(
+            own_address=address(99),
+            availability_zone="klang",
+            table=lambda: table,
+            members=lambda: self.members,
+            local=lambda service, version: None,
+            remote=self.remote,
+            version_for=lambda route: self.version,
+            record=self.samples.append,
+            excluded=lambda service: self.excluded,
+            call_later=self.time.call_later,
+            claims=self.claims,
+        )
+        self.forwarder = Forwarder(self.time, random.Random(seed), surroundings)
+
+    def remote(
+        self, where: Address, call: Call, sink: ResponseSink
+    ) -> Callable[[], None]:
+        """Take a call that is sent to a peer."""
+        sent = Sent(where, call, sink)
+        self.sent.append(sent)
+        self.react(sent)
+        return sent.cancel
+
+    def request(
+        self,
+        method: str = "POST",
+        headers: bytes = b"",
+        depth: int = 0,
+        sink: ResponseSink | None = None,
+    ) -> tuple[Sink, Callable[[], None]]:
+        """Send a request; return its sink and its cancel function."""
+        kept = Sink()
+        request = CallerRequest(method, "/x", headers, b"body", depth, None)
+        return kept, self.forwarder(request, sink or kept)
+
+
+__all__ = [
+    "NOT_RUN",
+    "ROUTE",
+    "SEED",
+    "TIMEOUT",
+    "UNKNOWN",
+    "Bench",
+    "FakeClaims",
+    "Sent",
+    "Sink",
+    "address",
+    "call",
+    "member",
+]
--- /dev/null
+++ b/tests/request/test_choice.py
@@ -0,0 +1,148 @@
+"""Tests of the choice of a server, and of what it learns by outcomes."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from briarslip.request.call import Load
+from briarslip.request.call import ResponseHead
+from briarslip.request.ejection import MAX_EJECTED_SHARE
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from tests.request.support import UNKNOWN
+from tests.request.support import Bench
+from tests.request.support import Sent
+from tests.request.support import address
+from tests.request.support import member
+
+
+class Servers:
+    """Answers calls in virtual time, each server in its own way."""
+
+    def __init__(self, bench: Bench, seconds: dict[int, float]) -> None:
+        self.bench = bench
+        self.seconds = {address(n): s for n, s in seconds.items()}
+        self.failing: set[int] = set()
+        self.rng = random.Random(5)
+        bench.react = self.take
+
+    def take(self, sent: Sent) -> None:
+        """Fail or answer after the server's time."""
+        if sent.address.port - 9000 in self.failing:
+            sent.sink.failed(UNKNOWN, None)
+            return
+        seconds = self.seconds[sent.address]
+        self.bench.time.call_later(seconds, lambda: sent.answer())
+
+    def shares(self, calls: int, every: float = 0.01) -> dict[int, float]:
+        """Send calls and return the share that each server got."""
+        before = len(self.bench.sent)
+        for _ in range(calls):
+            self.bench.request("POST")
+            self.bench.time.advance(every)
+        sent = self.bench.sent[before:]
+        counts = Counter(s.address.port - 9000 for s in sent)
+        return {number: count / len(sent) for number, count in counts.items()}
+
+
+class SpeedTest(unittest.TestCase):
+    """Choice by what was learned of speed and load."""
+
+    def test_slow_server_gets_a_small_share(self) -> None:
+        bench = Bench(*map(member, range(4)))
+        servers = Servers(bench, {0: 0.01, 1: 0.01, 2: 0.01, 3: 0.1})
+        servers.shares(200)
+        shares = servers.shares(1000)
+        self.assertLess(shares.get(3, 0.0), 0.1)
+        servers.seconds[address(3)] = 0.01
+        servers.shares(3000)
+        self.assertGreater(servers.shares(1000)[3], 0.15)
+
+    def test_occupancy_in_answers_moves_calls_away(self) -> None:
+        bench = Bench(*map(member, range(2)))
+        full = bench.forwarder.directory
+        full.refresh(bench.time.monotonic())
+        bench.react = lambda sent: self.answer_with_load(sent)
+        for _ in range(100):
+            bench.request("POST")
+            bench.time.advance(0.01)
+        counts = Counter(s.address for s in bench.sent[20:])
+        self.assertGreater(counts[address(1)], 2 * counts[address(0)])
+
+    def answer_with_load(self, sent: Sent) -> None:
+        busy = 30 if sent.address == address(0) else 1
+        sent.sink.head(ResponseHead(200, b"", Outcome.RAN, Load(busy, 10)))
+        sent.sink.body(b"", True)
+
+    def test_own_zone_first_and_spill_when_it_is_full(self) -> None:
+        bench = Bench(member(0), member(1, zone="penang"))
+        servers = Servers(bench, {0: 0.01, 1: 0.01})
+        self.assertEqual(servers.shares(100), {0: 1.0})
+        burst = [bench.request("POST") for _ in range(40)]
+        self.assertTrue(burst)
+        counts = Counter(s.address for s in bench.sent[-40:])
+        self.assertGreater(counts[address(1)], 10)
+
+    def test_new_server_gets_little_at_first(self) -> None:
+        bench = Bench(*map(member, range(3)))
+        servers = Servers(bench, dict.fromkeys(range(4), 0.01))
+        servers.shares(100)
+        bench.members = (*bench.members, member(3))
+        self.assertLess(servers.shares(100).get(3, 0.0), 0.15)
+        servers.shares(1500)
+        self.assertGreater(servers.shares(1000)[3], 0.15)
+
+
+class EjectionTest(unittest.TestCase):
+    """Servers that fail."""
+
+    def test_failing_server_gets_little_and_comes_back(self) -> None:
+        bench = Bench(*map(member, range(4)))
+        servers = Servers(bench, dict.fromkeys(range(4), 0.01))
+        servers.failing = {2}
+        servers.shares(100)
+        self.assertLess(servers.shares(2000).get(2, 0.0), 0.01)
+        servers.failing = set()
+        bench.time.advance(60.0)
+        servers.shares(100)
+        self.assertGreater(servers.shares(1000)[2], 0.15)
+
+    def test_never_more_than_a_part_is_ejected(self) -> None:
+        bench = Bench(*map(member, range(4)))
+        servers = Servers(bench, dict.fromkeys(range(4), 0.01))
+        servers.failing = {0, 1, 2, 3}
+        servers.shares(400)
+        at_least = 4 * (1 - MAX_EJECTED_SHARE)
+        self.assertGreaterEqual(len(servers.shares(400)), at_least)
+
+    def test_refusals_of_a_full_server_do_not_eject_it(self) -> None:
+        for reason in (Reason.QUEUE_FULL, Reason.SHED):
+            bench = Bench(member(0))
+            failure = Failure(Outcome.NOT_RUN, reason)
+            bench.react = lambda sent, f=failure: sent.sink.failed(f, None)  # type: ignore[misc]
+            for _ in range(20):
+                bench.request("POST")
+            server = bench.forwarder.directory.services["holds"][0]
+            self.assertEqual(server.ejections, 0)
+
+    def test_draining_server_gets_no_further_call(self) -> None:
+        bench = Bench(member(0), member(1))
+        failure = Failure(Outcome.NOT_RUN, Reason.DRAINING)
+
+        def react(sent: Sent) -> None:
+            if sent.address == address(0):
+                sent.sink.failed(failure, None)
+            else:
+                sent.answer()
+
+        bench.react = react
+        for _ in range(100):
+            bench.request("POST")
+        self.assertEqual(Counter(s.address for s in bench.sent)[address(0)], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/request/test_forwarder.py
@@ -0,0 +1,184 @@
+"""Tests of the way of a request: outcomes, retries, deadline, versions."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from briarslip.request.call import Load
+from briarslip.request.call import ResponseHead
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from briarslip.request.retry import FIRST_TOKENS
+from briarslip.request.retry import MAX_TOKENS
+from tests.request.support import NOT_RUN
+from tests.request.support import TIMEOUT
+from tests.request.support import UNKNOWN
+from tests.request.support import Bench
+from tests.request.support import Sent
+from tests.request.support import member
+
+
+class OutcomeTest(unittest.TestCase):
+    """What the caller is told is true."""
+
+    def test_connection_lost_after_hand_over_is_unknown_and_final(self) -> None:
+        bench = Bench(member(1), member(2))
+        sink, _ = bench.request("POST")
+        bench.sent[0].sink.failed(UNKNOWN, None)
+        self.assertEqual(len(bench.sent), 1)
+        self.assertIs(sink.outcome, Outcome.UNKNOWN)
+
+    def test_silent_server_ends_at_the_deadline_as_unknown(self) -> None:
+        bench = Bench(member(1))
+        sink, _ = bench.request("POST")
+        bench.time.advance(TIMEOUT + 0.1)
+        self.assertEqual(sink.failure, Failure(Outcome.UNKNOWN, Reason.DEADLINE))
+        self.assertTrue(bench.sent[0].cancelled)
+        bench.sent[0].answer(b"late")
+        self.assertEqual(sink.heads, [])
+
+    def test_answer_cut_short_is_never_retried(self) -> None:
+        bench = Bench(member(1), member(2))
+        sink, _ = bench.request("GET")
+        first = bench.sent[0].sink
+        first.head(ResponseHead(200, b"", Outcome.RAN, Load(1, 10)))
+        first.body(b"half", False)
+        first.failed(UNKNOWN, None)
+        self.assertEqual(len(bench.sent), 1)
+        self.assertEqual(sink.failure, UNKNOWN)
+
+    def test_cancelled_request_frees_its_place(self) -> None:
+        bench = Bench(member(1))
+        _, cancel = bench.request()
+        cancel()
+        self.assertTrue(bench.sent[0].cancelled)
+        server = bench.forwarder.directory.services["holds"][0]
+        self.assertEqual(server.in_flight, 0)
+        self.assertEqual(bench.forwarder.outstanding.total, 0)
+
+    def test_urgent_calls_keep_room_beside_a_slow_service(self) -> None:
+        bench = Bench(member(1))
+        bench.forwarder.outstanding.limit = 10
+        sinks = [bench.request()[0] for _ in range(10)]
+        refused = [s.failure for s in sinks if s.failure is not None]
+        reason = Failure(Outcome.NOT_RUN, Reason.TOO_MANY_OUTSTANDING)
+        self.assertEqual(refused, [reason] * 5)
+
+
+class RetryTest(unittest.TestCase):
+    """What may be sent again, where, and what the caller sees of it."""
+
+    def test_not_run_is_sent_to_another_server(self) -> None:
+        for reason in (Reason.CONNECT_FAILED, Reason.DRAINING, Reason.QUEUE_FULL):
+            bench = Bench(member(1), member(2))
+            sink, _ = bench.request("POST")
+            bench.sent[0].sink.failed(Failure(Outcome.NOT_RUN, reason), None)
+            bench.sent[1].answer(b"whole")
+            self.assertNotEqual(bench.sent[0].address, bench.sent[1].address)
+            self.assertEqual((sink.data, sink.outcome), (b"whole", Outcome.RAN))
+
+    def test_nothing_of_a_shed_answer_leaks(self) -> None:
+        bench = Bench(member(1), member(2))
+        sink, _ = bench.request("POST")
+        shed = bench.sent[0].sink
+        shed.head(ResponseHead(503, b"X: 1\r\n", Outcome.NOT_RUN, Load(9, 10)))
+        shed.body(b"she", False)
+        bench.sent[1].answer(b"whole")
+        shed.body(b"d", True)
+        shed.failed(UNKNOWN, None)
+        self.assertEqual([head.status for head in sink.heads], [200])
+        self.assertEqual(sink.data, b"whole")
+
+    def test_unknown_is_sent_again_only_if_idempotent(self) -> None:
+        for method, attempts in (("GET", 2), ("POST", 1), ("PATCH", 1)):
+            bench = Bench(member(1), member(2))
+            bench.request(method)
+            bench.sent[0].sink.failed(UNKNOWN, None)
+            self.assertEqual(len(bench.sent), attempts, method)
+
+    def test_a_retry_and_what_is_nested_in_it_are_marked(self) -> None:
+        bench = Bench(member(1), member(2))
+        bench.request("GET", depth=2)
+        bench.sent[0].sink.failed(NOT_RUN, None)
+        first, second = (sent.call.headers for sent in bench.sent)
+        self.assertEqual(first, b"Briarslip-Depth: 3\r\n")
+        self.assertIn(b"Briarslip-Retried: 1\r\n", second)
+        nested = Bench(member(1), member(2))
+        nested.request("GET", headers=second, depth=3)
+        nested.sent[0].sink.failed(NOT_RUN, None)
+        self.assertEqual(len(nested.sent), 1)
+        self.assertIn(b"Briarslip-Depth: 4\r\n", nested.sent[0].call.headers)
+        self.assertNotIn(b"Depth: 3", nested.sent[0].call.headers)
+
+    def test_full_outage_costs_a_tenth_more_attempts_at_most(self) -> None:
+        for failure in (NOT_RUN, UNKNOWN):
+            bench = Bench(*map(member, range(8)))
+            bench.react = lambda sent, f=failure: sent.sink.failed(f, None)  # type: ignore[misc]
+            for _ in range(2000):
+                bench.request("GET")
+                bench.time.advance(0.01)
+            self.assertLessEqual(len(bench.sent), 1.1 * 2000)
+
+    def test_full_outage_below_eight_nested_calls(self) -> None:
+        for calls, tokens in ((2000, FIRST_TOKENS), (5000, MAX_TOKENS)):
+            attempts = self.nested_attempts(calls, tokens)
+            self.assertLessEqual(attempts, 1.1 * calls)
+
+    def nested_attempts(self, calls: int, tokens: float) -> int:
+        """Return the attempts at the innermost of eight services, all failing."""
+        chain = [Bench(*map(member, range(8)), seed=n) for n in range(8)]
+        for depth, (outer, inner) in enumerate(itertools.pairwise(chain), 1):
+
+            def nest(sent: Sent, inner: Bench = inner, depth: int = depth) -> None:
+                # The backend server dies with the call that it made.
+                inner.request("GET", sent.call.headers, depth, sent.sink)
+
+            outer.react = nest
+        chain[-1].react = lambda sent: sent.sink.failed(UNKNOWN, None)
+        for bench in chain:
+            bench.forwarder.budget.tokens = tokens
+        for _ in range(calls):
+            chain[0].request("GET")
+            for bench in chain:
+                bench.time.advance(0.01)
+        return len(chain[-1].sent)
+
+
+class VersionTest(unittest.TestCase):
+    """Versions of a service, and what is recorded of them."""
+
+    def test_sample_names_the_version_that_ran_it(self) -> None:
+        bench = Bench(member(1, "7"))
+        bench.request()
+        bench.sent[0].answer()
+        self.assertEqual(bench.sent[0].call.service_version, "7")
+        self.assertEqual([s.version for s in bench.samples], ["7"])
+
+    def test_each_attempt_is_recorded(self) -> None:
+        bench = Bench(member(1), member(2))
+        bench.request("GET")
+        bench.sent[0].sink.failed(UNKNOWN, None)
+        bench.sent[1].answer()
+        self.assertEqual([s.failed for s in bench.samples], [True, False])
+
+    def test_excluded_version_gets_nothing_also_not_in_a_retry(self) -> None:
+        bench = Bench(member(1, "1"), member(2, "2"), member(3, "2"))
+        bench.excluded = frozenset(("2",))
+        for _ in range(20):
+            sink, _ = bench.request("GET")
+            bench.sent[-1].sink.failed(NOT_RUN, None)
+            self.assertIs(sink.outcome, Outcome.NOT_RUN)
+        self.assertEqual({s.call.service_version for s in bench.sent}, {"1"})
+
+    def test_version_that_is_asked_for(self) -> None:
+        bench = Bench(member(1, "1"), member(2, "2"))
+        bench.version = "2"
+        for _ in range(10):
+            bench.request()
+        self.assertEqual({s.call.service_version for s in bench.sent}, {"2"})
+
+
+if __name__ == "__main__":
+    unittest.main()
