--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -4,10 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+from result import Err
+from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
 from twisted.web import http
 
-from briarslip.connection.http_head import HOP_BY_HOP
+from briarslip.connection.http_head import HEAD_END
+from briarslip.connection.http_head import MAX_HEAD_BYTES
+from briarslip.connection.http_head import parse_answer_head
+from briarslip.connection.socket_options import set_options
+from briarslip.connection.write_now import write_now
 from briarslip.request.call import ResponseHead
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
@@ -20,16 +26,18 @@
 
     from twisted.python.failure import Failure as TwistedFailure
 
+    from briarslip.connection.http_head import AnswerHead
     from briarslip.request.call import Call
     from briarslip.request.call import Load
     from briarslip.request.call import ResponseSink
 
 
-NOT_RUN_HEADER = b"briarslip-not-run"
 BODILESS_STATUSES = frozenset((204, 304))
+METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+SWITCHING_PROTOCOLS = 101
 
 
-class BackendConnection(http.HTTPClient):
+class BackendConnection(Protocol):
     """Carries one request after the other; owned by a backend pool."""
 
     transport: Any
@@ -41,101 +49,113 @@
         on_lost: Callable[[BackendConnection], None],
         on_made: Callable[[BackendConnection], None],
     ) -> None:
-        self.on_made = on_made
         self.load = load
         self.on_idle = on_idle
         self.on_lost = on_lost
+        self.on_made = on_made
+        self.call: Call | None = None
         self.sink: ResponseSink | None = None
-        self.method = ""
+        self.idle_since = 0.0
+        self.retiring = False
         self._reset()
 
     def _reset(self) -> None:
-        self.firstLine = True
-        self.length: int | None = None
-        self.status = 0
-        self.lines: list[bytes] = []
-        self.shed = False
-        self.keep = True
-        self.chunked = False
-        self.decoder: http._ChunkedTransferDecoder | None = None
+        self.buffer = b""
+        self.answer: AnswerHead | None = None
+        self.left: int | None = None
+        self.decoder: Any = None
 
     def connectionMade(self) -> None:
         """Report the connection."""
-        self.transport.setTcpNoDelay(True)
+        set_options(self.transport)
         self.on_made(self)
 
     def start(self, call: Call, sink: ResponseSink) -> None:
         """Send a request; its answer goes to ``sink``."""
         self._reset()
+        self.call = call
         self.sink = sink
-        self.method = call.method
+        call.flow.on_change = self._flow_changed
+        if call.flow.paused:
+            self._flow_changed(True)
         head = f"{call.method} {call.target} HTTP/1.1\r\n".encode("latin-1")
         length = b""
-        if call.body or call.method in ("POST", "PUT", "PATCH"):
+        if call.body or call.method in METHODS_WITH_BODY:
             length = b"Content-Length: %d\r\n" % len(call.body)
-        self.transport.write(b"".join((head, call.headers, length, b"\r\n", call.body)))
-
-    def handleStatus(self, version: bytes, status: bytes, message: bytes) -> None:
-        """Take the status line."""
-        self.status = int(status)
-        self.keep = version == b"HTTP/1.1"
-
-    def handleHeader(self, key: bytes, val: bytes) -> None:
-        """Take one header."""
-        name = key.lower()
-        if name == b"transfer-encoding":
-            self.chunked = val.strip().lower() == b"chunked"
-        elif name == b"connection" and val.strip().lower() == b"close":
-            self.keep = False
-        elif name == NOT_RUN_HEADER:
-            self.shed = True
-        if name not in HOP_BY_HOP:
-            self.lines.append(b"%s: %s\r\n" % (key, val))
-
-    def handleEndHeaders(self) -> None:
-        """Pass the head on and get ready for the body."""
+        data = b"".join((head, call.headers, length, b"\r\n", call.body))
+        write_now(self.transport, data)
+
+    def give_up(self) -> None:
+        """Drop the request under way; the server sees its connection close."""
+        self.sink = None
+        self._forget_call()
+        self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes of the answer."""
         if self.sink is None:
+            # Nothing was asked, so an answer now would cross with the next.
+            self.transport.abortConnection()
+        elif self.answer is None:
+            self.buffer = self.buffer + data if self.buffer else data
+            self._take_head()
+        else:
+            self._take_body(data)
+
+    def _take_head(self) -> None:
+        end = self.buffer.find(HEAD_END)
+        if end < 0:
+            if len(self.buffer) > MAX_HEAD_BYTES:
+                self.transport.abortConnection()
+            return
+        parsed = parse_answer_head(self.buffer[: end + 2])
+        if isinstance(parsed, Err) or parsed.ok_value.status == SWITCHING_PROTOCOLS:
             self.transport.abortConnection()
             return
-        if 100 <= self.status < 200:
-            self._reset()
+        rest = self.buffer[end + len(HEAD_END) :]
+        answer = parsed.ok_value
+        if answer.status < 200:
+            self.buffer = rest
+            if rest:
+                self._take_head()
             return
-        outcome = Outcome.NOT_RUN if self.shed else Outcome.RAN
-        headers = b"".join(self.lines)
-        self.sink.head(ResponseHead(self.status, headers, outcome, self.load()))
-        if self.method == "HEAD" or self.status in BODILESS_STATUSES:
-            self.length = 0
-        if self.chunked:
-            self.length = None
+        self.buffer = b""
+        self._begin_answer(answer, rest)
+
+    def _begin_answer(self, answer: AnswerHead, rest: bytes) -> None:
+        sink, call = self.sink, self.call
+        assert sink is not None
+        assert call is not None
+        self.answer = answer
+        self.left = answer.length
+        outcome = Outcome.NOT_RUN if answer.shed else Outcome.RAN
+        sink.head(ResponseHead(answer.status, answer.headers, outcome, self.load()))
+        if call.method == "HEAD" or answer.status in BODILESS_STATUSES:
+            self.left = 0
+        elif answer.chunked:
             self.decoder = http._ChunkedTransferDecoder(self._part, self._chunks_end)
-        elif self.length == 0:
-            self._end(b"")
+        if rest or self.left == 0:
+            self._take_body(rest)
 
-    def rawDataReceived(self, data: bytes) -> None:
-        """Take body bytes."""
-        if self.sink is None:
-            self.transport.abortConnection()
-            return
+    def _take_body(self, data: bytes) -> None:
         if self.decoder is not None:
-            self._decode_chunks(self.decoder, data)
+            self._decode_chunks(data)
             return
-        if self.length is None:
+        if self.left is None:
             self._part(data)
             return
-        if len(data) > self.length:
-            self.keep = False
-        part = data[: self.length]
-        self.length -= len(part)
-        if self.length == 0:
-            self._end(part)
+        if len(data) > self.left:
+            self.retiring = True
+            data = data[: self.left]
+        self.left -= len(data)
+        if self.left == 0:
+            self._end(data)
         else:
-            self._part(part)
+            self._part(data)
 
-    def _decode_chunks(
-        self, decoder: http._ChunkedTransferDecoder, data: bytes
-    ) -> None:
+    def _decode_chunks(self, data: bytes) -> None:
         try:
-            decoder.dataReceived(data)
+            self.decoder.dataReceived(data)
         except (http._MalformedChunkedDataError, ValueError):
             self.transport.abortConnection()
 
@@ -145,35 +165,49 @@
 
     def _chunks_end(self, rest: bytes) -> None:
         if rest:
-            self.keep = False
+            self.retiring = True
         self._end(b"")
 
     def _end(self, data: bytes) -> None:
         sink, self.sink = self.sink, None
-        if self.keep:
-            self.setLineMode(b"")
-            self.firstLine = True
+        if sink is None:
+            return
+        answer = self.answer
+        self._forget_call()
+        if answer is not None and answer.keep and not self.retiring:
             self.on_idle(self)
         else:
             self.transport.loseConnection()
-        if sink is not None:
-            sink.body(data, True)
+        sink.body(data, True)
+
+    def _forget_call(self) -> None:
+        call, self.call = self.call, None
+        if call is not None and call.flow.on_change == self._flow_changed:
+            call.flow.on_change = None
+            if call.flow.paused:
+                self.transport.resumeProducing()
+
+    def _flow_changed(self, paused: bool) -> None:
+        if paused:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
         """Fail the request under way, unless the close ends its body."""
         sink, self.sink = self.sink, None
+        self.call = None
         self.on_lost(self)
         if sink is None:
             return
-        until_close = self.status and self.length is None and self.decoder is None
-        if (
-            until_close
-            and not self.firstLine
-            and reason.check(type(connectionDone.value))
-        ):
+        answer = self.answer
+        until_close = (
+            answer is not None and answer.length is None and not answer.chunked
+        )
+        if until_close and reason.check(type(connectionDone.value)):
             sink.body(b"", True)
             return
-        cause = Reason.TRUNCATED if self.status else Reason.CONNECTION_LOST
+        cause = Reason.CONNECTION_LOST if answer is None else Reason.TRUNCATED
         sink.failed(Failure(Outcome.UNKNOWN, cause), self.load())
 
 
--- a/src/briarslip/connection/backend_pool.py
+++ b/src/briarslip/connection/backend_pool.py
@@ -27,6 +27,13 @@
 
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+# A connection idle for longer may be closed or lost track of at the other end,
+# so that what is sent on it might run without its answer coming back.
+TRUSTED_IDLE_SECONDS = 2.0
+REUSABLE_IDLE_SECONDS = 20.0
+# A call given up after so long without an answer casts doubt on the connections
+# that were idle beside its own.
+SILENT_AFTER_SECONDS = 1.0
 
 
 class BackendPool:
@@ -39,6 +46,7 @@
         self.in_flight = 0
         self.idle: list[BackendConnection] = []
         self.connections: set[BackendConnection] = set()
+        self.closed = False
 
     @property
     def load(self) -> Load:
@@ -49,8 +57,9 @@
         """Send a call to the server; the returned function gives it up."""
         self.in_flight += 1
         exchange = Exchange(self, call, sink)
-        if self.idle:
-            exchange.start(self.idle.pop())
+        connection = self._reusable(call)
+        if connection is not None:
+            exchange.start(connection)
         else:
             factory = ConnectionFactory(self, exchange)
             self.reactor.connectTCP(
@@ -61,10 +70,36 @@
             )
         return exchange.cancel
 
-    def close(self) -> None:
-        """Close every connection."""
-        for connection in list(self.connections):
+    def _reusable(self, call: Call) -> BackendConnection | None:
+        """Return the connection used last, if it can be trusted with a call."""
+        limit = REUSABLE_IDLE_SECONDS if call.idempotent else TRUSTED_IDLE_SECONDS
+        oldest = self.reactor.seconds() - limit
+        if self.idle and self.idle[-1].idle_since >= oldest:
+            return self.idle.pop()
+        self.drop_idle(self.reactor.seconds() - REUSABLE_IDLE_SECONDS)
+        return None
+
+    def drop_idle(self, before: float) -> None:
+        """Close the connections that have been idle since before a time."""
+        for connection in list(self.idle):
+            if connection.idle_since < before:
+                self.idle.remove(connection)
+                connection.transport.loseConnection()
+
+    def take_back(self, connection: BackendConnection) -> None:
+        """Keep a connection for the next call."""
+        if self.closed:
             connection.transport.loseConnection()
+            return
+        connection.idle_since = self.reactor.seconds()
+        self.idle.append(connection)
+
+    def close(self) -> None:
+        """Close the idle connections, and each other one after its answer."""
+        self.closed = True
+        for connection in self.connections:
+            connection.retiring = True
+        self.drop_idle(float("inf"))
 
     def lost(self, connection: BackendConnection) -> None:
         """Forget a closed connection."""
@@ -81,20 +116,21 @@
         self.call = call
         self.sink = sink
         self.connection: BackendConnection | None = None
+        self.began = pool.reactor.seconds()
         self.ended = False
         self.head = sink.head
 
     def start(self, connection: BackendConnection) -> None:
         """Send the request on a connection."""
         if self.ended:
-            self.pool.idle.append(connection)
+            self.pool.take_back(connection)
             return
         self.connection = connection
         connection.start(self.call, self)
 
     def body(self, data: bytes, last: bool) -> None:
         """Pass a body part on."""
-        if last:
+        if last and not self.ended:
             self._end()
         self.sink.body(data, last)
 
@@ -110,8 +146,10 @@
             return
         self._end()
         if self.connection is not None:
-            self.connection.sink = None
-            self.connection.transport.abortConnection()
+            waited = self.pool.reactor.seconds() - self.began
+            if self.connection.answer is None and waited >= SILENT_AFTER_SECONDS:
+                self.pool.drop_idle(self.began)
+            self.connection.give_up()
 
     def _end(self) -> None:
         self.ended = True
@@ -132,7 +170,7 @@
         pool = self.pool
         connection = BackendConnection(
             load=lambda: pool.load,
-            on_idle=pool.idle.append,
+            on_idle=pool.take_back,
             on_lost=pool.lost,
             on_made=self.exchange.start,
         )
--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
-from io import BytesIO
 from typing import TYPE_CHECKING
 from typing import Any
 
+from result import Err
+from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import ServerFactory
+from twisted.internet.protocol import connectionDone
 from twisted.web import http
 
-from briarslip.connection.http_head import header_block
-from briarslip.connection.http_head import split_block
+from briarslip.connection.caller_exchange import CLOSE_LINE
+from briarslip.connection.caller_exchange import CallerExchange
+from briarslip.connection.caller_exchange import error_answer
+from briarslip.connection.http_head import HEAD_END
+from briarslip.connection.http_head import MAX_HEAD_BYTES
+from briarslip.connection.http_head import parse_request_head
+from briarslip.connection.request_body import BodyState
+from briarslip.connection.request_body import RequestBody
+from briarslip.connection.socket_options import set_options
+from briarslip.connection.write_now import write_now
 from briarslip.request.forwarder import CallerRequest
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -19,137 +30,200 @@
     from collections.abc import Callable
 
     from twisted.internet.interfaces import IAddress
+    from twisted.python.failure import Failure as TwistedFailure
 
-    from briarslip.request.call import Load
-    from briarslip.request.call import ResponseHead
+    from briarslip.connection.http_head import HeadFault
+    from briarslip.connection.http_head import RequestHead
     from briarslip.request.call import ResponseSink
-    from briarslip.request.outcome import Failure
 
 
-DEADLINE_HEADER = b"briarslip-deadline-ms"
-DEPTH_HEADER = b"briarslip-depth"
-OUTCOME_HEADER = b"Briarslip-Outcome"
 MAX_DEPTH = 64
+SWEEP_SECONDS = 1.0
+IDLE_LIMIT_SECONDS = 75.0
+REQUEST_LIMIT_SECONDS = 30.0
+DRAIN_IDLE_SECONDS = 1.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
-FAILURE_STATUSES = {
-    Reason.NO_ROUTE: http.NOT_FOUND,
-    Reason.BAD_REQUEST: http.BAD_REQUEST,
-    Reason.BODY_TOO_LARGE: http.REQUEST_ENTITY_TOO_LARGE,
-    Reason.DEADLINE: http.GATEWAY_TIMEOUT,
-    Reason.HANDED_OVER: http.CONFLICT,
-    Reason.KEY_MISMATCH: 422,
-}
-# A whole second is the least that the header can say.
-RETRY_AFTER = b"1"
-OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.TOO_MANY_OUTSTANDING))
 
-
-class CallerHttpRequest(http.Request):
-    """One request of a caller; also the sink of its answer."""
+class CallerConnection(Protocol):
+    """A caller's connection: one request at a time, each answered whole."""
 
     transport: Any
-    factory: CallerHttpFactory
-    cancel: Callable[[], None] | None = None
-    answered = False
-    head_sent = False
-
-    def gotLength(self, length: int | None) -> None:
-        """Keep the body in memory: instances have no disks."""
-        self.content = BytesIO()
-
-    def process(self) -> None:
-        """Hand the whole request to the daemon."""
-        self.factory = self.channel.factory
-        request = self._caller_request()
-        if request is None:
-            self._refuse(Reason.BAD_REQUEST)
-            return
-        if len(request.body) > self.factory.max_body_bytes:
-            self._refuse(Reason.BODY_TOO_LARGE)
+
+    def __init__(self, factory: CallerHttpFactory) -> None:
+        self.factory = factory
+        self.buffer = b""
+        self.request_head: RequestHead | None = None
+        self.request_body: RequestBody | None = None
+        self.exchange: CallerExchange | None = None
+        self.closing = factory.draining
+        self.advancing = False
+        self.reading = True
+        self.paused = False
+        self.active_at = factory.now
+
+    def connectionMade(self) -> None:
+        """Count the connection and watch its writing side."""
+        set_options(self.transport)
+        self.transport.registerProducer(self, True)
+        self.factory.connections.add(self)
+
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
+        """Give up what was under way."""
+        self.factory.connections.discard(self)
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            self.factory.in_flight -= 1
+            exchange.caller_left()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes; what comes early waits for the answer before it."""
+        self.active_at = self.factory.now
+        self.buffer = self.buffer + data if self.buffer else data
+        if self.exchange is None:
+            self._advance()
+        elif len(self.buffer) > MAX_HEAD_BYTES:
+            self.reading = False
+            self.transport.pauseProducing()
+
+    def pauseProducing(self) -> None:
+        """Hold the answer back: the caller reads too slowly."""
+        self.paused = True
+        if self.exchange is not None:
+            self.exchange.flow.set_paused(True)
+
+    def resumeProducing(self) -> None:
+        """Let the answer go on."""
+        self.paused = False
+        self.active_at = self.factory.now
+        if self.exchange is not None:
+            self.exchange.flow.set_paused(False)
+
+    def stopProducing(self) -> None:
+        """Do nothing: the loss of the connection is told by itself."""
+
+    def write(self, data: bytes) -> None:
+        """Send a part of an answer."""
+        write_now(self.transport, data)
+
+    def finished(self) -> None:
+        """Go on to the next request, or close."""
+        self.exchange = None
+        self.factory.in_flight -= 1
+        self.active_at = self.factory.now
+        if self.closing:
+            self.close()
             return
-        self.notifyFinish().addErrback(self._caller_left)
-        cancel = self.factory.forward(request, self)
-        if not self.answered:
-            self.cancel = cancel
-
-    def _caller_request(self) -> CallerRequest | None:
-        timeout_ms = _whole_number(self.getHeader(DEADLINE_HEADER))
-        depth = _whole_number(self.getHeader(DEPTH_HEADER))
-        if timeout_ms == -1 or depth == -1 or (depth or 0) >= MAX_DEPTH:
-            return None
-        return CallerRequest(
-            method=self.method.decode("latin-1"),
-            target=self.uri.decode("latin-1"),
-            headers=header_block(
-                (name, value)
-                for name, values in self.requestHeaders.getAllRawHeaders()
-                for value in values
-            ),
-            body=self.content.getvalue(),
-            depth=depth or 0,
-            timeout=None if timeout_ms is None else timeout_ms / 1000,
+        if not self.reading:
+            self.reading = True
+            self.transport.resumeProducing()
+        if self.buffer and not self.advancing:
+            self._advance()
+
+    def close(self) -> None:
+        """Close once everything written has been sent."""
+        self.closing = True
+        self.buffer = b""
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def abort(self) -> None:
+        """Cut the connection."""
+        if self.exchange is not None:
+            self.exchange = None
+            self.factory.in_flight -= 1
+        self.closing = True
+        self.buffer = b""
+        self.transport.abortConnection()
+
+    def _advance(self) -> None:
+        self.advancing = True
+        while self.buffer and self.exchange is None and self._step():
+            pass
+        self.advancing = False
+
+    def _step(self) -> bool:
+        """Use what is in the buffer; return whether to go on."""
+        if self.request_head is None and not self._take_head():
+            return False
+        return self._take_body()
+
+    def _take_head(self) -> bool:
+        end = self.buffer.find(HEAD_END)
+        if end < 0 and len(self.buffer) <= MAX_HEAD_BYTES:
+            return False
+        if not 0 <= end <= MAX_HEAD_BYTES:
+            status = http.REQUEST_HEADER_FIELDS_TOO_LARGE
+            self._refuse(status, "the head is too large")
+            return False
+        parsed = parse_request_head(self.buffer[: end + 2])
+        if isinstance(parsed, Err):
+            fault: HeadFault = parsed.err_value
+            self._refuse(fault.status, fault.reason)
+            return False
+        self.buffer = self.buffer[end + len(HEAD_END) :]
+        head = self.request_head = parsed.ok_value
+        if head.depth >= MAX_DEPTH:
+            self._refuse(http.BAD_REQUEST, Reason.BAD_REQUEST.value)
+            return False
+        if head.length != 0:
+            self._begin_body(head)
+        return True
+
+    def _begin_body(self, head: RequestHead) -> None:
+        self.request_body = RequestBody(head.length, self.factory.max_body_bytes)
+        wanted = self.request_body.state is BodyState.PARTIAL
+        if head.expects_continue and wanted and not self.buffer:
+            self.write(CONTINUE)
+
+    def _take_body(self) -> bool:
+        body = self.request_body
+        if body is None:
+            self._dispatch(b"")
+            return True
+        data, self.buffer = self.buffer, b""
+        body.feed(data)
+        if body.state is BodyState.WHOLE:
+            self.buffer = body.rest
+            self._dispatch(body.content)
+            return True
+        if body.state is BodyState.TOO_LARGE:
+            status = http.REQUEST_ENTITY_TOO_LARGE
+            self._refuse(status, Reason.BODY_TOO_LARGE.value)
+        elif body.state is BodyState.MALFORMED:
+            self._refuse(http.BAD_REQUEST, "the body is malformed")
+        return False
+
+    def _dispatch(self, body: bytes) -> None:
+        head = self.request_head
+        assert head is not None  # A body is taken only after its head.
+        self.request_head = self.request_body = None
+        self.closing = self.closing or not head.keep
+        exchange = self.exchange = CallerExchange(self, head)
+        exchange.flow.paused = self.paused
+        self.factory.in_flight += 1
+        request = CallerRequest(
+            method=head.method.decode("latin-1"),
+            target=head.target.decode("latin-1"),
+            headers=head.headers,
+            body=body,
+            depth=head.depth,
+            timeout=None if head.timeout_ms is None else head.timeout_ms / 1000,
+            flow=exchange.flow,
         )
+        cancel = self.factory.forward(request, exchange)
+        if not exchange.ended:
+            exchange.cancel = cancel
 
-    def head(self, head: ResponseHead) -> None:
-        """Write status and headers."""
-        if self.answered:
-            return
-        self.head_sent = True
-        self.setResponseCode(head.status)
-        for name, value in split_block(head.headers):
-            self.responseHeaders.addRawHeader(name, value)
-        self.setHeader(OUTCOME_HEADER, head.outcome.value.encode())
-
-    def body(self, data: bytes, last: bool) -> None:
-        """Write a part of the body."""
-        if self.answered:
-            return
-        if last and not self.startedWriting:
-            self.setHeader(b"content-length", b"%d" % len(data))
-        if data:
-            self.write(data)
-        if last:
-            self.answered = True
-            self.finish()
-
-    def failed(self, failure: Failure, load: Load | None) -> None:
-        """Answer with an error, or cut an answer that has begun."""
-        if self.answered:
-            return
-        if self.startedWriting:
-            self.answered = True
-            self.channel.transport.abortConnection()
-            return
-        self._answer_failure(failure.outcome, failure.reason)
+    def _refuse(self, status: int, text: str) -> None:
+        """Refuse a request that can't be read on from; the connection ends."""
+        self.request_head = self.request_body = None
+        self.write(error_answer(status, Outcome.NOT_RUN, text, CLOSE_LINE))
+        self.close()
 
-    def _refuse(self, reason: Reason) -> None:
-        self._answer_failure(Outcome.NOT_RUN, reason)
 
-    def _answer_failure(self, outcome: Outcome, reason: Reason) -> None:
-        self.answered = True
-        default = (
-            http.SERVICE_UNAVAILABLE if outcome is Outcome.NOT_RUN else http.BAD_GATEWAY
-        )
-        text = f"{reason.value}\n".encode()
-        self.setResponseCode(FAILURE_STATUSES.get(reason, default))
-        self.responseHeaders.removeHeader(b"content-encoding")
-        self.setHeader(b"content-type", b"text/plain; charset=utf-8")
-        self.setHeader(b"content-length", b"%d" % len(text))
-        self.setHeader(OUTCOME_HEADER, outcome.value.encode())
-        if reason in OVERLOAD_REASONS:
-            self.setHeader(b"retry-after", RETRY_AFTER)
-        self.write(text)
-        self.finish()
-
-    def _caller_left(self, _: object) -> None:
-        if not self.answered:
-            self.answered = True
-            if self.cancel is not None:
-                self.cancel()
-
-
-class CallerHttpFactory(http.HTTPFactory):
-    """Builds the connections of callers."""
+class CallerHttpFactory(ServerFactory):
+    """Builds the connections of callers and closes those that stand still."""
 
     noisy = False
 
@@ -159,27 +233,56 @@
         forward: Callable[[CallerRequest, ResponseSink], Callable[[], None]],
         max_body_bytes: int,
     ) -> None:
-        super().__init__(reactor=reactor)
+        self.reactor = reactor
         self.forward = forward
         self.max_body_bytes = max_body_bytes
-
-    def buildProtocol(self, addr: IAddress) -> http.HTTPChannel:
-        """Build a plain HTTP/1.1 channel."""
-        channel = http.HTTPChannel()
-        channel.requestFactory = CallerHttpRequest
-        channel.factory = self
-        channel.timeOut = self.timeOut
-        return channel
-
-    def log(self, request: http.Request) -> None:
-        """Write no access log."""
-
-
-def _whole_number(value: bytes | None) -> int | None:
-    """Return a header's number, None if absent, -1 if malformed."""
-    if value is None:
-        return None
-    return int(value) if value.isdigit() and len(value) < 10 else -1
+        self.connections: set[CallerConnection] = set()
+        self.in_flight = 0
+        self.draining = False
+        self.sweeping: Any = None
+
+    @property
+    def now(self) -> float:
+        """The reactor's time in seconds."""
+        return float(self.reactor.seconds())
+
+    def startFactory(self) -> None:  # noqa: N802 (Twisted)
+        """Begin to look for connections that stand still."""
+        self.sweep()
+
+    def stopFactory(self) -> None:  # noqa: N802 (Twisted)
+        """Stop looking."""
+        if self.sweeping is not None and self.sweeping.active() and not self.draining:
+            self.sweeping.cancel()
+
+    def buildProtocol(self, addr: IAddress | None) -> CallerConnection:
+        """Build a connection."""
+        return CallerConnection(self)
+
+    def drain(self) -> None:
+        """Close each connection after its next answer, or once it is idle."""
+        self.draining = True
+        for connection in self.connections:
+            connection.closing = True
+
+    def sweep(self) -> None:
+        """Close the connections that have stood still for too long."""
+        for connection in list(self.connections):
+            self._check(connection)
+        self.sweeping = self.reactor.callLater(SWEEP_SECONDS, self.sweep)
+
+    def _check(self, connection: CallerConnection) -> None:
+        still = self.now - connection.active_at
+        if connection.paused:
+            if still > REQUEST_LIMIT_SECONDS:
+                connection.abort()
+            return
+        if connection.exchange is not None:
+            return
+        started = connection.buffer or connection.request_head is not None
+        idle_limit = DRAIN_IDLE_SECONDS if self.draining else IDLE_LIMIT_SECONDS
+        if still > (REQUEST_LIMIT_SECONDS if started else idle_limit):
+            connection.close()
 
 
-__all__ = ["CallerHttpFactory"]
+__all__ = ["CallerConnection", "CallerHttpFactory"]
--- a/src/briarslip/connection/frame.py
+++ b/src/briarslip/connection/frame.py
@@ -40,7 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestFrame:
-    """A request with its whole body; ``timeout_ms`` is what is left."""
+    """A request with the first part of its body.
+
+    ``timeout_ms`` is what is left of the deadline.
+    """
 
     stream: int
     timeout_ms: int
@@ -54,6 +57,7 @@
     target: str
     headers: bytes
     body: bytes
+    last: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyFrame:
-    """A further part of an answer's body."""
+    """A further part of a request's or of an answer's body."""
 
     stream: int
     data: bytes
@@ -97,6 +101,19 @@
     stream: int
 
 
+@dataclass(frozen=True, slots=True)
+class Credit:
+    """The opener can take this many more bytes of the stream's answer."""
+
+    stream: int
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class GoAway:
+    """The sender is draining: the opener shall open no more streams here."""
+
+
 @dataclass(frozen=True, slots=True)
 class ControlFrame:
     """A message between the control parts of two daemons."""
@@ -126,6 +143,8 @@
     | BodyFrame
     | FailureFrame
     | CancelFrame
+    | Credit
+    | GoAway
     | ControlFrame
     | Ping
     | Pong
@@ -153,13 +172,14 @@
     body.urgent = frame.urgent
     body.idempotent = frame.idempotent
     body.depth = frame.depth
-    body.service = frame.service
-    body.serviceVersion = frame.service_version
-    body.route = frame.route
-    body.method = frame.method
-    body.target = frame.target
+    body.last = frame.last
+    body.lines = (
+        f"{frame.service}\n{frame.service_version}\n{frame.route}\n"
+        f"{frame.method}\n{frame.target}"
+    )
     body.headers = frame.headers
-    body.body = frame.body
+    if frame.body:
+        body.body = frame.body
 
 
 def _encode_response(message: Any, frame: ResponseFrame) -> None:
@@ -181,6 +201,16 @@
     body.last = frame.last
 
 
+def _encode_credit(message: Any, frame: Credit) -> None:
+    body = message.init("credit")
+    body.stream = frame.stream
+    body.bytes = frame.size
+
+
+def _encode_go_away(message: Any, frame: GoAway) -> None:
+    message.goAway = None
+
+
 def _encode_failure(message: Any, frame: FailureFrame) -> None:
     body = message.init("failure")
     body.stream = frame.stream
@@ -215,6 +245,8 @@
     BodyFrame: _encode_body,
     FailureFrame: _encode_failure,
     CancelFrame: _encode_cancel,
+    Credit: _encode_credit,
+    GoAway: _encode_go_away,
     ControlFrame: _encode_control,
     Ping: _encode_ping,
     Pong: _encode_pong,
@@ -237,19 +269,21 @@
 
 def _decode_request(message: Any) -> RequestFrame:
     body = message.request
+    service, service_version, route, method, target = body.lines.split("\n")
     return RequestFrame(
         stream=body.stream,
         timeout_ms=body.timeoutMs,
         urgent=body.urgent,
         idempotent=body.idempotent,
         depth=body.depth,
-        service=body.service,
-        service_version=body.serviceVersion,
-        route=body.route,
-        method=body.method,
-        target=body.target,
+        service=service,
+        service_version=service_version,
+        route=route,
+        method=method,
+        target=target,
         headers=body.headers,
         body=body.body,
+        last=body.last,
     )
 
 
@@ -290,6 +324,8 @@
     "body": _decode_body,
     "failure": _decode_failure,
     "cancel": lambda message: CancelFrame(message.cancel),
+    "credit": lambda message: Credit(message.credit.stream, message.credit.bytes),
+    "goAway": lambda _: GoAway(),
     "control": _decode_control,
     "ping": lambda message: Ping(message.ping),
     "pong": lambda message: Pong(message.pong),
@@ -301,8 +337,10 @@
     "BodyFrame",
     "CancelFrame",
     "ControlFrame",
+    "Credit",
     "FailureFrame",
     "Frame",
+    "GoAway",
     "Hello",
     "Ping",
     "Pong",
--- a/src/briarslip/connection/peer.capnp
+++ b/src/briarslip/connection/peer.capnp
@@ -19,14 +19,13 @@
   timeoutMs @1 :UInt32;       # what is left of the deadline
   urgent @2 :Bool;
   idempotent @3 :Bool;
-  depth @4 :UInt8;            # how many calls this one is nested in
-  service @5 :Text;
-  serviceVersion @6 :Text;    # empty: any version
-  route @7 :Text;
-  method @8 :Text;
-  target @9 :Text;
-  headers @10 :Data;          # header lines in HTTP wire form
-  body @11 :Data;
+  last @4 :Bool;              # no body frame follows
+  depth @5 :UInt8;            # how many calls this one is nested in
+  # Reading a field costs more than splitting a line, so texts share one field:
+  # service, its version (empty: any), route, method and target, a line each.
+  lines @6 :Text;
+  headers @7 :Data;           # header lines in HTTP wire form
+  body @8 :Data;
 }
 
 struct Response {
@@ -46,12 +45,17 @@
   unknown @2;
 }
 
-struct Body {
+struct Body {                 # of the request or of the answer, by direction
   stream @0 :UInt32;
   data @1 :Data;
   last @2 :Bool;
 }
 
+struct Credit {
+  stream @0 :UInt32;
+  bytes @1 :UInt32;           # that the sender of the answer may send beyond
+}
+
 struct Failure {
   stream @0 :UInt32;
   outcome @1 :Outcome;
@@ -76,5 +80,7 @@
     control @6 :Control;
     ping @7 :UInt32;
     pong @8 :UInt32;
+    credit @9 :Credit;
+    goAway @10 :Void;         # the opener shall open no more streams here
   }
 }
--- a/src/briarslip/connection/peer_link.py
+++ b/src/briarslip/connection/peer_link.py
@@ -13,17 +13,26 @@
 from briarslip.connection.frame import BodyFrame
 from briarslip.connection.frame import CancelFrame
 from briarslip.connection.frame import ControlFrame
+from briarslip.connection.frame import Credit
 from briarslip.connection.frame import FailureFrame
+from briarslip.connection.frame import GoAway
 from briarslip.connection.frame import Hello
 from briarslip.connection.frame import Ping
 from briarslip.connection.frame import Pong
 from briarslip.connection.frame import RequestFrame
 from briarslip.connection.frame import ResponseFrame
 from briarslip.connection.frame import decode_frame
-from briarslip.connection.frame import encode_frame
+from briarslip.connection.heartbeat import Activity
+from briarslip.connection.link_stream import AwaitedStream
+from briarslip.connection.link_stream import IncomingRequest
+from briarslip.connection.link_stream import ServedStream
+from briarslip.connection.link_writer import LinkWriter
+from briarslip.connection.outgoing_body import PART_BYTES
+from briarslip.connection.outgoing_body import OutgoingBody
+from briarslip.connection.socket_options import set_options
 from briarslip.request.call import Call
 from briarslip.request.call import Load
-from briarslip.request.call import ResponseHead
+from briarslip.request.flow import Flow
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -42,6 +51,9 @@
     from briarslip.request.call import ResponseSink
 
 
+MAX_STREAM = (1 << 32) - 1
+
+
 class PeerLink(Int32StringReceiver):
     """One end of a link. Only the end that connected opens streams."""
 
@@ -61,14 +73,33 @@
         self.on_control = on_control
         self.on_lost = on_lost
         self.on_made = on_made
+        self.on_alive: Callable[[PeerLink], None] | None = None
+        self.on_go_away: Callable[[PeerLink], None] | None = None
         self.peer: Address | None = None
         self.next_stream = 1
-        self.awaiting: dict[int, ResponseSink] = {}
-        self.serving: dict[int, Callable[[], None]] = {}
+        self.awaiting: dict[int, AwaitedStream] = {}
+        self.serving: dict[int, ServedStream] = {}
+        self.incoming: dict[int, IncomingRequest] = {}
+        self.received_at = self.used_at = clock.monotonic()
+        self.pinged_at: float | None = None
+        self.loss_reason = Reason.CONNECTION_LOST
+        self.going_away = False
+
+    @property
+    def activity(self) -> Activity:
+        """What the heartbeat is decided by."""
+        return Activity(
+            received_at=self.received_at,
+            used_at=self.used_at,
+            pinged_at=self.pinged_at,
+            awaiting=bool(self.awaiting),
+        )
 
     def connectionMade(self) -> None:
         """Report the connection."""
-        self.transport.setTcpNoDelay(True)
+        set_options(self.transport)
+        self.writer = LinkWriter(self.transport)
+        self.transport.registerProducer(self.writer, True)
         if self.on_made is not None:
             self.on_made(self)
 
@@ -76,63 +107,116 @@
         """Fail what was awaited here and give up what was served here."""
         awaiting, self.awaiting = self.awaiting, {}
         serving, self.serving = self.serving, {}
-        failure = Failure(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
-        for sink in awaiting.values():
-            sink.failed(failure, None)
-        for cancel in serving.values():
-            cancel()
+        self.incoming.clear()
+        self.writer.stopProducing()
         self.on_lost(self)
+        failure = Failure(Outcome.UNKNOWN, self.loss_reason)
+        for awaited in awaiting.values():
+            awaited.fail(failure, None)
+        for served in serving.values():
+            served.ended = True
+            if served.cancel is not None:
+                served.cancel()
 
     def send(self, frame: Frame) -> None:
-        """Send one frame."""
-        self.sendString(encode_frame(frame))
+        """Send one frame; nothing is sent once the link is lost."""
+        if self.connected:
+            self.writer.send(frame)
+
+    def ping(self) -> None:
+        """Send a heartbeat unless one waits for its answer."""
+        if self.pinged_at is None:
+            self.pinged_at = self.clock.monotonic()
+            self.send(Ping(0))
+
+    def stall(self) -> None:
+        """Give the link up, since it has gone silent."""
+        self.loss_reason = Reason.STALLED
+        self.transport.abortConnection()
+
+    def go_away(self) -> None:
+        """Tell the opener to open no more streams."""
+        self.send(GoAway())
+
+    def close(self) -> None:
+        """Close after what is written."""
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes; the frames sent meanwhile leave in one write."""
+        self.received_at = self.clock.monotonic()
+        self.pinged_at = None
+        self.writer.hold()
+        try:
+            super().dataReceived(data)
+        finally:
+            self.writer.release()
+        if self.on_alive is not None:
+            on_alive, self.on_alive = self.on_alive, None
+            on_alive(self)
 
     def stringReceived(self, data: bytes) -> None:
         """Decode and act on one frame; a malformed one ends the link."""
         result = decode_frame(data)
-        if isinstance(result, Err):
+        if isinstance(result, Err) or not self.receive(result.ok_value):
             self.transport.abortConnection()
-            return
-        self.receive(result.ok_value)
 
     def lengthLimitExceeded(self, length: int) -> None:
         """End the link when a frame is too long."""
         self.transport.abortConnection()
 
-    def receive(self, frame: Frame) -> None:
-        """Act on one frame."""
+    def receive(self, frame: Frame) -> bool:
+        """Act on one frame; return whether the sender may send it."""
         match frame:
             case RequestFrame():
-                self._serve(frame)
+                return self._take_request(frame)
             case ResponseFrame():
-                self._take_response(frame)
+                awaited = self._awaited(frame.stream, frame.last)
+                if awaited is not None and not awaited.take_response(frame):
+                    return self._out_of_order(awaited)
             case BodyFrame():
-                self._take_body(frame)
+                return self._take_body(frame)
             case FailureFrame():
-                self._take_failure(frame)
+                return self._take_failure(frame)
             case CancelFrame():
                 self._take_cancel(frame)
+            case Credit():
+                served = self.serving.get(frame.stream)
+                if served is not None:
+                    served.add_credit(frame.size)
+            case Ping():
+                self.send(Pong(frame.token))
             case _:
-                self._receive_link_frame(frame)
+                return self._receive_other(frame)
+        return True
 
-    def _receive_link_frame(self, frame: Frame) -> None:
+    def _receive_other(self, frame: Frame) -> bool:
         match frame:
-            case ControlFrame() if self.peer is not None:
-                self.on_control(self.peer, frame)
+            case ControlFrame():
+                if self.peer is not None:
+                    self.on_control(self.peer, frame)
             case Hello():
-                self._take_hello(frame)
-            case Ping():
-                self.send(Pong(frame.token))
+                return self._take_hello(frame)
+            case GoAway():
+                self.going_away = True
+                if self.on_go_away is not None:
+                    self.on_go_away(self)
+                self._close_if_done()
+        return True
 
     def open_stream(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
         """Send a call to the peer; the returned function cancels it."""
-        stream = self.next_stream
-        self.next_stream += 1
-        self.awaiting[stream] = sink
-        remaining = max(0.0, call.deadline - self.clock.monotonic())
-        self.send(
-            RequestFrame(
-                stream=stream,
+        number = self._new_stream()
+        now = self.clock.monotonic()
+        if not self.awaiting:
+            self.used_at = now
+        self.awaiting[number] = AwaitedStream(self, number, call, sink)
+        remaining = max(0.0, call.deadline - now)
+
+        def first(data: bytes, last: bool) -> RequestFrame:
+            return RequestFrame(
+                stream=number,
                 timeout_ms=int(remaining * 1000),
                 urgent=call.urgent,
                 idempotent=call.idempotent,
@@ -143,128 +227,120 @@
                 method=call.method,
                 target=call.target,
                 headers=call.headers,
-                body=call.body,
+                body=data,
+                last=last,
             )
-        )
-        return lambda: self._cancel(stream)
 
-    def _cancel(self, stream: int) -> None:
-        if self.awaiting.pop(stream, None) is not None:
-            self.send(CancelFrame(stream))
+        if len(call.body) <= PART_BYTES:
+            self.send(first(call.body, True))
+        else:
+            body = OutgoingBody(number, call.urgent, first, None, Flow())
+            body.push(call.body, True)
+            self.writer.take(body)
+        return lambda: self._cancel(number)
+
+    def _new_stream(self) -> int:
+        """Return a number that no stream under way has."""
+        number = self.next_stream
+        while number in self.awaiting:
+            number = number % MAX_STREAM + 1
+        self.next_stream = number % MAX_STREAM + 1
+        return number
+
+    def _cancel(self, number: int) -> None:
+        if self.awaiting.pop(number, None) is not None:
+            self.writer.drop(number)
+            self.send(CancelFrame(number))
+            self._close_if_done()
+
+    def _awaited(self, number: int, last: bool) -> AwaitedStream | None:
+        """Return a stream, None for a frame that comes too late for it."""
+        if not last:
+            return self.awaiting.get(number)
+        awaited = self.awaiting.pop(number, None)
+        self._close_if_done()
+        return awaited
+
+    def _close_if_done(self) -> None:
+        if self.going_away and not self.awaiting:
+            self.close()
+
+    def _take_request(self, frame: RequestFrame) -> bool:
+        if frame.stream in self.serving or frame.stream in self.incoming:
+            return False
+        if frame.last:
+            self._serve(frame, frame.body, self.received_at)
+        else:
+            self.incoming[frame.stream] = IncomingRequest(frame, self.received_at)
+        return True
 
-    def _serve(self, frame: RequestFrame) -> None:
+    def _serve(self, frame: RequestFrame, body: bytes, received_at: float) -> None:
         call = Call(
             method=frame.method,
             target=frame.target,
             headers=frame.headers,
-            body=frame.body,
+            body=body,
             service=frame.service,
             service_version=frame.service_version,
             route=frame.route,
             urgent=frame.urgent,
             idempotent=frame.idempotent,
             depth=frame.depth,
-            deadline=self.clock.monotonic() + frame.timeout_ms / 1000,
+            deadline=received_at + frame.timeout_ms / 1000,
         )
-        sink = StreamSink(self, frame.stream)
-        cancel = self.dispatch(call, sink)
-        if not sink.ended:
-            self.serving[frame.stream] = cancel
+        stream = ServedStream(self, frame.stream, call)
+        self.serving[frame.stream] = stream
+        cancel = self.dispatch(call, stream)
+        if frame.stream in self.serving:
+            stream.cancel = cancel
+
+    def _take_body(self, frame: BodyFrame) -> bool:
+        incoming = self.incoming.get(frame.stream)
+        if incoming is not None:
+            incoming.parts.append(frame.data)
+            if frame.last:
+                del self.incoming[frame.stream]
+                body = b"".join(incoming.parts)
+                self._serve(incoming.frame, body, incoming.received_at)
+            return True
+        awaited = self._awaited(frame.stream, frame.last)
+        if awaited is not None and not awaited.take_body(frame.data, frame.last):
+            return self._out_of_order(awaited)
+        return True
+
+    def _out_of_order(self, awaited: AwaitedStream) -> bool:
+        """Fail a stream whose answer can't be whole, and refuse the frame."""
+        self.awaiting.pop(awaited.number, None)
+        awaited.fail(Failure(Outcome.UNKNOWN, Reason.TRUNCATED), None)
+        return False
+
+    def _take_failure(self, frame: FailureFrame) -> bool:
+        try:
+            reason = Reason(frame.reason)
+        except ValueError:
+            return False
+        awaited = self._awaited(frame.stream, True)
+        if awaited is not None:
+            self.writer.drop(frame.stream)
+            load = Load(frame.in_flight, frame.slots)
+            awaited.fail(Failure(frame.outcome, reason), load)
+        return True
 
-    def _take_hello(self, frame: Hello) -> None:
+    def _take_cancel(self, frame: CancelFrame) -> None:
+        self.incoming.pop(frame.stream, None)
+        served = self.serving.get(frame.stream)
+        if served is not None:
+            cancel = served.cancel
+            served.end()
+            if cancel is not None:
+                cancel()
+
+    def _take_hello(self, frame: Hello) -> bool:
         result = parse_address(frame.peer)
         if isinstance(result, Err):
-            self.transport.abortConnection()
-            return
+            return False
         self.peer = result.ok_value
-
-    def _take_response(self, frame: ResponseFrame) -> None:
-        sink = self.awaiting.get(frame.stream)
-        if sink is None:
-            return
-        if frame.last:
-            del self.awaiting[frame.stream]
-        load = Load(frame.in_flight, frame.slots)
-        sink.head(ResponseHead(frame.status, frame.headers, frame.outcome, load))
-        sink.body(frame.body, frame.last)
-
-    def _take_body(self, frame: BodyFrame) -> None:
-        sink = self.awaiting.get(frame.stream)
-        if sink is None:
-            return
-        if frame.last:
-            del self.awaiting[frame.stream]
-        sink.body(frame.data, frame.last)
-
-    def _take_failure(self, frame: FailureFrame) -> None:
-        sink = self.awaiting.pop(frame.stream, None)
-        if sink is None:
-            return
-        load = Load(frame.in_flight, frame.slots)
-        sink.failed(Failure(frame.outcome, Reason(frame.reason)), load)
-
-    def _take_cancel(self, frame: CancelFrame) -> None:
-        cancel = self.serving.pop(frame.stream, None)
-        if cancel is not None:
-            cancel()
-
-
-class StreamSink:
-    """Sends the answer of one served stream over its link."""
-
-    def __init__(self, link: PeerLink, stream: int) -> None:
-        self.link = link
-        self.stream = stream
-        self.pending_head: ResponseHead | None = None
-        self.ended = False
-
-    def head(self, head: ResponseHead) -> None:
-        """Hold the head until the first body part, to share its frame."""
-        self.pending_head = head
-
-    def body(self, data: bytes, last: bool) -> None:
-        """Send a body part."""
-        self._end_if(last)
-        head = self.pending_head
-        if head is None:
-            self._send(BodyFrame(self.stream, data, last))
-            return
-        self.pending_head = None
-        self._send(
-            ResponseFrame(
-                stream=self.stream,
-                status=head.status,
-                outcome=head.outcome,
-                in_flight=head.load.in_flight,
-                slots=head.load.slots,
-                headers=head.headers,
-                body=data,
-                last=last,
-            )
-        )
-
-    def failed(self, failure: Failure, load: Load | None) -> None:
-        """Send the failure."""
-        self._end_if(True)
-        load = load or Load(0, 0)
-        self._send(
-            FailureFrame(
-                self.stream,
-                failure.outcome,
-                failure.reason.value,
-                load.in_flight,
-                load.slots,
-            )
-        )
-
-    def _end_if(self, last: bool) -> None:
-        if last:
-            self.ended = True
-            self.link.serving.pop(self.stream, None)
-
-    def _send(self, frame: Frame) -> None:
-        if self.link.connected:
-            self.link.send(frame)
+        return True
 
 
-__all__ = ["PeerLink", "StreamSink"]
+__all__ = ["PeerLink"]
--- a/src/briarslip/connection/peer_links.py
+++ b/src/briarslip/connection/peer_links.py
@@ -7,14 +7,23 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import ServerFactory
 
+from briarslip.connection.backoff import Backoff
+from briarslip.connection.backoff import after_failure
 from briarslip.connection.frame import ControlFrame
+from briarslip.connection.heartbeat import CHECK_SECONDS
+from briarslip.connection.heartbeat import QUIET_SECONDS
+from briarslip.connection.heartbeat import Step
+from briarslip.connection.heartbeat import next_step
 from briarslip.connection.peer_link import PeerLink
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
 
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
     from typing import Any
 
@@ -35,7 +44,7 @@
 
 
 class PeerLinks:
-    """Opens links on demand and keeps one for each peer."""
+    """Opens links on demand, keeps one for each peer and replaces silent ones."""
 
     def __init__(
         self,
@@ -44,14 +53,25 @@
         hello: Hello,
         dispatch: Dispatch,
         on_control: Callable[[Address, ControlFrame], None],
+        rng: random.Random,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.hello = hello
         self.dispatch = dispatch
         self.on_control = on_control
+        self.rng = rng
         self.links: dict[Address, PeerLink] = {}
         self.waiting: dict[Address, list[Callable[[PeerLink | None], None]]] = {}
+        self.backoffs: dict[Address, Backoff] = {}
+        self.served: set[PeerLink] = set()
+        self.draining = False
+        self.checking = False
+
+    @property
+    def serving(self) -> int:
+        """The streams of peers that are served now."""
+        return sum(len(link.serving) + len(link.incoming) for link in self.served)
 
     def server_factory(self) -> ServerFactory:
         """Return the factory for links that peers open."""
@@ -62,17 +82,17 @@
     ) -> Callable[[], None]:
         """Send a call to a peer, connecting first if need be."""
         link = self.links.get(peer)
-        if link is not None:
+        if link is not None and peer not in self.waiting and not self._quiet(link):
             return link.open_stream(call, sink)
         pending = PendingStream(call, sink)
-        self._when_connected(peer, pending.connected)
+        self._when_usable(peer, pending.connected)
         return pending.cancel
 
     def send_control(self, peer: Address, topic: Topic, payload: bytes) -> None:
         """Send a control message, dropped if the peer can't be reached."""
         frame = ControlFrame(topic, payload)
         link = self.links.get(peer)
-        if link is not None:
+        if link is not None and peer not in self.waiting and not self._quiet(link):
             link.send(frame)
             return
 
@@ -80,47 +100,104 @@
             if link is not None:
                 link.send(frame)
 
-        self._when_connected(peer, send)
+        self._when_usable(peer, send)
+
+    def drain(self) -> None:
+        """Ask every opener to open no more streams and to close its link."""
+        self.draining = True
+        for link in self.served:
+            link.go_away()
 
     def close(self) -> None:
         """Close every link after what is written."""
-        for link in list(self.links.values()):
-            link.transport.loseConnection()
-
-    def build(self, on_made: Callable[[PeerLink], None] | None = None) -> PeerLink:
-        """Return one end of a link that is not connected yet."""
-        return PeerLink(
-            self.clock, self.dispatch, self.on_control, self._forget, on_made
-        )
-
-    def _when_connected(
+        for link in [*self.links.values(), *self.served]:
+            link.close()
+
+    def check(self) -> None:
+        """Probe, replace or close links as their silence asks."""
+        now = self.clock.monotonic()
+        for peer, link in list(self.links.items()):
+            match next_step(link.activity, now):
+                case Step.PING:
+                    link.ping()
+                case Step.REPLACE:
+                    self._replace(peer, link)
+                case Step.CLOSE:
+                    del self.links[peer]
+                    link.close()
+        self.checking = bool(self.links)
+        if self.checking:
+            self.reactor.callLater(CHECK_SECONDS, self.check)
+
+    def _quiet(self, link: PeerLink) -> bool:
+        """Whether a link must answer a heartbeat before it is trusted."""
+        if link.awaiting:
+            return False
+        return self.clock.monotonic() - link.received_at > QUIET_SECONDS
+
+    def _when_usable(
         self, peer: Address, then: Callable[[PeerLink | None], None]
     ) -> None:
         waiting = self.waiting.get(peer)
         if waiting is not None:
             waiting.append(then)
             return
+        link = self.links.get(peer)
+        if link is None and self._must_pause(peer):
+            then(None)
+            return
         self.waiting[peer] = [then]
-        factory = LinkFactory(self, peer)
+        if link is None:
+            self._connect(peer)
+        else:
+            link.on_alive = lambda link: self.connected(peer, link)
+            link.ping()
+
+    def _must_pause(self, peer: Address) -> bool:
+        backoff = self.backoffs.get(peer)
+        return backoff is not None and self.clock.monotonic() < backoff.due
+
+    def _connect(self, peer: Address) -> None:
         self.reactor.connectTCP(
-            peer.host, peer.port, factory, timeout=CONNECT_TIMEOUT_SECONDS
+            peer.host,
+            peer.port,
+            LinkFactory(self, peer),
+            timeout=CONNECT_TIMEOUT_SECONDS,
         )
 
+    def _replace(self, peer: Address, link: PeerLink) -> None:
+        """Open a new link at once; what waited goes over it."""
+        emit(Event.LINK_STALLED, peer=peer, calls=len(link.awaiting))
+        del self.links[peer]
+        # First the new one, so that calls that are retried wait for it.
+        self.waiting.setdefault(peer, [])
+        self._connect(peer)
+        link.stall()
+
     def connected(self, peer: Address, link: PeerLink) -> None:
-        """Take a new link into use."""
+        """Take a link into use."""
         self.links[peer] = link
+        self.backoffs.pop(peer, None)
+        if not self.checking:
+            self.checking = True
+            self.reactor.callLater(CHECK_SECONDS, self.check)
         for then in self.waiting.pop(peer, ()):
             then(link)
 
     def connect_failed(self, peer: Address) -> None:
         """Tell those that wait that there is no link."""
+        now = self.clock.monotonic()
+        self.backoffs[peer] = after_failure(self.backoffs.get(peer), now, self.rng)
         for then in self.waiting.pop(peer, ()):
             then(None)
 
-    def _forget(self, link: PeerLink) -> None:
-        for peer, known in list(self.links.items()):
-            if known is link:
-                del self.links[peer]
+    def link_lost(self, peer: Address, link: PeerLink) -> None:
+        """Forget a link; those that waited for its heartbeat get a new one."""
+        if self.links.get(peer) is not link:
+            return
+        del self.links[peer]
+        if peer in self.waiting:
+            self._connect(peer)
 
 
 class ServingFactory(ServerFactory):
@@ -133,7 +210,19 @@
 
     def buildProtocol(self, addr: IAddress | None) -> PeerLink:
         """Build the link's end."""
-        return self.links.build()
+        links = self.links
+        return PeerLink(
+            links.clock,
+            links.dispatch,
+            links.on_control,
+            links.served.discard,
+            self._made,
+        )
+
+    def _made(self, link: PeerLink) -> None:
+        self.links.served.add(link)
+        if self.links.draining:
+            link.go_away()
 
 
 class LinkFactory(ClientFactory):
@@ -147,14 +236,21 @@
 
     def buildProtocol(self, addr: IAddress | None) -> PeerLink:
         """Build the link; it is in use from its connection on."""
-        link = self.links.build(self._made)
+        links = self.links
+        link = PeerLink(
+            links.clock, links.dispatch, links.on_control, self._lost, self._made
+        )
         link.peer = self.peer
+        link.on_go_away = self._lost
         return link
 
     def _made(self, link: PeerLink) -> None:
         link.send(self.links.hello)
         self.links.connected(self.peer, link)
 
+    def _lost(self, link: PeerLink) -> None:
+        self.links.link_lost(self.peer, link)
+
     def clientConnectionFailed(
         self, connector: IConnector, reason: TwistedFailure
     ) -> None:
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -77,7 +77,9 @@
         )
         self.claims = PlatformClaims(self.platform, clock, rng, reactor.callLater)
         hello = Hello(str(own_address), zone)
-        self.links = PeerLinks(reactor, clock, hello, self.serve, self.take_control)
+        self.links = PeerLinks(
+            reactor, clock, hello, self.serve, self.take_control, rng
+        )
         self.membership = MembershipTask(
             reactor,
             clock,
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -30,7 +30,7 @@
     """An event: its number, level and text; the fields stand beside it.
 
     Numbers are never reused. Hundreds: 1 process, 2 membership, 3
-    configuration, 4 requests, 5 rollouts, 6 platform.
+    configuration, 4 requests, 5 rollouts, 6 platform, 7 connections.
     """
 
     DAEMON_STARTED = (101, Level.INFO, "daemon started")
@@ -46,6 +46,7 @@
     CLAIMS_UNAVAILABLE = (451, Level.WARNING, "claims can't be made")
     CLAIM_LEFT = (452, Level.WARNING, "a claim of a request not run was left standing")
     PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
+    LINK_STALLED = (701, Level.WARNING, "peer link went silent and is replaced")
 
     def __init__(self, number: int, level: Level, text: str) -> None:
         self.number = number
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from briarslip.request.flow import Flow
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,7 +24,8 @@
     ``headers`` holds header lines in HTTP wire form, each ended by CRLF,
     without hop-by-hop headers. ``deadline`` is a reading of the local
     monotonic clock in seconds. ``service_version`` is that of the chosen
-    server, so that no other version runs the call.
+    server, so that no other version runs the call. ``flow`` tells the source of
+    the answer when to wait for its reader.
     """
 
     method: str
@@ -35,6 +39,7 @@
     idempotent: bool
     depth: int
     deadline: float
+    flow: Flow = field(default_factory=Flow, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from briarslip.request.call import Call
 from briarslip.request.claim import MAX_KEY_BYTES
 from briarslip.request.directory import Directory
 from briarslip.request.exchange import Exchange
+from briarslip.request.flow import Flow
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -44,6 +46,7 @@
     body: bytes
     depth: int
     timeout: float | None
+    flow: Flow = field(default_factory=Flow, compare=False)
 
 
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
@@ -99,6 +102,7 @@
             idempotent=route.idempotent or request.method in IDEMPOTENT_METHODS,
             depth=request.depth + 1,
             deadline=self.clock.monotonic() + timeout,
+            flow=request.flow,
         )
 
     def servers(self, call: Call) -> Sequence[Server]:
