--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -38,6 +38,7 @@
 
 
 MAX_DEPTH = 64
+HEAD_TOO_LARGE = 431
 SWEEP_SECONDS = 1.0
 IDLE_LIMIT_SECONDS = 75.0
 REQUEST_LIMIT_SECONDS = 30.0
@@ -153,8 +154,7 @@
         if end < 0 and len(self.buffer) <= MAX_HEAD_BYTES:
             return False
         if not 0 <= end <= MAX_HEAD_BYTES:
-            status = http.REQUEST_HEADER_FIELDS_TOO_LARGE
-            self._refuse(status, "the head is too large")
+            self._refuse(HEAD_TOO_LARGE, "the head is too large")
             return False
         parsed = parse_request_head(self.buffer[: end + 2])
         if isinstance(parsed, Err):
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.connection.deadline_wheel import DeadlineWheel
 from briarslip.connection.frame import Hello
 from briarslip.connection.frame import Topic
 from briarslip.connection.local_http import JsonReply
@@ -26,6 +27,9 @@
 from briarslip.process.member import Member
 from briarslip.process.member import Status
 from briarslip.process.membership_task import MembershipTask
+from briarslip.process.shutdown import Phase
+from briarslip.process.shutdown import Remaining
+from briarslip.process.shutdown import Shutdown
 from briarslip.request.forwarder import Forwarder
 from briarslip.request.forwarder import Surroundings
 from briarslip.request.outcome import Failure
@@ -47,9 +51,6 @@
 
 
 HOUSEKEEPING_SECONDS = 0.5
-DRAIN_NOTICE_SECONDS = 1.0
-DRAIN_POLL_SECONDS = 0.05
-MAX_DRAIN_SECONDS = 60.0
 
 
 class Daemon:
@@ -61,7 +62,9 @@
         self.settings = settings
         self.reactor = reactor
         self.clock = clock
-        self.draining = False
+        self.shutdown = Shutdown(
+            reactor, clock, self.largest_timeout, self.remaining, self.enter_phase
+        )
         own_address = settings.listen.peers
         zone = settings.daemon.availability_zone
         platform = settings.platform
@@ -77,6 +80,7 @@
         )
         self.claims = PlatformClaims(self.platform, clock, rng, reactor.callLater)
         hello = Hello(str(own_address), zone)
+        self.deadlines = DeadlineWheel(reactor, clock)
         self.links = PeerLinks(
             reactor, clock, hello, self.serve, self.take_control, rng
         )
@@ -99,12 +103,19 @@
             self.update_membership,
         )
         self.forwarder = Forwarder(clock, rng, self._surroundings())
+        limits = settings.limits
+        self.callers = CallerHttpFactory(reactor, self.forwarder, limits.max_body_bytes)
 
     @classmethod
     def from_settings(cls, settings: Settings, reactor: Any) -> Daemon:
         """Build a daemon on the system's clock and random source."""
         return cls(settings, reactor, SystemClock(), random.Random())
 
+    @property
+    def draining(self) -> bool:
+        """Whether a stop has begun."""
+        return self.shutdown.draining
+
     def _self_member(self) -> Member:
         return Member(
             address=self.settings.listen.peers,
@@ -127,20 +138,16 @@
             version_for=self.version_for,
             record=self.record,
             excluded=self.excluded,
-            call_later=self.reactor.callLater,
+            call_later=self.deadlines.call_later,
             claims=self.claims,
         )
 
     def start(self) -> None:
         """Listen and begin the periodic work."""
         listen = self.settings.listen
-        limits = self.settings.limits
         self.membership.start()
         self._listen(listen.peers, self.links.server_factory())
-        self._listen(
-            listen.callers,
-            CallerHttpFactory(self.reactor, self.forwarder, limits.max_body_bytes),
-        )
+        self.caller_port = self._listen(listen.callers, self.callers)
         self._listen(
             listen.announcements,
             LocalHttpFactory(
@@ -170,8 +177,8 @@
     def serve(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
         """Serve a call that came over a peer link."""
         admission = self.servers.admission(call.service, call.service_version)
-        if admission is None or self.draining:
-            reason = Reason.DRAINING if self.draining else Reason.NO_SERVER
+        if admission is None or self.shutdown.refusing:
+            reason = Reason.DRAINING if self.shutdown.refusing else Reason.NO_SERVER
             sink.failed(Failure(Outcome.NOT_RUN, reason), None)
             return lambda: None
         return admission(call, sink)
@@ -201,21 +208,32 @@
         return JsonReply(200, {"taken": True})
 
     def drain(self) -> None:
-        """Stop gracefully: no new work, then exit when none is in flight."""
-        if self.draining:
-            return
-        self.draining = True
-        emit(Event.DAEMON_DRAINING)
-        self.update_membership()
-        deadline = self.clock.monotonic() + MAX_DRAIN_SECONDS
-        self.reactor.callLater(DRAIN_NOTICE_SECONDS, self._stop_when_idle, deadline)
-
-    def _stop_when_idle(self, deadline: float) -> None:
-        if not self.servers.in_flight or self.clock.monotonic() > deadline:
-            emit(Event.DAEMON_STOPPED)
-            self.reactor.stop()
-            return
-        self.reactor.callLater(DRAIN_POLL_SECONDS, self._stop_when_idle, deadline)
+        """Stop gracefully."""
+        self.shutdown.begin()
+
+    def largest_timeout(self) -> float:
+        """Return the longest that a call may take, in seconds."""
+        timeouts = [route.timeout for route in self.distribution.table.routes]
+        default = self.settings.limits.default_timeout
+        return max([default, *timeouts]).total_seconds()
+
+    def remaining(self) -> Remaining:
+        """Count what a stop has to wait for."""
+        in_flight = self.callers.in_flight + self.links.serving + self.servers.in_flight
+        connections = len(self.callers.connections) + len(self.links.served)
+        return Remaining(in_flight, connections)
+
+    def enter_phase(self, phase: Phase) -> None:
+        """Do what a phase of the stop begins with."""
+        match phase:
+            case Phase.NOTICE:
+                self.update_membership()
+            case Phase.FINISHING:
+                self.caller_port.stopListening()
+                self.callers.drain()
+                self.links.drain()
+            case Phase.STOPPED:
+                self.reactor.stop()
 
 
 __all__ = ["Daemon"]
--- /dev/null
+++ b/tests/connection/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the connections."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/connection/test_caller_http.py
@@ -0,0 +1,245 @@
+"""Tests of the HTTP towards callers."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.request.call import ResponseHead
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from tests.connection.support import LOAD
+from tests.connection.support import OK
+from tests.connection.support import Dispatched
+from tests.connection.support import FakeClock
+from tests.connection.support import FakeTransport
+
+
+GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+POST = b"POST /a HTTP/1.1\r\nHost: a\r\n"
+UNKNOWN = Failure(Outcome.UNKNOWN, Reason.TRUNCATED)
+MAX_BODY_BYTES = 1000
+
+
+def head(status: int = 200, headers: bytes = b"") -> ResponseHead:
+    """Return a head."""
+    return ResponseHead(status, headers, Outcome.RAN, LOAD)
+
+
+class CallerHttpTest(unittest.TestCase):
+    """One caller's connection over a fake transport."""
+
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.forwarded = Dispatched()
+        self.factory = CallerHttpFactory(self.clock, self.forwarded, MAX_BODY_BYTES)
+        self.connection: Any = self.factory.buildProtocol(None)
+        self.transport = FakeTransport()
+        self.connection.makeConnection(self.transport)
+
+    def receive(self, data: bytes) -> bytes:
+        self.connection.dataReceived(data)
+        return self.transport.take()
+
+    def test_whole_answer_leaves_in_one_write(self) -> None:
+        self.receive(GET)
+        request, sink = self.forwarded.calls[0]
+        self.assertEqual(("GET", "/a"), (request.method, request.target))
+        sink.head(OK)
+        sink.body(b"abc", True)
+        answer = self.transport.take()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\nX-A: 1\r\n"))
+        self.assertIn(b"Briarslip-Outcome: ran\r\n", answer)
+        self.assertTrue(answer.endswith(b"Content-Length: 3\r\n\r\nabc"))
+
+    def test_pipelined_requests_are_answered_in_order(self) -> None:
+        self.receive(GET + GET.replace(b"/a", b"/b"))
+        self.assertEqual(1, len(self.forwarded.calls))
+        sink = self.forwarded.calls[0][1]
+        sink.head(OK)
+        sink.body(b"first", True)
+        self.assertEqual("/b", self.forwarded.calls[1][0].target)
+        sink.body(b"late", True)
+        sink.failed(UNKNOWN, None)
+        self.assertNotIn(b"late", self.transport.take())
+
+    def test_cut_answer_is_never_a_short_success(self) -> None:
+        for headers in (b"", b"Content-Length: 9\r\n"):
+            with self.subTest(headers):
+                self.setUp()
+                self.receive(GET)
+                sink = self.forwarded.calls[0][1]
+                sink.head(head(headers=headers))
+                sink.body(b"abc", False)
+                sink.failed(UNKNOWN, None)
+                self.assertTrue(self.transport.aborted)
+                self.assertNotIn(b"0\r\n\r\n", self.transport.take())
+
+    def test_body_that_differs_from_its_declared_length_cuts(self) -> None:
+        for data, last in ((b"abc", True), (b"abcdefghij", False)):
+            with self.subTest(data):
+                self.setUp()
+                self.receive(GET)
+                sink = self.forwarded.calls[0][1]
+                sink.head(head(headers=b"Content-Length: 9\r\n"))
+                sink.body(data, last)
+                self.assertTrue(self.transport.aborted)
+                self.assertEqual(b"", self.transport.take())
+
+    def test_failure_before_the_head_is_an_error_answer(self) -> None:
+        self.receive(GET)
+        sink = self.forwarded.calls[0][1]
+        sink.head(OK)
+        sink.failed(UNKNOWN, None)
+        answer = self.transport.take()
+        self.assertTrue(answer.startswith(b"HTTP/1.1 502"))
+        self.assertIn(b"Briarslip-Outcome: unknown\r\n", answer)
+
+    def test_streamed_body_is_chunked(self) -> None:
+        self.receive(GET)
+        sink = self.forwarded.calls[0][1]
+        sink.head(OK)
+        sink.body(b"abc", False)
+        sink.body(b"de", True)
+        answer = self.transport.take()
+        self.assertIn(b"Transfer-Encoding: chunked\r\n", answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"))
+
+    def test_bodiless_answers_have_no_body(self) -> None:
+        for method, status, headers in (
+            (b"HEAD", 200, b"Content-Length: 9\r\n"),
+            (b"GET", 204, b""),
+            (b"GET", 304, b"Content-Length: 9\r\n"),
+        ):
+            with self.subTest(method=method, status=status):
+                self.setUp()
+                self.receive(GET.replace(b"GET", method))
+                sink = self.forwarded.calls[0][1]
+                sink.head(head(status, headers))
+                sink.body(b"", True)
+                answer = self.transport.take()
+                self.assertTrue(answer.endswith(b"\r\n\r\n"))
+                self.assertEqual(bool(headers), b"Content-Length: 9" in answer)
+                self.assertNotIn(b"chunked", answer)
+                self.assertFalse(self.transport.aborted)
+
+    def test_ambiguous_or_malformed_heads_are_refused(self) -> None:
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        length = b"Content-Length: 3\r\n"
+        bad = {
+            "two framings": (POST + length + chunked, 400),
+            "two lengths": (POST + length + b"Content-Length: 4\r\n", 400),
+            "listed lengths": (POST + b"Content-Length: 3, 3\r\n", 400),
+            "signed length": (POST + b"Content-Length: +3\r\n", 400),
+            "unknown coding": (POST + b"Transfer-Encoding: gzip, chunked\r\n", 501),
+            "two codings": (POST + chunked + chunked, 501),
+            "hidden coding": (POST + b"Transfer-Encoding : chunked\r\n", 400),
+            "folded line": (POST + b"X-A: 1\r\n b\r\n", 400),
+            "bare newline": (POST + b"X-A: 1\nX-B: 2\r\n", 400),
+            "null": (POST + b"X-A: \x00\r\n", 400),
+            "no host": (b"GET / HTTP/1.1\r\n", 400),
+            "two hosts": (POST + b"Host: b\r\n", 400),
+            "bad version": (b"GET / HTTP/2.0\r\nHost: a\r\n", 400),
+            "space in target": (b"GET /a b HTTP/1.1\r\nHost: a\r\n", 400),
+            "bad deadline": (POST + b"Briarslip-Deadline-Ms: -1\r\n", 400),
+            "nested too deep": (POST + b"Briarslip-Depth: 64\r\n", 400),
+        }
+        for name, (text, status) in bad.items():
+            with self.subTest(name):
+                self.setUp()
+                answer = self.receive(text + b"\r\n")
+                self.assertTrue(answer.startswith(b"HTTP/1.1 %d " % status), answer)
+                self.assertIn(b"Briarslip-Outcome: not-run\r\n", answer)
+                self.assertTrue(self.transport.disconnecting)
+                self.assertEqual([], self.forwarded.calls)
+
+    def test_oversize_head_and_body_are_refused_early(self) -> None:
+        answer = self.receive(POST + b"X-A: " + b"x" * 40_000)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 431 "))
+        self.setUp()
+        answer = self.receive(POST + b"Content-Length: 1001\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413 "))
+        self.setUp()
+        chunked = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+        answer = self.receive(chunked + b"3e9\r\n" + b"x" * 1001)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413 "))
+        self.assertEqual([], self.forwarded.calls)
+
+    def test_body_in_pieces_is_dispatched_once_whole(self) -> None:
+        text = POST + b"Content-Length: 5\r\n\r\nhello"
+        for number in range(len(text) - 1):
+            self.receive(text[number : number + 1])
+        self.assertEqual([], self.forwarded.calls)
+        self.receive(text[-1:])
+        self.assertEqual(b"hello", self.forwarded.calls[0][0].body)
+
+    def test_hop_by_hop_headers_stay_here(self) -> None:
+        self.receive(
+            b"GET / HTTP/1.1\r\nHost: a\r\nConnection: x-own, keep-alive\r\n"
+            b"X-Own: 1\r\nTE: trailers\r\nX-A: 1\r\n\r\n"
+        )
+        request = self.forwarded.calls[0][0]
+        self.assertEqual(b"Host: a\r\nX-A: 1\r\n", request.headers)
+
+    def test_continue_is_asked_for_only_if_the_body_is_wanted(self) -> None:
+        expect = POST + b"Expect: 100-continue\r\nContent-Length: %d\r\n\r\n"
+        self.assertEqual(b"HTTP/1.1 100 Continue\r\n\r\n", self.receive(expect % 5))
+        self.setUp()
+        self.assertTrue(self.receive(expect % 5000).startswith(b"HTTP/1.1 413 "))
+
+    def test_slow_caller_holds_its_answer_back(self) -> None:
+        self.receive(GET)
+        flow = self.forwarded.calls[0][0].flow
+        self.connection.pauseProducing()
+        self.assertTrue(flow.paused)
+        self.connection.resumeProducing()
+        self.assertFalse(flow.paused)
+
+    def test_caller_that_leaves_cancels(self) -> None:
+        self.receive(GET)
+        self.connection.connectionLost()
+        self.assertEqual(1, len(self.forwarded.cancelled))
+        self.assertEqual((0, set()), (self.factory.in_flight, self.factory.connections))
+
+    def test_still_connections_are_closed(self) -> None:
+        self.factory.startFactory()
+        self.receive(GET[:10])
+        self.clock.pump([1.0] * 32)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_draining_closes_after_the_answer(self) -> None:
+        self.factory.startFactory()
+        self.receive(GET)
+        self.factory.drain()
+        self.clock.pump([1.0] * 10)
+        self.assertFalse(self.transport.disconnecting)
+        sink = self.forwarded.calls[0][1]
+        sink.head(OK)
+        sink.body(b"", True)
+        self.assertIn(b"Connection: close\r\n", self.transport.take())
+        self.assertTrue(self.transport.disconnecting)
+
+    @settings(max_examples=150, derandomize=True, deadline=None)
+    @given(st.data())
+    def test_damaged_requests_never_raise(self, data: st.DataObject) -> None:
+        self.setUp()
+        text = POST + b"Content-Length: 5\r\nX-A: 1\r\n\r\nhello"
+        at = data.draw(st.integers(0, len(text)))
+        text = text[:at] + data.draw(st.binary(max_size=6)) + text[at + 1 :]
+        cut = data.draw(st.integers(0, len(text)))
+        self.receive(text[:cut])
+        if not self.transport.disconnecting:
+            self.receive(text[cut:])
+        for request, _ in self.forwarded.calls:
+            self.assertNotIn(b"\n\n", request.headers)
+            self.assertRegex(request.headers, rb"\A([^\r\n\x00]+\r\n)*\Z")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/connection/test_peer_link.py
@@ -0,0 +1,244 @@
+"""Tests of peer links."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from briarslip.connection.frame import BodyFrame
+from briarslip.connection.frame import FailureFrame
+from briarslip.connection.frame import Ping
+from briarslip.connection.frame import ResponseFrame
+from briarslip.connection.outgoing_body import PART_BYTES
+from briarslip.connection.outgoing_body import WINDOW_BYTES
+from briarslip.connection.peer_link import MAX_STREAM
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from tests.connection.support import OK
+from tests.connection.support import FakeSink
+from tests.connection.support import LinkPair
+from tests.connection.support import call
+
+
+def response(stream: int, body: bytes = b"x", last: bool = True) -> ResponseFrame:
+    """Return the first frame of an answer."""
+    return ResponseFrame(stream, 200, Outcome.RAN, 1, 10, b"", body, last)
+
+
+class PeerLinkTest(unittest.TestCase):
+    """Two ends of a link over fake transports."""
+
+    def setUp(self) -> None:
+        self.pair = LinkPair()
+
+    def open(self, body: bytes = b"", urgent: bool = True) -> FakeSink:
+        sink = FakeSink()
+        self.pair.opener.open_stream(call(body, urgent), sink)
+        return sink
+
+    def test_thousands_in_flight_each_get_their_own_answer(self) -> None:
+        bodies = [b"%d" % number for number in range(3000)]
+        sinks = [self.open(body) for body in bodies]
+        self.pair.pass_on()
+        answered = list(self.pair.dispatched.calls)
+        random.Random(5).shuffle(answered)
+        for request, sink in answered:
+            sink.head(OK)
+            sink.body(b"to " + request.body[:1], False)
+        for request, sink in answered:
+            sink.body(request.body[1:], True)
+        self.pair.pass_on()
+        for body, got in zip(bodies, sinks, strict=True):
+            self.assertEqual((b"to " + body, 1), (got.data, got.ended))
+        self.assertEqual({}, self.pair.opener.awaiting)
+        self.assertEqual({}, self.pair.server.serving)
+
+    def test_late_and_crossed_frames_are_dropped(self) -> None:
+        cancelled, other = FakeSink(), FakeSink()
+        cancel = self.pair.opener.open_stream(call(), cancelled)
+        self.pair.opener.open_stream(call(), other)
+        self.pair.pass_on()
+        cancel()
+        first, second = (sink for _, sink in self.pair.dispatched.calls)
+        first.head(OK)
+        first.body(b"crossed", True)
+        self.pair.pass_on()
+        second.head(OK)
+        second.body(b"own", True)
+        second.body(b"late", True)
+        self.pair.server.send(response(2, b"late"))
+        self.pair.server.send(BodyFrame(2, b"late", True))
+        self.pair.pass_on()
+        self.assertEqual((b"", 0), (cancelled.data, cancelled.ended))
+        self.assertEqual((b"own", 1), (other.data, other.ended))
+
+    def test_cancel_reaches_the_serving_end_once(self) -> None:
+        cancel = self.pair.opener.open_stream(call(), FakeSink())
+        self.pair.pass_on()
+        cancel()
+        cancel()
+        self.pair.pass_on()
+        self.assertEqual(1, len(self.pair.dispatched.cancelled))
+
+    def test_frames_out_of_order_fail_the_call_and_end_the_link(self) -> None:
+        for frames in (
+            [BodyFrame(1, b"x", True)],
+            [BodyFrame(1, b"x", False)],
+            [response(1, last=False), response(1)],
+            [FailureFrame(1, Outcome.RAN, "no such reason", 0, 0)],
+        ):
+            with self.subTest(frames):
+                self.setUp()
+                sink = self.open()
+                for frame in frames:
+                    self.pair.server.send(frame)
+                self.pair.pass_on(to_server=False)
+                self.assertTrue(self.pair.opener.transport.aborted)
+                self.pair.opener.connectionLost()
+                self.assertEqual(0, sink.ended)
+                self.assertEqual(
+                    [Outcome.UNKNOWN], [failure.outcome for failure in sink.failures]
+                )
+
+    def test_lost_link_fails_awaited_and_cancels_served(self) -> None:
+        sink = self.open()
+        self.pair.pass_on()
+        self.pair.dispatched.calls[0][1].head(OK)
+        self.pair.dispatched.calls[0][1].body(b"part", False)
+        self.pair.pass_on()
+        self.pair.opener.connectionLost()
+        self.pair.server.connectionLost()
+        self.assertEqual([Reason.CONNECTION_LOST], [f.reason for f in sink.failures])
+        self.assertEqual(0, sink.ended)
+        self.assertEqual(1, len(self.pair.dispatched.cancelled))
+
+    def test_slow_reader_bounds_what_is_sent(self) -> None:
+        sink = FakeSink()
+        request = call()
+        request.flow.paused = True
+        self.pair.opener.open_stream(request, sink)
+        self.pair.pass_on()
+        served, answer = self.pair.dispatched.calls[0]
+        answer.head(OK)
+        whole = bytes(WINDOW_BYTES * 3)
+        answer.body(whole, True)
+        self.pair.pass_on()
+        self.assertEqual(WINDOW_BYTES, len(sink.data))
+        self.assertTrue(served.flow.paused)
+        request.flow.set_paused(False)
+        self.pair.pass_on()
+        self.assertEqual((len(whole), 1), (len(sink.data), sink.ended))
+        self.assertEqual({}, self.pair.server.serving)
+
+    def test_reader_is_never_sent_more_than_it_granted(self) -> None:
+        self.open()
+        self.pair.server.send(response(1, b"", False))
+        for _ in range(2 * WINDOW_BYTES // PART_BYTES):
+            self.pair.server.send(BodyFrame(1, bytes(PART_BYTES), False))
+        self.pair.opener.awaiting[1].call.flow.paused = True
+        self.pair.pass_on(to_server=False)
+        self.assertTrue(self.pair.opener.transport.aborted)
+
+    def test_urgent_answer_overtakes_a_bulk_body(self) -> None:
+        self.open(b"b", urgent=False)
+        urgent = self.open(b"u")
+        self.pair.pass_on()
+        (_, bulk_sink), (_, urgent_sink) = self.pair.dispatched.calls
+        self.pair.server.writer.pauseProducing()
+        bulk_sink.head(OK)
+        bulk_sink.body(bytes(WINDOW_BYTES), True)
+        urgent_sink.head(OK)
+        urgent_sink.body(b"alert", True)
+        self.pair.server.writer.congested = False
+        stream_of_first = self.pair.server.writer.urgent or {}
+        self.assertEqual([2], list(stream_of_first))
+        self.pair.server.writer.pump()
+        self.pair.pass_on()
+        self.assertEqual(1, urgent.ended)
+
+    def test_bulk_bodies_take_turns_in_bounded_parts(self) -> None:
+        sinks = [self.open(b"b", urgent=False) for _ in range(2)]
+        self.pair.pass_on()
+        writer = self.pair.server.writer
+        writer.pauseProducing()
+        for _, answer in self.pair.dispatched.calls:
+            answer.head(OK)
+            answer.body(bytes(PART_BYTES * 3), True)
+        frames = []
+        for _ in range(6):
+            stream, body = next(iter(writer.bulk.items()))
+            del writer.bulk[stream]
+            frame = body.next_frame()
+            if body.sendable and not body.done:
+                writer.bulk[stream] = body
+            frames.append((frame.stream, frame.last))  # type: ignore[union-attr]
+        self.assertEqual([1, 2, 1, 2, 1, 2], [stream for stream, _ in frames])
+        self.assertEqual([False] * 4 + [True] * 2, [last for _, last in frames])
+        self.assertEqual(2, len(sinks))
+
+    def test_large_request_body_arrives_whole(self) -> None:
+        body = bytes(range(256)) * (PART_BYTES // 32)
+        self.open(body)
+        self.open(b"small")
+        self.pair.pass_on()
+        bodies = sorted(len(c.body) for c, _ in self.pair.dispatched.calls)
+        self.assertEqual([5, len(body)], bodies)
+        self.assertIn(body, [c.body for c, _ in self.pair.dispatched.calls])
+
+    def test_stream_numbers_wrap_past_those_in_use(self) -> None:
+        held = self.open()
+        self.pair.opener.next_stream = MAX_STREAM
+        last, first = self.open(b"last"), self.open(b"first")
+        self.pair.pass_on()
+        self.assertEqual([1, 2, MAX_STREAM], sorted(self.pair.opener.awaiting))
+        for request, sink in self.pair.dispatched.calls:
+            sink.head(OK)
+            sink.body(request.body, True)
+        self.pair.pass_on()
+        got = [sink.data for sink in (held, last, first)]
+        self.assertEqual([b"", b"last", b"first"], got)
+
+    def test_draining_peer_gets_no_new_streams_and_keeps_the_old(self) -> None:
+        gone: list[object] = []
+        self.pair.opener.on_go_away = gone.append
+        sink = self.open()
+        self.pair.pass_on()
+        self.pair.server.go_away()
+        self.pair.pass_on()
+        self.assertEqual([self.pair.opener], gone)
+        self.assertFalse(self.pair.opener.transport.disconnecting)
+        answer = self.pair.dispatched.calls[0][1]
+        answer.head(OK)
+        answer.body(b"whole", True)
+        self.pair.pass_on()
+        self.assertEqual(1, sink.ended)
+        self.assertTrue(self.pair.opener.transport.disconnecting)
+
+    def test_answers_to_one_read_leave_in_one_write(self) -> None:
+        writes: list[bytes] = []
+        for token in range(20):
+            self.pair.opener.send(Ping(token))
+        transport = self.pair.server.transport
+        transport.write = writes.append
+        self.pair.server.dataReceived(self.pair.opener.transport.take())
+        self.assertEqual(1, len(writes))
+
+    @settings(max_examples=150, derandomize=True, deadline=None)
+    @given(st.data())
+    def test_damaged_frames_never_raise(self, data: st.DataObject) -> None:
+        self.setUp()
+        self.open(b"body")
+        self.pair.opener.send(response(1))
+        text = bytearray(self.pair.opener.transport.take())
+        for _ in range(data.draw(st.integers(1, 4))):
+            at = data.draw(st.integers(0, len(text) - 1))
+            text[at] = data.draw(st.integers(0, 255))
+        self.pair.server.dataReceived(bytes(text))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the load generator."""
+
+from __future__ import annotations
