--- /dev/null
+++ b/tests/connection/test_backend_pool.py
@@ -0,0 +1,183 @@
+"""Tests of the connections to a backend server."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure as TwistedFailure
+
+from briarslip.address import Address
+from briarslip.connection.backend_pool import REUSABLE_IDLE_SECONDS
+from briarslip.connection.backend_pool import TRUSTED_IDLE_SECONDS
+from briarslip.connection.backend_pool import BackendPool
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from tests.connection.support import FakeSink
+from tests.connection.support import FakeTransport
+from tests.connection.support import call
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class BackendPoolTest(unittest.TestCase):
+    """A pool over a reactor in memory."""
+
+    def setUp(self) -> None:
+        self.reactor: Any = MemoryReactorClock()
+        self.pool = BackendPool(self.reactor, Address("127.0.0.1", 8000), 10)
+        self.made: list[Any] = []
+
+    def send(self, **fields: Any) -> tuple[FakeSink, Any]:
+        """Send a call, accepting the connection if one is opened."""
+        sink = FakeSink()
+        self.cancel = self.pool(call(**fields), sink)
+        if len(self.reactor.tcpClients) > len(self.made):
+            connection = self.reactor.tcpClients[-1][2].buildProtocol(None)
+            self.made.append(connection)
+            connection.makeConnection(FakeTransport())
+        return sink, self.made[-1]
+
+    def exchange(self, answer: bytes, **fields: Any) -> tuple[FakeSink, Any]:
+        """Send a call and receive its answer byte by byte."""
+        sink, connection = self.send(**fields)
+        for number in range(len(answer)):
+            connection.dataReceived(answer[number : number + 1])
+        return sink, connection
+
+    def test_connection_is_reused(self) -> None:
+        for _ in range(3):
+            sink, connection = self.exchange(OK)
+            self.assertEqual((b"ok", 1), (sink.data, sink.ended))
+            self.assertIn(b"GET /holds/1 HTTP/1.1\r\n", connection.transport.take())
+        self.assertEqual(1, len(self.made))
+        self.assertEqual(0, self.pool.in_flight)
+
+    def test_framings(self) -> None:
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "chunked": (chunked + b"2\r\nok\r\n0\r\n\r\n", "GET", b"ok"),
+            "head": (OK[:-2], "HEAD", b""),
+            "no content": (b"HTTP/1.1 204 No Content\r\n\r\n", "GET", b""),
+            "not modified": (OK.replace(b"200 OK", b"304 X")[:-2], "GET", b""),
+            "early hints": (b"HTTP/1.1 103 Early\r\nX: 1\r\n\r\n" + OK, "GET", b"ok"),
+        }
+        for name, (answer, method, body) in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                sink, connection = self.exchange(answer, method=method)
+                self.assertEqual((body, 1), (sink.data, sink.ended))
+                self.assertEqual([connection], self.pool.idle)
+                self.assertEqual(1, len(sink.heads))
+
+    def test_truncated_or_malformed_answers_fail(self) -> None:
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        both = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+        cases = {
+            "half a body": OK[:-1],
+            "no last chunk": chunked + b"2\r\nok\r\n",
+            "bad chunk": chunked + b"zz\r\nok",
+            "half a head": OK[:20],
+            "two framings": both + b"Transfer-Encoding: chunked\r\n\r\nok",
+            "two lengths": both + b"Content-Length: 3\r\n\r\nok",
+            "no head": b"hello\r\n\r\n",
+            "endless head": b"HTTP/1.1 200 OK\r\nX: " + b"x" * 33_000,
+        }
+        for name, answer in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                sink, connection = self.send()
+                connection.dataReceived(answer)
+                connection.connectionLost(TwistedFailure(ConnectionDone()))
+                self.assertEqual(0, sink.ended)
+                outcomes = [failure.outcome for failure in sink.failures]
+                self.assertEqual([Outcome.UNKNOWN], outcomes)
+                self.assertEqual(set(), self.pool.connections)
+
+    def test_body_until_close_is_whole_only_after_an_orderly_close(self) -> None:
+        for error, ended in ((ConnectionDone(), 1), (ConnectionLost(), 0)):
+            with self.subTest(error):
+                self.setUp()
+                sink, connection = self.exchange(b"HTTP/1.0 200 OK\r\n\r\nok")
+                connection.connectionLost(TwistedFailure(error))
+                self.assertEqual((ended, 1 - ended), (sink.ended, len(sink.failures)))
+
+    def test_bytes_that_nobody_asked_for_end_the_connection(self) -> None:
+        sink, connection = self.exchange(OK)
+        connection.dataReceived(OK)
+        self.assertTrue(connection.transport.aborted)
+        connection.connectionLost(TwistedFailure(ConnectionDone()))
+        self.send()
+        self.assertEqual(2, len(self.made))
+        self.setUp()
+        sink, connection = self.send()
+        connection.dataReceived(OK + OK)
+        self.assertEqual((b"ok", []), (sink.data, self.pool.idle))
+
+    def test_shed_answer_is_not_run(self) -> None:
+        answer = b"HTTP/1.1 503 X\r\nBriarslip-Not-Run: shed\r\n" + OK[17:]
+        sink, _ = self.exchange(answer)
+        self.assertEqual(Outcome.NOT_RUN, sink.heads[0].outcome)
+
+    def test_long_idle_connection_gets_no_non_idempotent_call(self) -> None:
+        for idle, body, opened in (
+            (TRUSTED_IDLE_SECONDS - 0.5, b"b", 1),
+            (TRUSTED_IDLE_SECONDS + 0.5, b"b", 2),
+            (TRUSTED_IDLE_SECONDS + 0.5, b"", 1),
+            (REUSABLE_IDLE_SECONDS + 0.5, b"", 2),
+        ):
+            with self.subTest(idle=idle, body=body):
+                self.setUp()
+                self.exchange(OK)
+                self.reactor.advance(idle)
+                self.send(body=body)
+                self.assertEqual(opened, len(self.made))
+
+    def test_silent_connection_casts_doubt_on_those_idle_beside_it(self) -> None:
+        _, first = self.send()
+        _, second = self.send()
+        first.dataReceived(OK)
+        second.dataReceived(OK)
+        self.reactor.advance(0.1)
+        self.send()
+        self.reactor.advance(1.5)
+        self.cancel()
+        self.assertTrue(second.transport.aborted)
+        self.assertTrue(first.transport.disconnecting)
+        sink, third = self.send()
+        third.dataReceived(OK)
+        self.assertEqual((1, 3), (sink.ended, len(self.made)))
+
+    def test_failed_connect_is_not_run(self) -> None:
+        sink = FakeSink()
+        self.pool(call(), sink)
+        self.reactor.tcpClients[-1][2].clientConnectionFailed(None, None)
+        self.assertEqual([Outcome.NOT_RUN], [f.outcome for f in sink.failures])
+        self.assertEqual(Reason.CONNECT_FAILED, sink.failures[0].reason)
+
+    def test_close_lets_calls_under_way_end(self) -> None:
+        sink, connection = self.send()
+        self.pool.close()
+        self.assertFalse(connection.transport.disconnecting)
+        connection.dataReceived(OK)
+        self.assertEqual(1, sink.ended)
+        self.assertTrue(connection.transport.disconnecting)
+
+    def test_slow_reader_pauses_the_server(self) -> None:
+        request = call()
+        self.pool(request, FakeSink())
+        connection = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        transport = FakeTransport()
+        connection.makeConnection(transport)
+        request.flow.set_paused(True)
+        self.assertEqual("paused", transport.producerState)
+        request.flow.set_paused(False)
+        self.assertEqual("producing", transport.producerState)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/load/test_plan.py
@@ -0,0 +1,95 @@
+"""Tests of load plans and their arrivals."""
+
+from __future__ import annotations
+
+import statistics
+import unittest
+from collections import Counter
+from dataclasses import replace
+from itertools import pairwise
+
+from result import Err
+
+from briarslip.load.plan import Plan
+from briarslip.load.schedule import arrivals
+
+
+TEXT = """\
+[run]
+seed = 7
+rate = 500
+arrivals = {arrivals}
+warm_up_ms = 1000
+measured_ms = 9000
+timeout_ms = 2000
+
+[target direct]
+address = 127.0.0.1:8000
+
+[target daemon]
+address = 127.0.0.1:8001
+
+[request alert]
+weight = 3
+path = /alerts/1
+
+[request summary]
+path = /history?size=100000
+method = POST
+body_bytes = 20
+"""
+
+
+def plan(kind: str = "poisson") -> Plan:
+    """Return the plan of the tests."""
+    return Plan.from_ini(TEXT.format(arrivals=kind), "plan.ini").unwrap()
+
+
+class PlanTest(unittest.TestCase):
+    """Reading a plan."""
+
+    def test_all_findings_are_reported_together(self) -> None:
+        text = "[run]\nrate = many\n[target]\n[request a]\nsize = 3\n[other]\n"
+        result = Plan.from_ini(text, "plan.ini")
+        assert isinstance(result, Err)
+        places = {(finding.section, finding.field) for finding in result.err_value}
+        self.assertLessEqual(
+            {("run", "rate"), ("target", ""), ("request a", "size"), ("other", "")},
+            places,
+        )
+
+
+class ScheduleTest(unittest.TestCase):
+    """The arrivals of a plan."""
+
+    def test_same_seed_gives_the_same_arrivals(self) -> None:
+        first = list(arrivals(plan()))
+        self.assertEqual(first, list(arrivals(plan())))
+        self.assertNotEqual(first, list(arrivals(replace(plan(), seed=8))))
+
+    def test_poisson_arrivals_have_the_rate_and_its_spread(self) -> None:
+        times = [arrival.at for arrival in arrivals(plan())]
+        gaps = [late - soon for soon, late in pairwise(times)]
+        self.assertAlmostEqual(1 / 500, statistics.mean(gaps), delta=0.0001)
+        spread = statistics.pstdev(gaps) / statistics.mean(gaps)
+        self.assertAlmostEqual(1.0, spread, delta=0.05)
+
+    def test_even_arrivals_are_even(self) -> None:
+        times = [arrival.at for arrival in arrivals(plan("even"))]
+        self.assertAlmostEqual(0.002 * 100, times[99])
+
+    def test_targets_take_turns_and_kinds_keep_their_weights(self) -> None:
+        found = list(arrivals(plan()))
+        self.assertEqual({"direct", "daemon"}, {a.target.name for a in found[:2]})
+        targets = Counter(arrival.target.name for arrival in found)
+        self.assertLessEqual(abs(targets["direct"] - targets["daemon"]), 1)
+        kinds = Counter(arrival.kind.name for arrival in found)
+        self.assertAlmostEqual(3.0, kinds["alert"] / kinds["summary"], delta=0.3)
+
+    def test_warm_up_is_not_measured(self) -> None:
+        for arrival in arrivals(plan()):
+            self.assertEqual(arrival.at >= 1.0, arrival.measured)
+
+
+if __name__ == "__main__":
+    unittest.main()
