--- /dev/null
+++ b/tests/process/test_shutdown.py
@@ -0,0 +1,154 @@
+"""Tests of the graceful stop."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+
+from briarslip.process.shutdown import CLOSE_SECONDS
+from briarslip.process.shutdown import GRACE_SECONDS
+from briarslip.process.shutdown import NOTICE_SECONDS
+from briarslip.process.shutdown import Phase
+from briarslip.process.shutdown import Remaining
+from briarslip.process.shutdown import Shutdown
+from briarslip.process.shutdown import next_phase
+from standins.mesh import Mesh
+from standins.mesh import wait_until
+from tests.connection.support import FakeClock
+
+
+BOUND = 5.0
+BUSY = Remaining(1, 1)
+IDLE = Remaining(0, 0)
+RECORDS = """\
+[service holds]
+
+[route holds]
+service = holds
+path_prefix = /holds
+priority = urgent
+timeout_ms = 5000
+claims = none
+"""
+PLAN = """\
+[run]
+seed = 5
+rate = 180
+warm_up_ms = 0
+measured_ms = 5000
+timeout_ms = 10000
+connections = 40
+
+[target first]
+address = {first}
+
+[target second]
+address = {second}
+
+[target leaving]
+address = {leaving}
+
+[request read]
+path = /holds/1
+
+[request hold]
+method = POST
+path = /holds/2?size=40000
+body_bytes = 30000
+"""
+
+
+class PhaseTest(unittest.TestCase):
+    """The decision on the next phase."""
+
+    def test_phases_follow_when_nothing_is_left(self) -> None:
+        for phase, since, following in (
+            (Phase.NOTICE, NOTICE_SECONDS, Phase.FINISHING),
+            (Phase.FINISHING, 0.0, Phase.CLOSING),
+            (Phase.CLOSING, 0.0, Phase.STOPPED),
+        ):
+            self.assertIs(following, next_phase(phase, since, BOUND, IDLE))
+
+    def test_work_holds_a_phase_up_to_its_bound(self) -> None:
+        for phase, bound in (
+            (Phase.FINISHING, BOUND + GRACE_SECONDS),
+            (Phase.CLOSING, CLOSE_SECONDS),
+        ):
+            self.assertIs(phase, next_phase(phase, bound - 0.1, BOUND, BUSY))
+            self.assertIsNot(phase, next_phase(phase, bound, BOUND, BUSY))
+
+    def test_stop_ends_even_if_work_never_does(self) -> None:
+        clock = FakeClock()
+        entered: list[Phase] = []
+        shutdown = Shutdown(clock, clock, lambda: BOUND, lambda: BUSY, entered.append)
+        shutdown.begin()
+        shutdown.begin()
+        self.assertFalse(shutdown.refusing)
+        clock.pump([0.05] * 300)
+        expected = [Phase.NOTICE, Phase.FINISHING, Phase.CLOSING, Phase.STOPPED]
+        self.assertEqual(expected, entered)
+        self.assertTrue(shutdown.refusing)
+
+
+class StopUnderLoadTest(unittest.TestCase):
+    """Planned stops of real processes under load."""
+
+    def test_planned_stops_cut_off_no_request(self) -> None:
+        """Stop a daemon, then a backend server, while calls go through others."""
+        with tempfile.TemporaryDirectory() as directory, Mesh(Path(directory)) as mesh:
+            self.start(mesh)
+            first, second, leaving = (node.callers for node in mesh.nodes[:3])
+            plan = mesh.directory / "plan.ini"
+            plan.write_text(PLAN.format(first=first, second=second, leaving=leaving))
+            output = mesh.directory / "result.json"
+            load = mesh.start(
+                "load", "briarslip.console.load", str(plan), "--json", str(output)
+            )
+            time.sleep(1.0)
+            server = next(n for n in mesh.processes if n.startswith("backend"))
+            stops = [
+                threading.Thread(target=self.stop, args=(mesh, name))
+                for name in ("daemon-2", server)
+            ]
+            for stop in stops:
+                stop.start()
+            self.assertEqual(0, load.wait(timeout=60), output.read_text())
+            del mesh.processes["load"]
+            for stop in stops:
+                stop.join()
+            self.assertEqual({"daemon-2": 0, server: 0}, self.statuses)
+            rows = json.loads(output.read_text())["outcomes"]
+            # Once the daemon has gone, its port refuses: nothing was in flight.
+            others = {
+                (row["target"], row["verdict"])
+                for row in rows
+                if row["verdict"] != "whole"
+            }
+            self.assertLessEqual(others, {("leaving", "not-connected")}, rows)
+
+    def start(self, mesh: Mesh) -> None:
+        """Start four daemons, each with a backend server of one service."""
+        self.statuses: dict[str, int] = {}
+        mesh.start_platform()
+        mesh.add_nodes(("klang",) * 4)
+        mesh.start_daemons()
+        for number in range(4):
+            mesh.start_backend(
+                number, "holds", "1", "--service-time-ms", "100", "--slots", "20"
+            )
+        mesh.apply(RECORDS)
+        mesh.wait_for_version(1)
+        for number in range(2):
+            wait_until(lambda n=number: mesh.call(n, "/holds/1").status == 200)  # type: ignore[misc]
+
+    def stop(self, mesh: Mesh, name: str) -> None:
+        """Stop a process and note its status."""
+        self.statuses[name] = mesh.stop(name)
+
+
+if __name__ == "__main__":
+    unittest.main()
