Freeze what start-up allocated, so that no collection walks through it

Cause: a full collection walks 40,775 objects of the imports, 19 to 26 ms (gc.collect() after importing the daemon).

--- a/src/briarslip/connection/caller_exchange.py
+++ b/src/briarslip/connection/caller_exchange.py
@@ -155,6 +155,7 @@
 
     def _finish(self) -> None:
         self.ended = True
+        self.cancel = None
         self.connection.finished()
 
     def _abort(self) -> None:
--- a/src/briarslip/console/daemon.py
+++ b/src/briarslip/console/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -58,6 +59,8 @@
     install_log(settings.log)
     daemon = Daemon.from_settings(settings, reactor)
     reactor.callWhenRunning(daemon.start)
+    # What has been imported stays, so no collection needs to walk through it.
+    reactor.callWhenRunning(gc.freeze)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(daemon.drain))
     reactor.run(installSignalHandlers=False)
