Operators' commands get, list, members, remove; wait for a change or a version

Cause of the hang met while trying them: the reactor was restarted by crash(), which leaves its thread pool running, so the process never ended. Ruled out: the platform stand-in (it had answered). Change: one reactor run per process, with all waiting inside one coroutine. Conclusion: never run the reactor twice.

--- a/src/briarslip/console/application.py
+++ b/src/briarslip/console/application.py
@@ -6,14 +6,22 @@
 
 from briarslip.console.commands.apply import apply
 from briarslip.console.commands.check import check
+from briarslip.console.commands.get import get
+from briarslip.console.commands.list import list_records
+from briarslip.console.commands.members import members
+from briarslip.console.commands.remove import remove
 from briarslip.console.commands.status import status
 
 
 application = typer.Typer(
-    name="briarslip", no_args_is_help=True, pretty_exceptions_enable=False
+    name="briarslip",
+    help="Write and read briarslip's records and see what the daemons run.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
 )
-for command in (check, apply, status):
+for command in (check, apply, get, members, remove, status):
     application.command()(command)
+application.command("list")(list_records)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/briarslip/console/change.py
@@ -0,0 +1,109 @@
+"""Writing a change and telling the operator what became of it."""
+
+from __future__ import annotations
+
+import json
+import time
+import uuid
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NoReturn
+
+from result import Err
+from result import Ok
+from result import Result
+
+from briarslip.console.session import EXIT_LOST_RACE
+from briarslip.console.session import EXIT_NO_ANSWER
+from briarslip.console.session import EXIT_REFUSED
+from briarslip.console.session import EXIT_TIMED_OUT
+from briarslip.console.session import fail
+from briarslip.console.session import pause
+from briarslip.console.session import platform_client
+from briarslip.console.session import run
+from briarslip.process.change_writer import LostRace
+from briarslip.process.change_writer import write_change
+from briarslip.process.publisher import CHANGE_STATUS_PREFIX
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from collections.abc import Mapping
+
+    from briarslip.process.change_writer import ChangeError
+    from briarslip.process.change_writer import WrittenChange
+    from briarslip.process.platform import PlatformClient
+    from briarslip.version.record import RecordKey
+
+
+POLL_SECONDS = 0.1
+
+
+Records = list[tuple["RecordKey", "Mapping[str, str] | None"]]
+
+
+def write_and_report(
+    platform: str,
+    plan: Callable[[PlatformClient], Coroutine[Any, Any, Records]],
+    wait_s: float,
+) -> None:
+    """Write the planned records as one change; print the outcome or exit.
+
+    With ``wait_s``, wait until the change is accepted or refused.
+    """
+
+    async def work(
+        reactor: Any,
+    ) -> tuple[Result[WrittenChange, ChangeError], dict[str, Any] | None]:
+        client = platform_client(reactor, platform)
+        records = await plan(client)
+        written = await write_change(client, records, lambda: uuid.uuid4().hex)
+        if isinstance(written, Err) or not written.ok_value.keys or not wait_s:
+            return written, None
+        change = written.ok_value.change
+        return written, await _await_status(reactor, client, change, wait_s)
+
+    written, status = run(work)
+    if isinstance(written, Err):
+        _fail_write(written.err_value)
+    change = written.ok_value
+    if not change.keys:
+        print("nothing to change")
+        return
+    print(f"change {change.change}: wrote {len(change.keys)} records")
+    if wait_s:
+        _report_status(change.change, status, wait_s)
+
+
+async def _await_status(
+    reactor: Any, client: PlatformClient, change: str, wait_s: float
+) -> dict[str, Any] | None:
+    deadline = time.monotonic() + wait_s
+    while time.monotonic() < deadline:
+        found = await client.get(f"{CHANGE_STATUS_PREFIX}{change}")
+        if isinstance(found, Ok) and found.ok_value is not None:
+            status: dict[str, Any] = json.loads(found.ok_value.value)
+            return status
+        await pause(reactor, POLL_SECONDS)
+    return None
+
+
+def _report_status(change: str, status: dict[str, Any] | None, wait_s: float) -> None:
+    if status is None:
+        fail(EXIT_TIMED_OUT, f"change {change}: no answer within {wait_s:g} s")
+    if status["state"] != "accepted":
+        findings = "\n".join(status.get("findings", ()))
+        fail(EXIT_REFUSED, f"change {change} is {status['state']}:\n{findings}")
+    print(f"accepted in version {status['version']}")
+
+
+def _fail_write(error: ChangeError) -> NoReturn:
+    if isinstance(error, LostRace):
+        fail(EXIT_LOST_RACE, f"another operator wrote {error.key} first")
+    doubt = ", ".join(str(key) for key in error.in_doubt)
+    suffix = f"; may have been written: {doubt}" if doubt else ""
+    fail(EXIT_NO_ANSWER, f"the platform failed: {error.reason}{suffix}")
+
+
+__all__ = ["Records", "write_and_report"]
--- a/src/briarslip/console/commands/apply.py
+++ b/src/briarslip/console/commands/apply.py
@@ -2,53 +2,30 @@
 
 from __future__ import annotations
 
-import uuid
 from typing import TYPE_CHECKING
-from typing import Any
-
-from result import Err
 
+from briarslip.console.change import Records
+from briarslip.console.change import write_and_report
 from briarslip.console.options import FilesArgument  # noqa: TC001  # read by typer
 from briarslip.console.options import PlatformOption  # noqa: TC001  # read by typer
+from briarslip.console.options import WaitOption  # noqa: TC001  # read by typer
 from briarslip.console.record_files import read_files
-from briarslip.console.session import EXIT_LOST_RACE
-from briarslip.console.session import EXIT_NO_ANSWER
-from briarslip.console.session import fail
-from briarslip.console.session import read_address
-from briarslip.console.session import run
-from briarslip.process.change_writer import LostRace
-from briarslip.process.change_writer import write_change
 
 
 if TYPE_CHECKING:
-    from result import Result
-
-    from briarslip.process.change_writer import ChangeError
-    from briarslip.process.change_writer import WrittenChange
+    from briarslip.process.platform import PlatformClient
 
 
-def apply(files: FilesArgument, platform: PlatformOption) -> None:
+def apply(
+    files: FilesArgument, platform: PlatformOption, wait_s: WaitOption = 0.0
+) -> None:
     """Write the records of INI files to the platform as one change."""
-    records = [(record.key, record.fields) for record in read_files(files)]
-    address = read_address(platform)
-
-    async def work(reactor: Any) -> Result[WrittenChange, ChangeError]:
-        from briarslip.process.etcd_gateway import EtcdGatewayClient
-
-        client = EtcdGatewayClient.from_address(reactor, address.host, address.port)
-        return await write_change(client, records, lambda: uuid.uuid4().hex)
-
-    result = run(work)
-    if isinstance(result, Err):
-        error = result.err_value
-        if isinstance(error, LostRace):
-            fail(EXIT_LOST_RACE, f"another operator wrote {error.key} first")
-        fail(EXIT_NO_ANSWER, error.reason)
-    written = result.ok_value
-    if not written.keys:
-        print("nothing to change")
-        return
-    print(f"change {written.change}: wrote {len(written.keys)} records")
+    records: Records = [(record.key, record.fields) for record in read_files(files)]
+
+    async def plan(_: PlatformClient) -> Records:
+        return records
+
+    write_and_report(platform, plan, wait_s)
 
 
 __all__ = ["apply"]
--- /dev/null
+++ b/src/briarslip/console/commands/members.py
@@ -0,0 +1,25 @@
+"""``briarslip members``: the daemons that a daemon knows."""
+
+from __future__ import annotations
+
+from briarslip.console.options import DaemonOption  # noqa: TC001  # read by typer
+from briarslip.console.options import JsonOption  # noqa: TC001  # read by typer
+from briarslip.console.session import ask_daemons
+from briarslip.console.session import print_json
+
+
+def members(daemon: DaemonOption, json: JsonOption = False) -> None:
+    """Print the members as the first daemon that answers knows them."""
+    found = ask_daemons(daemon[:1], "/v1/members")[0]
+    if json:
+        print_json(found)
+        return
+    for member in found:
+        services = ",".join(member["services"])
+        print(
+            f"{member['peer']:<22} {member['availability_zone']:<12}"
+            f" {member['status']:<8} version {member['running_version']} {services}"
+        )
+
+
+__all__ = ["members"]
--- a/src/briarslip/console/options.py
+++ b/src/briarslip/console/options.py
@@ -25,5 +25,19 @@
 ]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON")]
 
+WaitOption = Annotated[
+    float, typer.Option("--wait-s", min=0.0, help="Wait up to this many seconds")
+]
+VersionOption = Annotated[
+    int, typer.Option("--version", min=0, help="The least version to wait for")
+]
 
-__all__ = ["DaemonOption", "FilesArgument", "JsonOption", "PlatformOption"]
+
+__all__ = [
+    "DaemonOption",
+    "FilesArgument",
+    "JsonOption",
+    "PlatformOption",
+    "VersionOption",
+    "WaitOption",
+]
--- /dev/null
+++ b/src/briarslip/console/stored.py
@@ -0,0 +1,78 @@
+"""Records as they stand on the platform."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+
+from briarslip.console.session import EXIT_NO_ANSWER
+from briarslip.console.session import fail
+from briarslip.console.session import platform_client
+from briarslip.console.session import run
+from briarslip.version.record import RECORDS_PREFIX
+from briarslip.version.record import parse_key
+from briarslip.version.stored_record import decode_stored_record
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from briarslip.process.platform import PlatformClient
+    from briarslip.version.record import RecordKey
+
+
+@dataclass(frozen=True, slots=True)
+class StoredForm:
+    """One form of a record with the change that wrote it."""
+
+    key: RecordKey
+    fields: Mapping[str, str]
+    change: str
+    revision: int
+
+
+def read_stored(platform: str, prefix: str) -> list[StoredForm]:
+    """Return the records under ``records/<prefix>`` or exit with an error."""
+    return run(lambda reactor: fetch_stored(platform_client(reactor, platform), prefix))
+
+
+async def fetch_stored(client: PlatformClient, prefix: str) -> list[StoredForm]:
+    """Return the records under ``records/<prefix>`` or exit with an error."""
+    result = await client.range(f"{RECORDS_PREFIX}{prefix}")
+    if isinstance(result, Err):
+        fail(EXIT_NO_ANSWER, f"the platform failed: {result.err_value.reason}")
+    forms = []
+    for item in result.ok_value.items:
+        key = parse_key(item.key)
+        stored = decode_stored_record(item.value)
+        if key is None or isinstance(stored, Err) or stored.ok_value.fields is None:
+            continue
+        record = stored.ok_value
+        fields = record.fields or {}
+        forms.append(StoredForm(key, fields, record.change.id, item.mod_revision))
+    return forms
+
+
+def as_json(form: StoredForm) -> dict[str, Any]:
+    """Return a form as JSON can hold it."""
+    return {
+        "kind": form.key.kind,
+        "name": form.key.name,
+        "schema": form.key.schema,
+        "fields": dict(form.fields),
+        "change": form.change,
+        "revision": form.revision,
+    }
+
+
+def as_ini(form: StoredForm) -> str:
+    """Return a form as an INI section that ``apply`` reads."""
+    lines = [f"[{form.key.kind} {form.key.name}]", f"schema = {form.key.schema}"]
+    lines += [f"{name} = {value}" for name, value in sorted(form.fields.items())]
+    return "\n".join(lines) + "\n"
+
+
+__all__ = ["StoredForm", "as_ini", "as_json", "fetch_stored", "read_stored"]
