--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -247,6 +247,8 @@
         )
         self.distribution = DistributionTask(
             self.reactor,
+            self.clock,
+            self.rng,
             self.platform,
             self.address,
             self.zone,
--- a/src/briarslip/console/commands/apply.py
+++ b/src/briarslip/console/commands/apply.py
@@ -17,6 +17,7 @@
 from briarslip.console.session import read_address
 from briarslip.console.session import run
 from briarslip.process.change_writer import LostRace
+from briarslip.process.change_writer import RecordWrite
 from briarslip.process.change_writer import write_change
 
 
@@ -29,7 +30,7 @@
 
 def apply(files: FilesArgument, platform: PlatformOption) -> None:
     """Write the records of INI files to the platform as one change."""
-    records = [(record.key, record.fields) for record in read_files(files)]
+    records = [RecordWrite(record.key, record.fields) for record in read_files(files)]
     address = read_address(platform)
 
     async def work(reactor: Any) -> Result[WrittenChange, ChangeError]:
--- /dev/null
+++ b/src/briarslip/process/bootstrap.py
@@ -0,0 +1,108 @@
+"""Finding out the minimum version after a start."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+from twisted.internet.defer import Deferred
+
+from briarslip.process.version_store import read_head
+from briarslip.version.minimum_version import minimum_version
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from briarslip.address import Address
+    from briarslip.process.clock import Clock
+    from briarslip.process.platform import PlatformClient
+    from briarslip.version.configuration_codec import VersionReply
+
+
+ROUND_SECONDS = 1.0
+MEMBERS_ASKED = 6
+# From the first reply on, for others to come, while the platform is down.
+REPLIES_WAIT_SECONDS = 3.0
+
+
+class Bootstrap:
+    """Asks the platform and members of the zone until a version runs.
+
+    ``ask`` sends a member a query, whose reply goes to ``take_reply``.
+    ``on_known`` is told the minimum version, which may still grow.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        rng: random.Random,
+        platform: PlatformClient,
+        zone_members: Callable[[], Sequence[Address]],
+        ask: Callable[[Address], None],
+        on_known: Callable[[int], None],
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.rng = rng
+        self.platform = platform
+        self.zone_members = zone_members
+        self.ask = ask
+        self.on_known = on_known
+        self.head: int | None = None
+        self.replies: dict[Address, VersionReply] = {}
+        self.first_reply_at: float | None = None
+        self.done = False
+        self.reading = False
+
+    def start(self) -> None:
+        """Begin to ask, spread over a moment so that a herd does not."""
+        self.reactor.callLater(self.rng.uniform(0, ROUND_SECONDS), self._round)
+
+    def finish(self) -> None:
+        """Stop asking: a version runs."""
+        self.done = True
+
+    def take_reply(self, member: Address, reply: VersionReply) -> None:
+        """Take what a member answered."""
+        if self.done:
+            return
+        self.replies[member] = reply
+        if reply.running and self.first_reply_at is None:
+            self.first_reply_at = self.clock.monotonic()
+        self._decide()
+
+    def _round(self) -> None:
+        if self.done:
+            return
+        members = sorted(self.zone_members())
+        for member in self.rng.sample(members, min(MEMBERS_ASKED, len(members))):
+            self.ask(member)
+        if self.head is None and not self.reading:
+            self.reading = True
+            Deferred.fromCoroutine(self._read_head())
+        self._decide()
+        self.reactor.callLater(ROUND_SECONDS * self.rng.uniform(0.5, 1.5), self._round)
+
+    async def _read_head(self) -> None:
+        head = await read_head(self.platform)
+        self.reading = False
+        if isinstance(head, Err) or self.done:
+            return
+        self.head = head.ok_value.version
+        self._decide()
+
+    def _decide(self) -> None:
+        first = self.first_reply_at
+        now = self.clock.monotonic()
+        waited = first is not None and now - first >= REPLIES_WAIT_SECONDS
+        version = minimum_version(self.head, self.replies.values(), waited)
+        if version is not None:
+            self.on_known(version)
+
+
+__all__ = ["Bootstrap"]
--- a/src/briarslip/process/change_writer.py
+++ b/src/briarslip/process/change_writer.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from result import Err
 from result import Ok
 from result import Result
 
+from briarslip.process.change_status import CHANGE_STATUS_PREFIX
+from briarslip.process.change_status import is_accepted
+from briarslip.process.settled_swap import settled_swap
+from briarslip.version.stored_record import MAX_HISTORY
 from briarslip.version.stored_record import Change
 from briarslip.version.stored_record import StoredRecord
+from briarslip.version.stored_record import Write
 from briarslip.version.stored_record import decode_stored_record
 
 
@@ -25,6 +31,23 @@
     from briarslip.version.record import RecordKey
 
 
+# Rewritten after each change, so that a silent watch can be found out cheaply.
+MARKER_KEY = "records-marker"
+
+
+@dataclass(frozen=True, slots=True)
+class RecordWrite:
+    """A record to be written; fields None removes it.
+
+    With ``expected_revision`` it is written only if that is still the key's
+    revision, 0 meaning that there is no such key.
+    """
+
+    key: RecordKey
+    fields: Mapping[str, str] | None
+    expected_revision: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class WrittenChange:
     """A change that is on the platform; ``keys`` are those that it moved."""
@@ -35,17 +58,27 @@
 
 @dataclass(frozen=True, slots=True)
 class LostRace:
-    """Another operator wrote ``key`` first; nothing of this change is left."""
+    """Another operator wrote ``key`` first; nothing of this change is in force.
+
+    ``left`` are records whose old value could not be put back. They belong to
+    a change that is never complete, so they have no effect, and the next write
+    replaces them.
+    """
 
     key: RecordKey
+    left: tuple[RecordKey, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class WriteFailed:
-    """The platform did not answer; ``in_doubt`` are keys that may be written."""
+    """The platform did not answer; ``in_doubt`` are keys that may be written.
+
+    A change that did become complete is reported in its status.
+    """
 
     reason: str
     in_doubt: tuple[RecordKey, ...]
+    change: str = ""
 
 
 ChangeError = LostRace | WriteFailed
@@ -57,93 +90,143 @@
     stored: StoredRecord
     before: KeyValue | None
 
+    @property
+    def revision(self) -> int:
+        return self.before.mod_revision if self.before else 0
+
+    @property
+    def undo_value(self) -> bytes | None:
+        """The value that puts the earlier write back, with its revision."""
+        if self.before is None:
+            return None
+        stored = decode_stored_record(self.before.value, self.before.mod_revision)
+        return stored.map(lambda s: s.encode(pinned=True)).unwrap_or(self.before.value)
+
 
 async def write_change(
     platform: PlatformClient,
-    records: Sequence[tuple[RecordKey, Mapping[str, str] | None]],
+    records: Sequence[RecordWrite],
     new_id: Callable[[], str],
 ) -> Result[WrittenChange, ChangeError]:
-    """Write records together; fields None removes a record.
+    """Write records together.
 
-    A record that already stands as asked is left alone.
+    A record that already stands as asked, from an accepted change, is left
+    alone.
     """
-    change = Change(new_id(), 0)
+    change_id = new_id()
     planned: list[_Planned] = []
-    for key, fields in records:
-        current = await platform.get(str(key))
+    for record in records:
+        current = await platform.get(str(record.key))
         if isinstance(current, Err):
             return Err(WriteFailed(current.err_value.reason, ()))
-        plan = _plan(key, fields, current.ok_value, change, new_id())
-        if plan is not None:
+        found = current.ok_value
+        if record.expected_revision not in {None, found.mod_revision if found else 0}:
+            return Err(LostRace(record.key))
+        plan = _plan(record, found, new_id())
+        if not await _stands(platform, record, found):
             planned.append(plan)
-    return await _write_all(platform, change, planned)
-
-
-def _plan(
-    key: RecordKey,
-    fields: Mapping[str, str] | None,
-    current: KeyValue | None,
-    change: Change,
-    nonce: str,
-) -> _Planned | None:
-    lineage: tuple[str, ...] = ()
-    if current is None and fields is None:
-        return None
-    if current is not None:
-        stored = decode_stored_record(current.value)
+    change = Change(change_id, len(planned))
+    result = await _write_all(platform, change, planned)
+    if planned:
+        await _move_marker(platform, change_id)
+    return result
+
+
+def _plan(record: RecordWrite, found: KeyValue | None, nonce: str) -> _Planned:
+    history: tuple[Write, ...] = ()
+    if found is not None:
+        stored = decode_stored_record(found.value, found.mod_revision)
         if not isinstance(stored, Err):
-            if stored.ok_value.fields == fields:
-                return None
-            lineage = (stored.ok_value.change.id, *stored.ok_value.lineage)
-    return _Planned(key, StoredRecord(fields, change, nonce, lineage), current)
+            history = stored.ok_value.writes[:MAX_HISTORY]
+    write = Write(record.fields, Change("", 0))
+    return _Planned(record.key, StoredRecord(write, nonce, history), found)
+
+
+async def _stands(
+    platform: PlatformClient, record: RecordWrite, found: KeyValue | None
+) -> bool:
+    """Tell whether a record is in force already as it is asked for."""
+    if found is None:
+        return record.fields is None
+    stored = decode_stored_record(found.value, found.mod_revision)
+    if isinstance(stored, Err) or stored.ok_value.write.fields != record.fields:
+        return False
+    key = f"{CHANGE_STATUS_PREFIX}{stored.ok_value.write.change.id}"
+    status = await platform.get(key)
+    if isinstance(status, Err) or status.ok_value is None:
+        return False
+    return is_accepted(status.ok_value.value)
 
 
 async def _write_all(
     platform: PlatformClient, change: Change, planned: Sequence[_Planned]
 ) -> Result[WrittenChange, ChangeError]:
-    whole = Change(change.id, len(planned))
     written: list[tuple[_Planned, int]] = []
     for plan in planned:
-        value = StoredRecord(
-            plan.stored.fields, whole, plan.stored.nonce, plan.stored.lineage
-        ).encode()
-        revision = await _swap(platform, plan, value)
+        write = replace(plan.stored.write, change=change)
+        value = replace(plan.stored, write=write).encode()
+        revision = await _write_one(platform, plan, value, change)
         if isinstance(revision, Err):
             reason = revision.err_value.reason
             keys = tuple(p.key for p, _ in written)
-            return Err(WriteFailed(reason, (*keys, plan.key)))
+            return Err(WriteFailed(reason, (*keys, plan.key), change.id))
         if not revision.ok_value:
-            await _undo(platform, written)
-            return Err(LostRace(plan.key))
+            return Err(LostRace(plan.key, await _undo(platform, written)))
         written.append((plan, revision.ok_value))
     return Ok(WrittenChange(change.id, tuple(plan.key for plan in planned)))
 
 
-async def _swap(
-    platform: PlatformClient, plan: _Planned, value: bytes
+async def _write_one(
+    platform: PlatformClient, plan: _Planned, value: bytes, change: Change
 ) -> Result[int, PlatformError]:
     """Return the revision written, 0 if another writer was first."""
-    expected = plan.before.mod_revision if plan.before else 0
-    reply = await platform.swap(str(plan.key), value, expected)
-    if not isinstance(reply, Err):
-        return Ok(reply.ok_value.revision if reply.ok_value.swapped else 0)
-    if not reply.err_value.maybe_applied:
-        return reply
-    current = await platform.get(str(plan.key))
-    if isinstance(current, Err):
+    reply = await settled_swap(platform, str(plan.key), value, plan.revision)
+    if isinstance(reply, Err):
         return reply
-    found = current.ok_value
-    if found is not None and found.value == value:
-        return Ok(found.mod_revision)
-    return reply if (found.mod_revision if found else 0) == expected else Ok(0)
+    if reply.ok_value.swapped:
+        return Ok(reply.ok_value.revision)
+    # Ours may have been written, and been overwritten before it was seen.
+    current = reply.ok_value.current
+    if current is not None:
+        stored = decode_stored_record(current.value, current.mod_revision)
+        if not isinstance(stored, Err):
+            for write in stored.ok_value.writes:
+                if write.change.id == change.id:
+                    return Ok(write.revision)
+    return Ok(0)
 
 
 async def _undo(
     platform: PlatformClient, written: Sequence[tuple[_Planned, int]]
-) -> None:
-    for plan, revision in reversed(written):
-        before = plan.before.value if plan.before else None
-        await platform.swap(str(plan.key), before, revision)
+) -> tuple[RecordKey, ...]:
+    """Put the earlier values back; return the keys where that was not possible.
 
-
-__all__ = ["ChangeError", "LostRace", "WriteFailed", "WrittenChange", "write_change"]
+    A key that another operator has written since is theirs.
+    """
+    left: list[RecordKey] = []
+    for plan, revision in reversed(written):
+        value = plan.undo_value
+        reply = await settled_swap(platform, str(plan.key), value, revision)
+        if isinstance(reply, Err):
+            left.append(plan.key)
+    return tuple(left)
+
+
+async def _move_marker(platform: PlatformClient, change_id: str) -> None:
+    """Rewrite the marker; when that fails another writer has just done so."""
+    current = await platform.get(MARKER_KEY)
+    if not isinstance(current, Err):
+        found = current.ok_value
+        revision = found.mod_revision if found else 0
+        await platform.swap(MARKER_KEY, change_id.encode(), revision)
+
+
+__all__ = [
+    "MARKER_KEY",
+    "ChangeError",
+    "LostRace",
+    "RecordWrite",
+    "WriteFailed",
+    "WrittenChange",
+    "write_change",
+]
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -86,6 +86,8 @@
         )
         self.distribution = DistributionTask(
             reactor,
+            clock,
+            rng,
             self.platform,
             own_address,
             zone,
--- a/src/briarslip/process/distribution_task.py
+++ b/src/briarslip/process/distribution_task.py
@@ -9,27 +9,49 @@
 
 from briarslip.connection.frame import Topic
 from briarslip.finding import report
+from briarslip.process.bootstrap import Bootstrap
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.relay import Relay
-from briarslip.process.relay import relays
+from briarslip.version.configuration_codec import Busy
+from briarslip.version.configuration_codec import Deltas
 from briarslip.version.configuration_codec import Offer
+from briarslip.version.configuration_codec import Pull
+from briarslip.version.configuration_codec import VersionQuery
+from briarslip.version.configuration_codec import VersionReply
+from briarslip.version.configuration_codec import Whole
 from briarslip.version.configuration_codec import decode_message
 from briarslip.version.configuration_codec import encode_message
+from briarslip.version.distribution import MS_PER_SECOND
 from briarslip.version.distribution import Distribution
 from briarslip.version.distribution import install
-from briarslip.version.distribution import pull_if_behind
-from briarslip.version.distribution import receive
+from briarslip.version.distribution import read_deltas
+from briarslip.version.distribution import read_whole
+from briarslip.version.distribution import serve_pull
+from briarslip.version.distribution import set_minimum_version
+from briarslip.version.puller import Puller
+from briarslip.version.puller import answered
+from briarslip.version.puller import failed
+from briarslip.version.puller import hear
+from briarslip.version.puller import next_source
+from briarslip.version.puller import refused
+from briarslip.version.puller import wake_time
+from briarslip.version.push_tree import push_targets
+from briarslip.version.push_tree import relays
 
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
-    from collections.abc import Iterable
+
+    from result import Result
 
     from briarslip.address import Address
+    from briarslip.finding import Finding
+    from briarslip.process.clock import Clock
     from briarslip.process.member import Member
     from briarslip.process.platform import PlatformClient
-    from briarslip.version.distribution import Send
+    from briarslip.version.configuration_codec import ConfigurationMessage
     from briarslip.version.routing_table import RoutingTable
     from briarslip.version.snapshot import Snapshot
 
@@ -43,6 +65,8 @@
     def __init__(
         self,
         reactor: Any,
+        clock: Clock,
+        rng: random.Random,
         platform: PlatformClient,
         own_address: Address,
         availability_zone: str,
@@ -50,13 +74,38 @@
         send: Callable[[Address, Topic, bytes], None],
         on_version: Callable[[], None],
     ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.rng = rng
         self.own_address = own_address
         self.availability_zone = availability_zone
         self.members = members
         self.send = send
         self.on_version = on_version
         self.state = Distribution()
-        self.relay = Relay(reactor, platform, self.take_snapshot)
+        self.puller = Puller()
+        self.heard: dict[Address, int] = {}
+        self.zones: dict[str, list[Address]] = {}
+        self.wake_call: Any = None
+        self.started = False
+        self.relay = Relay(
+            reactor,
+            clock,
+            rng,
+            platform,
+            lambda: self.state.snapshot,
+            self.take_snapshot,
+            self._offer_to_other_zones,
+        )
+        self.bootstrap = Bootstrap(
+            reactor,
+            clock,
+            rng,
+            platform,
+            lambda: [a for a in self._zone_addresses() if a != own_address],
+            lambda peer: self._send(peer, VersionQuery()),
+            self._minimum_version_known,
+        )
 
     @property
     def snapshot(self) -> Snapshot:
@@ -69,31 +118,107 @@
         return self.state.table
 
     def choose_relays(self, draining: bool) -> None:
-        """Take up or lay down the relay role by the members of the zone."""
-        zone = self.availability_zone
-        near = (m.address for m in self.members() if m.availability_zone == zone)
-        active = self.own_address in relays(near, zone) and not draining
+        """Take up or lay down the relay role by the members of the zone.
+
+        Called periodically; the first call starts the bootstrap.
+        """
+        self._take_members()
+        chosen = {
+            zone: relays(addresses, zone) for zone, addresses in self.zones.items()
+        }
+        active = self.own_address in chosen[self.availability_zone] and not draining
         if active != self.relay.active:
             emit(Event.RELAY_STARTED if active else Event.RELAY_STOPPED)
+        if active:
+            everyone = sorted(
+                (place, address)
+                for addresses in chosen.values()
+                for place, address in enumerate(addresses)
+            )
+            self.relay.rank = [address for _, address in everyone].index(
+                self.own_address
+            )
         self.relay.set_active(active)
+        if not self.started:
+            self.started = True
+            self.bootstrap.start()
+
+    def _take_members(self) -> None:
+        """Note the zones' addresses and what every address has run."""
+        zones: dict[str, list[Address]] = {}
+        for member in self.members():
+            zones.setdefault(member.availability_zone, []).append(member.address)
+            self._note(member.address, member.running_version)
+        self.zones = zones
+
+    def _note(self, peer: Address, version: int) -> None:
+        if peer != self.own_address and version > self.heard.get(peer, 0):
+            self.heard[peer] = version
+
+    def _zone_addresses(self) -> list[Address]:
+        return self.zones.get(self.availability_zone, [])
 
     def take_snapshot(self, snapshot: Snapshot) -> None:
-        """Run a snapshot from the platform and offer it to the others."""
+        """Run a snapshot, unless an older one or none has to be run."""
         before = self.snapshot.version
-        findings = install(self.state, snapshot)
+        self._installed(before, install(self.state, snapshot))
+
+    def _minimum_version_known(self, version: int) -> None:
+        before = self.snapshot.version
+        if before:
+            return
+        self._installed(before, set_minimum_version(self.state, version))
+
+    def _installed(self, before: int, findings: tuple[Finding, ...]) -> None:
         if findings:
             emit(Event.VERSION_REFUSED, findings=report(findings))
-        if self.snapshot.version == before:
+        version = self.snapshot.version
+        if version == before:
             return
-        self._activated()
-        payload = encode_message(Offer(self.snapshot.version))
-        for member in self.members():
-            if member.address != self.own_address:
-                self.send(member.address, Topic.CONFIGURATION, payload)
+        self.bootstrap.finish()
+        # Peers get the version before anything is served with it, so that it
+        # is known to the zone should this daemon be replaced.
+        self._push(before)
+        emit(Event.VERSION_ACTIVE, version=version)
+        for finding in self.table.kept:
+            emit(Event.RECORD_KEPT, finding=str(finding))
+        self.on_version()
+
+    def _push(self, before: int) -> None:
+        """Pass the running version on along the tree."""
+        version = self.snapshot.version
+        recent = self.state.recent
+        message: ConfigurationMessage = Offer(version)
+        if recent and recent[-1].base_version == before:
+            message = Deltas((recent[-1].data,))
+        targets = push_targets(
+            self.own_address, self._zone_addresses(), self.availability_zone, version
+        )
+        for peer in targets:
+            if self.heard.get(peer, 0) < version:
+                self._send(peer, message)
+        if self.relay.active:
+            self._offer_to_other_zones()
+
+    def _offer_to_other_zones(self) -> None:
+        """Tell the relays of other zones that are not known to be up to date.
+
+        This reaches zones that are cut from the platform.
+        """
+        version = self.snapshot.version
+        for zone, addresses in self.zones.items():
+            if zone == self.availability_zone:
+                continue
+            for peer in relays(addresses, zone):
+                if self.heard.get(peer, 0) < version:
+                    self._send(peer, Offer(version))
 
     def heard_version(self, peer: Address, version: int) -> None:
-        """Pull from a peer that runs a newer version."""
-        self._send_all(pull_if_behind(self.state, peer, version))
+        """Take note of what a peer runs, and pull it if it is newer."""
+        self._note(peer, version)
+        if version > self.state.held_version and peer != self.own_address:
+            hear(self.puller, peer, version, self.clock.monotonic(), self.rng)
+            self._pull()
 
     def take_message(self, sender: Address, payload: bytes) -> None:
         """Act on a configuration message of a peer."""
@@ -101,18 +226,69 @@
         if isinstance(message, Err):
             emit(Event.MESSAGE_REFUSED, peer=sender, reason=message.err_value)
             return
-        before = self.snapshot.version
-        self._send_all(receive(self.state, sender, message.ok_value))
-        if self.snapshot.version != before:
-            self._activated()
+        match message.ok_value:
+            case Offer(version):
+                self.heard_version(sender, version)
+            case Pull(running):
+                self._note(sender, running)
+                now = self.clock.monotonic()
+                answer = serve_pull(self.state, running, now)
+                if answer is not None:
+                    self._send(sender, answer)
+            case Whole() as whole:
+                self._take_version(sender, read_whole(whole))
+            case Deltas(deltas):
+                self._take_version(sender, read_deltas(self.state, deltas))
+            case Busy(retry_after_ms):
+                self._take_busy(sender, retry_after_ms / MS_PER_SECOND)
+            case VersionQuery():
+                last_heard = self.heard.get(sender, 0)
+                self._send(sender, VersionReply(self.snapshot.version, last_heard))
+            case VersionReply() as reply:
+                self.heard_version(sender, reply.running)
+                self.bootstrap.take_reply(sender, reply)
 
-    def _activated(self) -> None:
-        emit(Event.VERSION_ACTIVE, version=self.snapshot.version)
-        self.on_version()
+    def _take_version(self, sender: Address, read: Result[Snapshot, str]) -> None:
+        if isinstance(read, Err):
+            if self.puller.asked == sender:
+                failed(self.puller, self.clock.monotonic(), self.rng)
+            # A step that does not fit: the sender has what is missing.
+            emit(Event.STEP_REFUSED, peer=sender, reason=read.err_value)
+            newer = max(self.heard.get(sender, 0), self.state.held_version + 1)
+            hear(self.puller, sender, newer, self.clock.monotonic(), self.rng)
+            self._pull()
+            return
+        self._note(sender, read.ok_value.version)
+        self.take_snapshot(read.ok_value)
+        answered(self.puller, sender, self.state.held_version)
+        self._pull()
+
+    def _take_busy(self, sender: Address, retry_after: float) -> None:
+        now = self.clock.monotonic()
+        refused(self.puller, sender, retry_after, now, self.rng)
+        self._pull()
+
+    def _pull(self) -> None:
+        """Ask the next source if it is time, and come back when it will be."""
+        if self.wake_call is not None:
+            self.wake_call.cancel()
+            self.wake_call = None
+        now = self.clock.monotonic()
+        self.puller.forget(self.state.held_version)
+        source = next_source(self.puller, now, self.rng)
+        if source is not None:
+            self._send(source, Pull(self.snapshot.version))
+        wake = wake_time(self.puller)
+        if wake is not None:
+            delay = max(wake - now, 0.001)
+            self.wake_call = self.reactor.callLater(delay, self._wake)
+
+    def _wake(self) -> None:
+        self.wake_call = None
+        self._pull()
 
-    def _send_all(self, sends: Iterable[Send]) -> None:
-        for send in sends:
-            self.send(send.peer, Topic.CONFIGURATION, encode_message(send.message))
+    def _send(self, peer: Address, message: ConfigurationMessage) -> None:
+        self.send(peer, Topic.CONFIGURATION, encode_message(message))
 
 
 __all__ = ["DistributionTask"]
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -42,6 +42,11 @@
     VERSION_REFUSED = (302, Level.ERROR, "configuration version was refused")
     RELAY_STARTED = (303, Level.INFO, "acting as a relay")
     RELAY_STOPPED = (304, Level.INFO, "no longer acting as a relay")
+    HEAD_REFUSED = (305, Level.ERROR, "published version can't be read")
+    HEAD_BEHIND = (306, Level.ERROR, "platform's head is older than what runs")
+    PUBLISH_FAILED = (307, Level.WARNING, "publishing failed and is repeated")
+    RECORD_KEPT = (308, Level.WARNING, "record of an unknown schema keeps its form")
+    STEP_REFUSED = (309, Level.INFO, "version from a peer can't be taken")
     MESSAGE_REFUSED = (401, Level.WARNING, "message was refused")
     PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
 
--- /dev/null
+++ b/src/briarslip/process/platform_watch.py
@@ -0,0 +1,92 @@
+"""A watch on the platform that is opened again whenever it ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from briarslip.backoff import full_jitter
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from briarslip.process.platform import PlatformClient
+    from briarslip.process.platform import Watch
+    from briarslip.process.platform import WatchClosed
+    from briarslip.process.platform import WatchEvent
+
+
+BACKOFF_BASE_SECONDS = 0.25
+BACKOFF_CAP_SECONDS = 4.0
+
+
+class PlatformWatch:
+    """Watches a prefix without a gap.
+
+    It goes on from the revision after the last one seen. When the platform no
+    longer keeps that revision, the watch stops and ``on_lost`` runs: the
+    owner has to read the prefix again.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        platform: PlatformClient,
+        prefix: str,
+        on_events: Callable[[tuple[WatchEvent, ...]], None],
+        on_lost: Callable[[], None],
+    ) -> None:
+        self.reactor = reactor
+        self.rng = rng
+        self.platform = platform
+        self.prefix = prefix
+        self.on_events = on_events
+        self.on_lost = on_lost
+        self.next_revision = 0
+        self.failures = 0
+        self.watch: Watch | None = None
+        self.generation = 0
+
+    def start(self, revision: int) -> None:
+        """Watch from a revision on, instead of what was watched before."""
+        self.stop()
+        self.next_revision = revision
+        self._open(self.generation)
+
+    def stop(self) -> None:
+        """Stop watching."""
+        self.generation += 1
+        if self.watch is not None:
+            self.watch.stop()
+            self.watch = None
+
+    def _open(self, generation: int) -> None:
+        if generation != self.generation:
+            return
+        self.watch = self.platform.watch(
+            self.prefix, self.next_revision, self._events, self._closed
+        )
+
+    def _events(self, events: tuple[WatchEvent, ...]) -> None:
+        self.failures = 0
+        newest = max(event.mod_revision for event in events)
+        self.next_revision = max(self.next_revision, newest + 1)
+        self.on_events(events)
+
+    def _closed(self, closed: WatchClosed) -> None:
+        self.watch = None
+        if closed.compacted:
+            self.stop()
+            self.on_lost()
+            return
+        delay = full_jitter(
+            self.rng, self.failures, BACKOFF_BASE_SECONDS, BACKOFF_CAP_SECONDS
+        )
+        self.failures += 1
+        self.reactor.callLater(delay, self._open, self.generation)
+
+
+__all__ = ["PlatformWatch"]
--- a/src/briarslip/process/publisher.py
+++ b/src/briarslip/process/publisher.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -10,130 +10,121 @@
 from result import Result
 
 from briarslip.process.platform import PlatformError
+from briarslip.process.version_store import WHOLE_INTERVAL_VERSIONS
+from briarslip.process.version_store import delete_old_versions
+from briarslip.process.version_store import move_head
+from briarslip.process.version_store import read_entry
+from briarslip.process.version_store import read_head
+from briarslip.process.version_store import read_version
+from briarslip.process.version_store import write_version
 from briarslip.version.acceptance import accept
 from briarslip.version.record import RECORDS_PREFIX
 from briarslip.version.record import parse_key
-from briarslip.version.snapshot import EMPTY_SNAPSHOT
-from briarslip.version.snapshot import decode_snapshot
 from briarslip.version.stored_record import decode_stored_record
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from briarslip.process.change_status import ChangeStatuses
     from briarslip.process.platform import KeyValue
     from briarslip.process.platform import PlatformClient
+    from briarslip.process.version_store import Head
     from briarslip.version.acceptance import Acceptance
     from briarslip.version.record import RecordKey
     from briarslip.version.snapshot import Snapshot
     from briarslip.version.stored_record import StoredRecord
 
 
-HEAD_KEY = "head"
-VERSIONS_PREFIX = "versions/"
-CHANGE_STATUS_PREFIX = "status/changes/"
+@dataclass(frozen=True, slots=True)
+class LostHead:
+    """Another publisher moved the head first; the round has to be repeated."""
 
 
-async def read_head(
-    platform: PlatformClient,
-) -> Result[tuple[Snapshot, int], PlatformError]:
-    """Return the published snapshot and the head's revision."""
-    head = await platform.get(HEAD_KEY)
-    if isinstance(head, Err):
-        return head
-    found = head.ok_value
-    if found is None:
-        return Ok((EMPTY_SNAPSHOT, 0))
-    snapshot = await read_version(platform, int(found.value))
-    return snapshot.map(lambda whole: (whole, found.mod_revision))
-
-
-async def read_version(
-    platform: PlatformClient, version: int
-) -> Result[Snapshot, PlatformError]:
-    """Read one published version."""
-    found = await platform.get(f"{VERSIONS_PREFIX}{version}")
-    if isinstance(found, Err):
-        return found
-    if found.ok_value is None:
-        return Err(PlatformError(f"version {version} is missing"))
-    return decode_snapshot(found.ok_value.value).map_err(PlatformError)
+@dataclass(frozen=True, slots=True)
+class HeadBehind:
+    """The platform's head is older than what runs: the platform lost data.
+
+    Nothing is published from it, since that would take the fleet back.
+    """
+
+    head_version: int
+    running_version: int
+
+
+PublishError = PlatformError | LostHead | HeadBehind
 
 
-async def publish(platform: PlatformClient) -> Result[Snapshot, PlatformError]:
+async def publish(
+    platform: PlatformClient,
+    statuses: ChangeStatuses,
+    running: Snapshot,
+    now: float,
+) -> Result[Snapshot, PublishError]:
     """Publish the next version if a change can be accepted.
 
-    Safe to run anywhere and any number of times: a version is written once
-    and only the swap of the head puts it in force.
+    Safe to run anywhere and any number of times: only the swap of the head
+    puts a version in force. Records are read after the head, so that they are
+    never older than it. Return the snapshot in force.
     """
-    head = await read_head(platform)
-    if isinstance(head, Err):
-        return head
-    base, head_revision = head.ok_value
+    found = await read_head(platform)
+    if isinstance(found, Err):
+        return found
+    head = found.ok_value
+    if head.version < running.version:
+        return Err(HeadBehind(head.version, running.version))
+    base = await read_version(platform, head, running)
+    if isinstance(base, Err):
+        return base
     stored = await platform.range(RECORDS_PREFIX)
     if isinstance(stored, Err):
         return stored
-    records = _stored_records(stored.ok_value.items)
-    acceptance = accept(base, records)
+    acceptance = accept(base.ok_value, _stored_records(stored.ok_value.items))
     if acceptance.accepted:
-        written = await _write_version(platform, acceptance.snapshot, head_revision)
-        if isinstance(written, Err):
-            return written
-    await _write_statuses(platform, acceptance)
+        moved = await _put_in_force(platform, head, base.ok_value, acceptance)
+        if isinstance(moved, Err):
+            return moved
+    elif head.version:
+        await _repeat_statuses(platform, statuses, head, now)
+    await statuses.report(acceptance, now)
     return Ok(acceptance.snapshot)
 
 
-async def _write_version(
-    platform: PlatformClient, snapshot: Snapshot, head_revision: int
-) -> Result[None, PlatformError]:
-    key = f"{VERSIONS_PREFIX}{snapshot.version}"
-    created = await platform.swap(key, snapshot.encode(), 0)
-    if isinstance(created, Err):
-        return created
-    value = str(snapshot.version).encode()
-    swapped = await platform.swap(HEAD_KEY, value, head_revision)
-    return swapped.map(lambda _: None)
-
-
-async def _write_statuses(platform: PlatformClient, acceptance: Acceptance) -> None:
-    version = acceptance.snapshot.version
-    for change in acceptance.accepted:
-        await _write_status(platform, change, {"state": "accepted", "version": version})
-    for refusal in acceptance.refused:
-        findings = [str(finding) for finding in refusal.findings]
-        await _write_status(
-            platform, refusal.change, {"state": "refused", "findings": findings}
-        )
-
-
-async def _write_status(
-    platform: PlatformClient, change: str, status: dict[str, object]
+async def _put_in_force(
+    platform: PlatformClient, head: Head, base: Snapshot, acceptance: Acceptance
+) -> Result[None, PublishError]:
+    snapshot = acceptance.snapshot
+    changes = list(acceptance.accepted)
+    written = await write_version(platform, base, snapshot, changes)
+    if isinstance(written, Err):
+        return written
+    moved = await move_head(platform, head, snapshot)
+    if isinstance(moved, Err):
+        return moved
+    if not moved.ok_value:
+        return Err(LostHead())
+    if snapshot.version % WHOLE_INTERVAL_VERSIONS == 0:
+        await delete_old_versions(platform, snapshot.version)
+    return Ok(None)
+
+
+async def _repeat_statuses(
+    platform: PlatformClient, statuses: ChangeStatuses, head: Head, now: float
 ) -> None:
-    key = f"{CHANGE_STATUS_PREFIX}{change}"
-    value = json.dumps(status, sort_keys=True).encode()
-    current = await platform.get(key)
-    if isinstance(current, Err):
-        return
-    found = current.ok_value
-    if found is None or found.value != value:
-        await platform.swap(key, value, found.mod_revision if found else 0)
+    """Report the head's changes: its publisher may have died before that."""
+    entry = await read_entry(platform, head.version, head.digest)
+    if not isinstance(entry, Err):
+        await statuses.report_accepted(entry.ok_value.changes, head.version, now)
 
 
 def _stored_records(items: Iterable[KeyValue]) -> dict[RecordKey, StoredRecord]:
     records: dict[RecordKey, StoredRecord] = {}
     for item in items:
         key = parse_key(item.key)
-        record = decode_stored_record(item.value)
+        record = decode_stored_record(item.value, item.mod_revision)
         if key is not None and not isinstance(record, Err):
             records[key] = record.ok_value
     return records
 
 
-__all__ = [
-    "CHANGE_STATUS_PREFIX",
-    "HEAD_KEY",
-    "VERSIONS_PREFIX",
-    "publish",
-    "read_head",
-    "read_version",
-]
+__all__ = ["HeadBehind", "LostHead", "PublishError", "publish"]
--- a/src/briarslip/process/relay.py
+++ b/src/briarslip/process/relay.py
@@ -2,60 +2,95 @@
 
 from __future__ import annotations
 
-import hashlib
 from typing import TYPE_CHECKING
 from typing import Any
 
 from result import Err
+from result import Ok
 from twisted.internet.defer import Deferred
 
-from briarslip.process.publisher import HEAD_KEY
+from briarslip.backoff import full_jitter
+from briarslip.process.change_status import ChangeStatuses
+from briarslip.process.change_writer import MARKER_KEY
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.process.platform_watch import PlatformWatch
+from briarslip.process.publisher import HeadBehind
 from briarslip.process.publisher import publish
-from briarslip.process.publisher import read_head
+from briarslip.process.version_store import HEAD_KEY
+from briarslip.process.version_store import parse_head
+from briarslip.process.version_store import read_version
 from briarslip.version.record import RECORDS_PREFIX
+from briarslip.version.record import parse_key
 
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
-    from collections.abc import Iterable
 
-    from briarslip.address import Address
+    from result import Result
+
+    from briarslip.process.clock import Clock
+    from briarslip.process.platform import KeyValue
     from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import Watch
-    from briarslip.process.platform import WatchClosed
+    from briarslip.process.platform import PlatformError
     from briarslip.process.platform import WatchEvent
+    from briarslip.process.publisher import PublishError
+    from briarslip.process.version_store import Head
+    from briarslip.version.record import RecordKey
     from briarslip.version.snapshot import Snapshot
 
 
-RELAYS_PER_ZONE = 2
-RETRY_SECONDS = 1.0
-
-
-def relays(addresses: Iterable[Address], zone: str) -> tuple[Address, ...]:
-    """Return the members that act as relays, by rendezvous hash."""
-
-    def weight(address: Address) -> bytes:
-        return hashlib.sha256(f"{zone} {address}".encode()).digest()
-
-    return tuple(sorted(addresses, key=weight, reverse=True)[:RELAYS_PER_ZONE])
+RETRY_BASE_SECONDS = 0.25
+RETRY_CAP_SECONDS = 4.0
+# Finds out what a watch that says nothing has missed.
+CHECK_INTERVAL_SECONDS = 8.0
+# How long each relay gives those before it to publish a change.
+RANK_DELAY_SECONDS = 0.5
+MAX_RANK_DELAY_SECONDS = 3.0
 
 
 class Relay:
-    """Watches records and head while active, and publishes what is new."""
+    """Watches records and head while active, and publishes what is new.
+
+    ``rank`` counts the relays that publish before this one. ``running``
+    returns the running snapshot; ``on_check`` runs after each slow check.
+    """
 
     def __init__(
         self,
         reactor: Any,
+        clock: Clock,
+        rng: random.Random,
         platform: PlatformClient,
+        running: Callable[[], Snapshot],
         on_snapshot: Callable[[Snapshot], None],
+        on_check: Callable[[], None],
     ) -> None:
         self.reactor = reactor
+        self.clock = clock
+        self.rng = rng
         self.platform = platform
+        self.running = running
         self.on_snapshot = on_snapshot
+        self.on_check = on_check
         self.active = False
-        self.watches: list[Watch] = []
-        self.busy = False
-        self.again = False
+        self.rank = 0
+        self.statuses = ChangeStatuses(platform)
+        self.records = self._watch(RECORDS_PREFIX, self._records_changed)
+        self.head = self._watch(HEAD_KEY, self._head_changed)
+        self.publishing = Job(reactor, rng, self._publish)
+        self.reading = Job(reactor, rng, self._read)
+        self.waiting: dict[RecordKey, int] = {}
+        self.marker = b""
+        self.checks = 0
+
+    def _watch(
+        self, prefix: str, on_events: Callable[[tuple[WatchEvent, ...]], None]
+    ) -> PlatformWatch:
+        return PlatformWatch(
+            self.reactor, self.rng, self.platform, prefix, on_events, self._resync
+        )
 
     def set_active(self, active: bool) -> None:
         """Take the role up or lay it down."""
@@ -63,50 +98,176 @@
             return
         self.active = active
         if active:
-            self._start()
-        else:
-            self._stop_watches()
+            self._resync()
+            self.checks += 1
+            self._schedule_check(self.checks)
+            return
+        self.records.stop()
+        self.head.stop()
+        self.waiting.clear()
+
+    def _resync(self) -> None:
+        """Read everything again, then watch from there on."""
+        self.records.stop()
+        self.head.stop()
+        self.reading.run()
 
-    def _start(self) -> None:
+    async def _read(self) -> bool:
+        """Read the head and start the watches; tell whether it succeeded."""
         if not self.active:
-            return
-        self._stop_watches()
-        self._wake()
-        for prefix in (RECORDS_PREFIX, HEAD_KEY):
-            self.watches.append(
-                self.platform.watch(prefix, 0, self._changed, self._closed)
+            return True
+        found = await self.platform.range(HEAD_KEY)
+        if isinstance(found, Err):
+            return False
+        items = [item for item in found.ok_value.items if item.key == HEAD_KEY]
+        if self.records.watch is None:
+            self.records.start(found.ok_value.revision + 1)
+            self.head.start(found.ok_value.revision + 1)
+            self._publish_by_rank()
+        return await self._take_head(items[0] if items else None)
+
+    async def _take_head(self, item: KeyValue | None) -> bool:
+        head: Result[Head, PlatformError] = parse_head(item)
+        if isinstance(head, Err):
+            emit(Event.HEAD_REFUSED, reason=head.err_value.reason)
+            return False
+        if head.ok_value.version <= self.running().version:
+            return True
+        snapshot = await read_version(self.platform, head.ok_value, self.running())
+        if isinstance(snapshot, Err):
+            reason = snapshot.err_value.reason
+            emit(Event.HEAD_REFUSED, reason=reason, version=head.ok_value.version)
+            return False
+        self.on_snapshot(snapshot.ok_value)
+        return True
+
+    def _head_changed(self, events: tuple[WatchEvent, ...]) -> None:
+        self.reading.run()
+
+    def _records_changed(self, events: tuple[WatchEvent, ...]) -> None:
+        for event in events:
+            key = parse_key(event.key)
+            if key is not None and event.value is not None:
+                self.waiting[key] = event.mod_revision
+        self._publish_by_rank()
+
+    def _publish_by_rank(self) -> None:
+        delay = min(self.rank * RANK_DELAY_SECONDS, MAX_RANK_DELAY_SECONDS)
+        if delay:
+            delay *= self.rng.uniform(0.8, 1.2)
+        self.publishing.run_after(delay)
+
+    async def _publish(self) -> bool:
+        """Publish unless another relay has done so; tell whether to go on."""
+        if not self.active:
+            return True
+        waiting, self.waiting = self.waiting, {}
+        origins = self.running().origins
+        if waiting and all(
+            key in origins and origins[key].revision >= revision
+            for key, revision in waiting.items()
+        ):
+            return True
+        published = await publish(
+            self.platform, self.statuses, self.running(), self.clock.monotonic()
+        )
+        if not isinstance(published, Ok):
+            self.waiting = {**waiting, **self.waiting}
+            return self._publish_failed(published.err_value)
+        self.on_snapshot(published.ok_value)
+        return True
+
+    def _publish_failed(self, error: PublishError) -> bool:
+        if isinstance(error, HeadBehind):
+            emit(
+                Event.HEAD_BEHIND,
+                head=error.head_version,
+                running=error.running_version,
             )
+            return True
+        emit(Event.PUBLISH_FAILED, reason=str(error))
+        return False
+
+    def _schedule_check(self, number: int) -> None:
+        delay = CHECK_INTERVAL_SECONDS * self.rng.uniform(0.75, 1.25)
+        self.reactor.callLater(delay, self._check, number)
+
+    def _check(self, number: int) -> None:
+        if not self.active or number != self.checks:
+            return
+        self._schedule_check(number)
+        self.reading.run()
+        Deferred.fromCoroutine(self._check_marker())
+        self.on_check()
+
+    async def _check_marker(self) -> None:
+        found = await self.platform.get(MARKER_KEY)
+        if isinstance(found, Err) or found.ok_value is None:
+            return
+        if found.ok_value.value != self.marker:
+            self.marker = found.ok_value.value
+            self._publish_by_rank()
+
 
-    def _stop_watches(self) -> None:
-        watches, self.watches = self.watches, []
-        for watch in watches:
-            watch.stop()
+class Job:
+    """Work of which one run is under way at a time, repeated until it succeeds.
 
-    def _changed(self, events: tuple[WatchEvent, ...]) -> None:
-        self._wake()
+    A run asked for while one is under way follows it. Failed runs are
+    repeated with back-off.
+    """
 
-    def _closed(self, closed: WatchClosed) -> None:
-        self.reactor.callLater(RETRY_SECONDS, self._start)
+    def __init__(self, reactor: Any, rng: random.Random, work: Any) -> None:
+        self.reactor = reactor
+        self.rng = rng
+        self.work = work
+        self.busy = False
+        self.again = False
+        self.failures = 0
+        self.scheduled: Any = None
 
-    def _wake(self) -> None:
-        """Run one round, or another one after the one under way."""
+    def run(self) -> None:
+        """Run now, or again after the run under way."""
+        self._cancel()
         if self.busy:
             self.again = True
             return
         self.busy = True
-        Deferred.fromCoroutine(self._round()).addBoth(self._round_ended)
+        Deferred.fromCoroutine(self.work()).addCallbacks(self._ended, self._broken)
+
+    def run_after(self, delay: float) -> None:
+        """Run after some seconds, or sooner if that was asked for already."""
+        if not delay:
+            self.run()
+        elif self.scheduled is None:
+            self.scheduled = self.reactor.callLater(delay, self._due)
 
-    async def _round(self) -> None:
-        await publish(self.platform)
-        head = await read_head(self.platform)
-        if not isinstance(head, Err):
-            self.on_snapshot(head.ok_value[0])
+    def _due(self) -> None:
+        self.scheduled = None
+        self.run()
 
-    def _round_ended(self, result: object) -> None:
+    def _cancel(self) -> None:
+        if self.scheduled is not None:
+            self.scheduled.cancel()
+            self.scheduled = None
+
+    def _broken(self, failure: Any) -> None:
+        emit(Event.PUBLISH_FAILED, reason=failure.getTraceback())
+        self._ended(False)
+
+    def _ended(self, succeeded: bool) -> None:
         self.busy = False
-        if self.again:
-            self.again = False
-            self._wake()
+        again, self.again = self.again, False
+        if not succeeded:
+            delay = full_jitter(
+                self.rng, self.failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+            )
+            self.failures += 1
+            # Never zero, so that a failure can't repeat without end.
+            self.run_after(delay + RETRY_BASE_SECONDS / 10)
+            return
+        self.failures = 0
+        if again:
+            self.run()
 
 
-__all__ = ["Relay", "relays"]
+__all__ = ["Relay"]
--- /dev/null
+++ b/src/briarslip/process/version_store.py
@@ -0,0 +1,272 @@
+"""Published versions on the platform.
+
+``head`` names the version in force and its digest. A version stands under its
+number and digest, so that publishers who differ write different keys, and
+what a publisher left behind is in nobody's way.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from result import Result
+
+from briarslip.process.platform import PlatformError
+from briarslip.process.settled_swap import settled_swap
+from briarslip.version.configuration_codec import Whole
+from briarslip.version.configuration_codec import compress
+from briarslip.version.configuration_codec import decompress
+from briarslip.version.delta import apply_delta
+from briarslip.version.delta import decode_delta
+from briarslip.version.delta import delta_between
+from briarslip.version.distribution import read_whole
+from briarslip.version.snapshot import EMPTY_SNAPSHOT
+
+
+if TYPE_CHECKING:
+    from briarslip.process.platform import KeyValue
+    from briarslip.process.platform import PlatformClient
+    from briarslip.version.snapshot import Snapshot
+
+
+HEAD_KEY = "head"
+VERSIONS_PREFIX = "versions/"
+MAX_VALUE_BYTES = 700_000
+WHOLE_INTERVAL_VERSIONS = 16
+KEPT_VERSIONS = 2 * WHOLE_INTERVAL_VERSIONS
+MAX_STEPS_BACK = 4 * WHOLE_INTERVAL_VERSIONS
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The version in force, its digest and the revision of the head key."""
+
+    version: int
+    digest: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class VersionEntry:
+    """What stands at a version: the step from its base, and how many chunks.
+
+    ``delta`` is empty when the step is too large for a value; ``changes`` are
+    the changes accepted in this version.
+    """
+
+    base_version: int
+    base_digest: str
+    delta: bytes
+    chunks: int
+    changes: tuple[str, ...]
+
+    def encode(self) -> bytes:
+        """Return the entry as canonical JSON."""
+        body = {
+            "base": [self.base_version, self.base_digest],
+            "delta": base64.b64encode(self.delta).decode(),
+            "chunks": self.chunks,
+            "changes": list(self.changes),
+        }
+        return json.dumps(body, sort_keys=True).encode()
+
+
+NO_HEAD = Head(0, EMPTY_SNAPSHOT.digest, 0)
+
+
+def parse_head(found: KeyValue | None) -> Result[Head, PlatformError]:
+    """Read the head key; without one no version has been published."""
+    if found is None:
+        return Ok(NO_HEAD)
+    try:
+        document = json.loads(found.value)
+        version, digest = int(document["version"]), str(document["digest"])
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(PlatformError(f"head can't be read: {error!r}"))
+    return Ok(Head(version, digest, found.mod_revision))
+
+
+async def read_head(platform: PlatformClient) -> Result[Head, PlatformError]:
+    """Return the head."""
+    return (await platform.get(HEAD_KEY)).and_then(parse_head)
+
+
+async def read_version(
+    platform: PlatformClient, head: Head, known: Snapshot
+) -> Result[Snapshot, PlatformError]:
+    """Return a published snapshot with its digest checked.
+
+    The steps are read backwards until one applies to ``known``, or until a
+    version stands there whole.
+    """
+    steps: list[bytes] = []
+    version, digest = head.version, head.digest
+    for _ in range(MAX_STEPS_BACK):
+        if (version, digest) == (known.version, known.digest):
+            return _apply_steps(known, steps)
+        if not version:
+            return _apply_steps(EMPTY_SNAPSHOT, steps)
+        entry = await read_entry(platform, version, digest)
+        if isinstance(entry, Err):
+            return entry
+        found = entry.ok_value
+        if found.chunks:
+            whole = await _read_chunks(platform, version, digest, found.chunks)
+            return whole.and_then(lambda base: _apply_steps(base, steps))
+        steps.append(found.delta)
+        version, digest = found.base_version, found.base_digest
+    return Err(PlatformError(f"version {head.version} is too far from a whole one"))
+
+
+async def read_entry(
+    platform: PlatformClient, version: int, digest: str
+) -> Result[VersionEntry, PlatformError]:
+    """Read what stands at one version."""
+    found = await platform.get(_entry_key(version, digest))
+    if isinstance(found, Err):
+        return found
+    if found.ok_value is None:
+        return Err(PlatformError(f"version {version} is missing"))
+    try:
+        document = json.loads(found.ok_value.value)
+        base_version, base_digest = document["base"]
+        entry = VersionEntry(
+            int(base_version),
+            str(base_digest),
+            base64.b64decode(document["delta"], validate=True),
+            int(document["chunks"]),
+            tuple(str(change) for change in document["changes"]),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return Err(PlatformError(f"version {version} can't be read: {error!r}"))
+    return Ok(entry)
+
+
+async def write_version(
+    platform: PlatformClient, base: Snapshot, snapshot: Snapshot, changes: list[str]
+) -> Result[None, PlatformError]:
+    """Write a version beside the others; only the head puts it in force."""
+    delta = compress(delta_between(base, snapshot).encode())
+    is_small = len(delta) <= MAX_VALUE_BYTES
+    due = snapshot.version % WHOLE_INTERVAL_VERSIONS == 0
+    chunks = _chunks(snapshot) if due or not is_small or not base.version else []
+    key = _entry_key(snapshot.version, snapshot.digest)
+    for number, chunk in enumerate(chunks):
+        written = await _write_content(platform, f"{key}/{number}", chunk)
+        if isinstance(written, Err):
+            return written
+    entry = VersionEntry(
+        base.version,
+        base.digest,
+        delta if is_small else b"",
+        len(chunks),
+        tuple(sorted(changes)),
+    )
+    return await _write_content(platform, key, entry.encode())
+
+
+async def move_head(
+    platform: PlatformClient, head: Head, snapshot: Snapshot
+) -> Result[bool, PlatformError]:
+    """Put a version in force; false if another publisher moved the head."""
+    body = {"version": snapshot.version, "digest": snapshot.digest}
+    value = json.dumps(body, sort_keys=True).encode()
+    reply = await settled_swap(platform, HEAD_KEY, value, head.revision)
+    return reply.map(lambda r: r.swapped)
+
+
+async def delete_old_versions(
+    platform: PlatformClient, head_version: int
+) -> Result[int, PlatformError]:
+    """Delete versions that no reader needs; return how many keys went."""
+    found = await platform.range(VERSIONS_PREFIX)
+    if isinstance(found, Err):
+        return found
+    oldest = head_version - KEPT_VERSIONS
+    deleted = 0
+    for item in found.ok_value.items:
+        number = item.key.removeprefix(VERSIONS_PREFIX).partition("/")[0]
+        if number.isdigit() and int(number) >= oldest:
+            continue
+        reply = await platform.swap(item.key, None, item.mod_revision)
+        if isinstance(reply, Err):
+            return reply
+        deleted += reply.ok_value.swapped
+    return Ok(deleted)
+
+
+async def _read_chunks(
+    platform: PlatformClient, version: int, digest: str, count: int
+) -> Result[Snapshot, PlatformError]:
+    parts: list[bytes] = []
+    for number in range(count):
+        found = await platform.get(f"{_entry_key(version, digest)}/{number}")
+        if isinstance(found, Err):
+            return found
+        if found.ok_value is None:
+            return Err(PlatformError(f"version {version} lacks chunk {number}"))
+        parts.append(found.ok_value.value)
+    return read_whole(Whole(digest, b"".join(parts))).map_err(PlatformError)
+
+
+async def _write_content(
+    platform: PlatformClient, key: str, value: bytes
+) -> Result[None, PlatformError]:
+    """Write a key whose content follows from its name.
+
+    Another publisher may have written it; what differs is damaged, and is
+    replaced.
+    """
+    reply = await settled_swap(platform, key, value, 0)
+    if isinstance(reply, Err):
+        return reply
+    current = reply.ok_value.current
+    if not reply.ok_value.swapped and current and current.value != value:
+        again = await settled_swap(platform, key, value, current.mod_revision)
+        return again.map(lambda _: None)
+    return Ok(None)
+
+
+def _apply_steps(base: Snapshot, steps: list[bytes]) -> Result[Snapshot, PlatformError]:
+    """Apply compressed deltas, the last one of the list first."""
+    snapshot = base
+    for step in reversed(steps):
+        delta = decompress(step).and_then(decode_delta)
+        if isinstance(delta, Err):
+            return Err(PlatformError(delta.err_value))
+        applied = apply_delta(snapshot, delta.ok_value)
+        if isinstance(applied, Err):
+            return Err(PlatformError(applied.err_value))
+        snapshot = applied.ok_value
+    return Ok(snapshot)
+
+
+def _chunks(snapshot: Snapshot) -> list[bytes]:
+    data = compress(snapshot.encode())
+    starts = range(0, len(data), MAX_VALUE_BYTES)
+    return [data[start : start + MAX_VALUE_BYTES] for start in starts]
+
+
+def _entry_key(version: int, digest: str) -> str:
+    return f"{VERSIONS_PREFIX}{version:012}/{digest}"
+
+
+__all__ = [
+    "HEAD_KEY",
+    "NO_HEAD",
+    "VERSIONS_PREFIX",
+    "WHOLE_INTERVAL_VERSIONS",
+    "Head",
+    "delete_old_versions",
+    "move_head",
+    "parse_head",
+    "read_entry",
+    "read_head",
+    "read_version",
+    "write_version",
+]
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -82,7 +82,7 @@
         table = self.surroundings.table()
         if not table.version:
             return _refuse(sink, Reason.NO_CONFIGURATION)
-        route = table.match(request.target)
+        route = table.match(request.target, request.method)
         if route is None:
             return _refuse(sink, Reason.NO_ROUTE)
         call = self._call(request, route)
--- a/src/briarslip/version/configuration.capnp
+++ b/src/briarslip/version/configuration.capnp
@@ -1,5 +1,6 @@
 @0xc7a1e0b2d3f49586;
-# Configuration messages between daemons.
+# Configuration messages between daemons. Snapshots and deltas are canonical
+# JSON, compressed with zlib.
 
 struct Offer {
   version @0 :UInt64;
@@ -9,10 +10,28 @@
   running @0 :UInt64;
 }
 
+struct Whole {
+  digest @0 :Text;          # SHA-256 of the snapshot, hexadecimal
+  data @1 :Data;
+}
+
+struct Busy {
+  retryAfterMs @0 :UInt32;
+}
+
+struct VersionReply {
+  running @0 :UInt64;
+  lastHeard @1 :UInt64;     # the version last heard from the asker's address
+}
+
 struct Message {
   union {
     offer @0 :Offer;
     pull @1 :Pull;
-    snapshot @2 :Data;        # an encoded snapshot
+    whole @2 :Whole;
+    deltas @3 :List(Data);  # each applies to the one before it
+    busy @4 :Busy;
+    versionQuery @5 :Void;
+    versionReply @6 :VersionReply;
   }
 }
--- /dev/null
+++ b/src/briarslip/version/delta.py
@@ -0,0 +1,101 @@
+"""Deltas: what one version changes in the version before it."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+from result import Result
+
+from briarslip.version.snapshot import Snapshot
+from briarslip.version.snapshot import decode_entries
+from briarslip.version.snapshot import encode_entries
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from briarslip.version.record import Record
+    from briarslip.version.record import RecordKey
+    from briarslip.version.snapshot import Origin
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """The changed records of a version, to be applied to ``base`` only.
+
+    ``digest`` is that of the whole snapshot afterwards. A key of ``origins``
+    without a record was removed.
+    """
+
+    version: int
+    digest: str
+    base_version: int
+    base_digest: str
+    records: Mapping[RecordKey, Record]
+    origins: Mapping[RecordKey, Origin]
+
+    def encode(self) -> bytes:
+        """Return the canonical JSON of the delta."""
+        body = {
+            "version": self.version,
+            "digest": self.digest,
+            "base_version": self.base_version,
+            "base_digest": self.base_digest,
+            "records": encode_entries(self.records, self.origins),
+        }
+        return json.dumps(body, sort_keys=True, separators=(",", ":")).encode()
+
+
+def delta_between(base: Snapshot, snapshot: Snapshot) -> Delta:
+    """Return the delta that leads from ``base`` to ``snapshot``."""
+    origins = {
+        key: origin
+        for key, origin in snapshot.origins.items()
+        if base.origins.get(key) != origin
+    }
+    records = {key: snapshot.records[key] for key in origins if key in snapshot.records}
+    return Delta(
+        snapshot.version,
+        snapshot.digest,
+        base.version,
+        base.digest,
+        records,
+        origins,
+    )
+
+
+def decode_delta(value: bytes) -> Result[Delta, str]:
+    """Read an encoded delta; the error is a reason."""
+    try:
+        document = json.loads(value)
+        records, origins = decode_entries(document["records"])
+        delta = Delta(
+            int(document["version"]),
+            str(document["digest"]),
+            int(document["base_version"]),
+            str(document["base_digest"]),
+            records,
+            origins,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Err(f"is not a delta: {error!r}")
+    return Ok(delta)
+
+
+def apply_delta(base: Snapshot, delta: Delta) -> Result[Snapshot, str]:
+    """Apply a delta and check the digest of the whole; the error is a reason."""
+    if (delta.base_version, delta.base_digest) != (base.version, base.digest):
+        return Err(f"applies to version {delta.base_version}, not {base.version}")
+    records = {k: v for k, v in base.records.items() if k not in delta.origins}
+    records.update(delta.records)
+    snapshot = Snapshot(delta.version, records, {**base.origins, **delta.origins})
+    if snapshot.digest != delta.digest:
+        return Err(f"version {delta.version} does not have its digest")
+    return Ok(snapshot)
+
+
+__all__ = ["Delta", "apply_delta", "decode_delta", "delta_between"]
--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from datetime import datetime
 from datetime import timedelta
+from functools import lru_cache
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -24,6 +24,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from briarslip.ini import IniDocument
@@ -33,6 +34,9 @@
 SCHEMA_FIELD = "schema"
 MAX_TIMEOUT_MS = 600_000
 MAX_WINDOW_MS = 7 * 24 * 3_600_000
+RETRY_NOT_RUN = "not-run"
+RETRY_UNKNOWN = "unknown"
+PARSED_RECORDS = 4096
 
 
 class RecordKey(NamedTuple):
@@ -55,7 +59,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Which requests go to which service, and how."""
+    """Which requests go to which service, and how.
+
+    ``path_prefix`` ends at a segment's border; no ``methods`` means any.
+    """
 
     name: str
     service: str
@@ -64,6 +71,7 @@
     timeout: timedelta
     idempotent: bool
     claims: str
+    methods: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,30 +110,73 @@
 
 @dataclass(frozen=True, slots=True)
 class KindSpec:
-    """How the fields of one kind and schema are read, and into what."""
+    """How the fields of one kind and schema are read, and into what.
+
+    ``convert`` turns the values read into those of the form, which is the one
+    form that every schema of the kind is converted to.
+    """
 
     form: type[Any]
     fields: tuple[FieldSpec, ...]
+    convert: Callable[[dict[str, Any]], dict[str, Any]] = dict
+
+
+def _path(value: str) -> Result[str, str]:
+    """Read an absolute path without query; a closing slash is dropped."""
+    path = value.strip()
+    if not path.startswith("/") or any(c in "?#" or c.isspace() for c in path):
+        return Err(f"{value!r} is not a path that begins with '/'")
+    path = path.rstrip("/")
+    if "//" in path or any(part in {".", ".."} for part in path.split("/")):
+        return Err(f"{value!r} has an empty or a relative segment")
+    return Ok(path or "/")
+
+
+def _method(value: str) -> Result[str, str]:
+    method = value.strip()
+    if method.isascii() and method.isalpha() and method.isupper():
+        return Ok(method)
+    return Err(f"{value!r} is not a method in capitals")
 
 
+def _route_from_schema_2(values: dict[str, Any]) -> dict[str, Any]:
+    converted = dict(values)
+    converted["path_prefix"] = converted.pop("match_path")
+    converted["methods"] = frozenset(converted.pop("match_methods"))
+    converted["idempotent"] = converted.pop("retry") == RETRY_UNKNOWN
+    return converted
+
+
+_ROUTE_FIELDS = (
+    FieldSpec("service", fields.name),
+    FieldSpec("priority", fields.choice(("urgent", "bulk")), "bulk"),
+    FieldSpec(
+        "timeout_ms", fields.milliseconds(1, MAX_TIMEOUT_MS), timedelta(seconds=5)
+    ),
+    FieldSpec("claims", fields.choice(("none", "preferred", "required")), "required"),
+)
+
 SPECS: Mapping[tuple[str, int], KindSpec] = {
     ("service", 1): KindSpec(Service, ()),
     ("route", 1): KindSpec(
         Route,
         (
-            FieldSpec("service", fields.name),
-            FieldSpec("path_prefix", fields.text),
-            FieldSpec("priority", fields.choice(("urgent", "bulk")), "bulk"),
-            FieldSpec(
-                "timeout_ms",
-                fields.milliseconds(1, MAX_TIMEOUT_MS),
-                timedelta(seconds=5),
-            ),
+            *_ROUTE_FIELDS,
+            FieldSpec("path_prefix", _path),
             FieldSpec("idempotent", fields.boolean, False),
+        ),
+    ),
+    ("route", 2): KindSpec(
+        Route,
+        (
+            *_ROUTE_FIELDS,
+            FieldSpec("match_path", _path),
+            FieldSpec("match_methods", fields.listed(_method), ()),
             FieldSpec(
-                "claims", fields.choice(("none", "preferred", "required")), "required"
+                "retry", fields.choice((RETRY_NOT_RUN, RETRY_UNKNOWN)), RETRY_NOT_RUN
             ),
         ),
+        _route_from_schema_2,
     ),
     ("rollout", 1): KindSpec(
         Rollout,
@@ -168,14 +219,22 @@
     return RecordKey(kind, name, int(schema))
 
 
-def parse_record(record: Record, line: int = 0) -> Result[Form, tuple[Finding, ...]]:
+def parse_record(record: Record) -> Result[Form, tuple[Finding, ...]]:
     """Read a record into its form; the error holds all findings."""
+    return _parse_fields(record.key, tuple(record.fields.items()))
+
+
+@lru_cache(maxsize=PARSED_RECORDS)
+def _parse_fields(
+    key: RecordKey, values: tuple[tuple[str, str], ...]
+) -> Result[Form, tuple[Finding, ...]]:
+    """Read fields, once for all the versions that share them."""
     section = IniSection(
-        f"{record.key.kind} {record.key.name}",
-        line,
-        {key: IniField(key, value, line) for key, value in record.fields.items()},
+        f"{key.kind} {key.name}",
+        0,
+        {name: IniField(name, value, 0) for name, value in values},
     )
-    return _parse_section(record.key, section, str(record.key))
+    return _parse_section(key, section, str(key))
 
 
 def records_from_ini(
@@ -234,12 +293,7 @@
     values = read_fields(source, section, spec.fields)
     if isinstance(values, Err):
         return values
-    return Ok(spec.form(name=key.name, **values.ok_value))
-
-
-def encode_fields(record: Record) -> bytes:
-    """Return the record's fields in canonical JSON."""
-    return json.dumps(dict(record.fields), sort_keys=True).encode()
+    return Ok(spec.form(name=key.name, **spec.convert(values.ok_value)))
 
 
 __all__ = [
@@ -252,7 +306,6 @@
     "Rollout",
     "Route",
     "Service",
-    "encode_fields",
     "parse_key",
     "parse_record",
     "records_from_ini",
--- a/src/briarslip/version/routing_table.py
+++ b/src/briarslip/version/routing_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -10,11 +11,16 @@
 from result import Result
 
 from briarslip.finding import Finding
+from briarslip.version.record import SPECS
 from briarslip.version.record import Objective
 from briarslip.version.record import Rollout
 from briarslip.version.record import Route
 from briarslip.version.record import Service
 from briarslip.version.record import parse_record
+from briarslip.version.route_index import RouteNode
+from briarslip.version.route_index import find_route
+from briarslip.version.route_index import index_routes
+from briarslip.version.route_index import overlaps
 
 
 if TYPE_CHECKING:
@@ -32,7 +38,8 @@
     """Routes, services, rollouts and objectives of one version.
 
     A table is closed: every service that a route, rollout or objective names
-    is in it. ``routes`` stand with the longest path prefix first.
+    is in it. ``kept`` tells which records stand in an earlier form, because
+    this program knows no schema that the version gives them in.
     """
 
     version: int
@@ -40,71 +47,123 @@
     routes: tuple[Route, ...]
     rollouts: Mapping[str, Rollout]
     objectives: Mapping[str, Objective]
-
-    def match(self, path: str) -> Route | None:
-        """Return the route with the longest prefix of ``path``, if any."""
-        for route in self.routes:
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+    index: RouteNode = field(default_factory=RouteNode)
+    kept: tuple[Finding, ...] = ()
+
+    def match(self, target: str, method: str) -> Route | None:
+        """Return the route of a request, if there is one."""
+        return find_route(self.index, target, method)
+
+    @property
+    def forms(self) -> Mapping[tuple[str, str], Form]:
+        """The forms by kind and name."""
+        groups = (
+            ("service", self.services.values()),
+            ("route", self.routes),
+            ("rollout", self.rollouts.values()),
+            ("objective", self.objectives.values()),
+        )
+        return {(kind, form.name): form for kind, forms in groups for form in forms}
 
 
 EMPTY_TABLE = RoutingTable(0, {}, (), {}, {})
 
 
 def compile_snapshot(
-    snapshot: Snapshot,
+    snapshot: Snapshot, previous: RoutingTable = EMPTY_TABLE
 ) -> Result[RoutingTable, tuple[Finding, ...]]:
-    """Compile a snapshot whole; the error holds all findings."""
-    forms, findings = _newest_forms(snapshot.records)
-    services = {form.name: form for form in forms if isinstance(form, Service)}
-    findings.extend(_unresolved(forms, services))
+    """Compile a snapshot whole; the error holds all findings.
+
+    A record of which no schema is known keeps the form it has in the
+    ``previous`` table; without one there the snapshot is refused.
+    """
+    forms, findings, kept = _newest_forms(snapshot.records, previous)
+    findings.extend(_unresolved(forms.values()))
+    routes = [form for form in forms.values() if isinstance(form, Route)]
+    findings.extend(overlaps(routes))
     if findings:
         return Err(tuple(findings))
-    routes = [form for form in forms if isinstance(form, Route)]
-    routes.sort(key=lambda route: (-len(route.path_prefix), route.name))
+    services = [f for f in forms.values() if isinstance(f, Service)]
+    rollouts = [f for f in forms.values() if isinstance(f, Rollout)]
+    objectives = [f for f in forms.values() if isinstance(f, Objective)]
     return Ok(
         RoutingTable(
             version=snapshot.version,
-            services=services,
-            routes=tuple(routes),
-            rollouts={f.name: f for f in forms if isinstance(f, Rollout)},
-            objectives={f.name: f for f in forms if isinstance(f, Objective)},
+            services={form.name: form for form in services},
+            routes=tuple(sorted(routes, key=lambda route: route.name)),
+            rollouts={form.name: form for form in rollouts},
+            objectives={form.name: form for form in objectives},
+            index=index_routes(routes),
+            kept=tuple(kept),
         )
     )
 
 
+def check_records(records: Mapping[RecordKey, Record]) -> tuple[Finding, ...]:
+    """Return what keeps these records from being a configuration.
+
+    Of a record of which no schema is known only the service is looked at:
+    another publisher knew the schema and has accepted it.
+    """
+    known = {k: r for k, r in records.items() if (k.kind, k.schema) in SPECS}
+    forms, findings, _ = _newest_forms(known, EMPTY_TABLE)
+    opaque = [r for k, r in records.items() if k not in known]
+    extra = {record.key.name for record in opaque if record.key.kind == "service"}
+    findings.extend(_unresolved(forms.values(), extra))
+    findings.extend(overlaps(f for f in forms.values() if isinstance(f, Route)))
+    services = {f.name for f in forms.values() if isinstance(f, Service)} | extra
+    for record in opaque:
+        service = record.fields.get("service")
+        if service is not None and service not in services:
+            findings.append(
+                _no_service(f"{record.key.kind} {record.key.name}", service)
+            )
+    return tuple(findings)
+
+
 def _newest_forms(
-    records: Mapping[RecordKey, Record],
-) -> tuple[list[Form], list[Finding]]:
-    """Read each record once, in the newest schema that can be read."""
-    readable: dict[tuple[str, str], Form] = {}
-    findings: dict[tuple[str, str], tuple[Finding, ...]] = {}
+    records: Mapping[RecordKey, Record], previous: RoutingTable
+) -> tuple[dict[tuple[str, str], Form], list[Finding], list[Finding]]:
+    """Read each record once, in the newest schema that is known.
+
+    Return the forms, the findings, and the records kept in an earlier form.
+    """
+    newest: dict[tuple[str, str], RecordKey] = {}
     for key in sorted(records):
-        result = parse_record(records[key])
         identity = (key.kind, key.name)
-        if isinstance(result, Err):
-            findings[identity] = result.err_value
+        if (key.kind, key.schema) in SPECS or identity not in newest:
+            newest[identity] = key
+    forms: dict[tuple[str, str], Form] = {}
+    findings: list[Finding] = []
+    kept: list[Finding] = []
+    for identity, key in newest.items():
+        parsed = parse_record(records[key])
+        known = (key.kind, key.schema) in SPECS
+        if not isinstance(parsed, Err):
+            forms[identity] = parsed.ok_value
+        elif not known and (form := previous.forms.get(identity)):
+            forms[identity] = form
+            kept.append(Finding(str(key), 0, "", "", "unknown schema; form kept"))
         else:
-            readable[identity] = result.ok_value
-    missing = [
-        finding
-        for identity, group in findings.items()
-        if identity not in readable
-        for finding in group
-    ]
-    return list(readable.values()), missing
+            findings.extend(parsed.err_value)
+    return forms, findings, kept
 
 
 def _unresolved(
-    forms: Iterable[Form], services: Mapping[str, Service]
+    forms: Iterable[Form], extra_services: Iterable[str] = ()
 ) -> Iterable[Finding]:
+    forms = tuple(forms)
+    services = {form.name for form in forms if isinstance(form, Service)}
+    services.update(extra_services)
     for form in forms:
-        if isinstance(form, Service) or form.service in services:
-            continue
-        kind = type(form).__name__.lower()
-        reason = f"names service {form.service!r}, which does not exist"
-        yield Finding(f"{kind} {form.name}", 0, "", "service", reason)
+        if not isinstance(form, Service) and form.service not in services:
+            kind = type(form).__name__.lower()
+            yield _no_service(f"{kind} {form.name}", form.service)
+
+
+def _no_service(source: str, service: str) -> Finding:
+    reason = f"names service {service!r}, which does not exist"
+    return Finding(source, 0, "", "service", reason)
 
 
-__all__ = ["EMPTY_TABLE", "RoutingTable", "compile_snapshot"]
+__all__ = ["EMPTY_TABLE", "RoutingTable", "check_records", "compile_snapshot"]
--- a/src/briarslip/version/snapshot.py
+++ b/src/briarslip/version/snapshot.py
@@ -5,7 +5,10 @@
 import hashlib
 import json
 from dataclasses import dataclass
+from functools import cached_property
 from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
 
 from result import Err
 from result import Ok
@@ -21,19 +24,26 @@
     from briarslip.version.record import RecordKey
 
 
-@dataclass(frozen=True, slots=True)
+class Origin(NamedTuple):
+    """The write that a record was accepted from."""
+
+    change: str
+    revision: int
+
+
+@dataclass(frozen=True)
 class Snapshot:
     """The accepted records of one version.
 
-    ``changes`` maps each record to the change it was accepted from, so that a
-    publisher can tell what is new.
+    ``origins`` maps each record, removed ones included, to the write it was
+    accepted from, so that a publisher can tell what is newer.
     """
 
     version: int
     records: Mapping[RecordKey, Record]
-    changes: Mapping[RecordKey, str]
+    origins: Mapping[RecordKey, Origin]
 
-    @property
+    @cached_property
     def digest(self) -> str:
         """The SHA-256 of the encoded snapshot, in hexadecimal."""
         return hashlib.sha256(self.encode()).hexdigest()
@@ -42,13 +52,7 @@
         """Return the canonical JSON of the snapshot."""
         body = {
             "version": self.version,
-            "records": {
-                str(key): {
-                    "fields": dict(record.fields),
-                    "change": self.changes.get(key, ""),
-                }
-                for key, record in self.records.items()
-            },
+            "records": encode_entries(self.records, self.origins),
         }
         return json.dumps(body, sort_keys=True, separators=(",", ":")).encode()
 
@@ -58,22 +62,51 @@
 
 def decode_snapshot(value: bytes) -> Result[Snapshot, str]:
     """Read an encoded snapshot; the error is a reason."""
-    records: dict[RecordKey, Record] = {}
-    changes: dict[RecordKey, str] = {}
     try:
         document = json.loads(value)
-        for text, body in document["records"].items():
-            key = parse_key(text)
-            if key is None:
-                return Err(f"{text!r} is not a record key")
-            records[key] = Record(
-                key, {str(k): str(v) for k, v in body["fields"].items()}
-            )
-            changes[key] = str(body["change"])
+        records, origins = decode_entries(document["records"])
         version = int(document["version"])
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Err(f"is not a snapshot: {error!r}")
-    return Ok(Snapshot(version, records, changes))
-
-
-__all__ = ["EMPTY_SNAPSHOT", "Snapshot", "decode_snapshot"]
+    return Ok(Snapshot(version, records, origins))
+
+
+def encode_entries(
+    records: Mapping[RecordKey, Record], origins: Mapping[RecordKey, Origin]
+) -> dict[str, list[Any]]:
+    """Return records with their origins as JSON values; fields None: removed."""
+    return {
+        str(key): [
+            dict(records[key].fields) if key in records else None,
+            origin.change,
+            origin.revision,
+        ]
+        for key, origin in origins.items()
+    }
+
+
+def decode_entries(
+    document: Mapping[str, Any],
+) -> tuple[dict[RecordKey, Record], dict[RecordKey, Origin]]:
+    """Read records with their origins; raise ValueError or TypeError."""
+    records: dict[RecordKey, Record] = {}
+    origins: dict[RecordKey, Origin] = {}
+    for text, (fields, change, revision) in document.items():
+        key = parse_key(text)
+        if key is None:
+            raise ValueError(f"{text!r} is not a record key")
+        origins[key] = Origin(str(change), int(revision))
+        if fields is not None:
+            values = {str(name): str(value) for name, value in fields.items()}
+            records[key] = Record(key, values)
+    return records, origins
+
+
+__all__ = [
+    "EMPTY_SNAPSHOT",
+    "Origin",
+    "Snapshot",
+    "decode_entries",
+    "decode_snapshot",
+    "encode_entries",
+]
--- a/src/briarslip/version/stored_record.py
+++ b/src/briarslip/version/stored_record.py
@@ -5,6 +5,7 @@
 import json
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Any
 
 from result import Err
 from result import Ok
@@ -15,7 +16,7 @@
     from collections.abc import Mapping
 
 
-MAX_LINEAGE = 16
+MAX_HISTORY = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,49 +28,84 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoredRecord:
-    """A record's fields with the change that wrote them.
+class Write:
+    """One write of a record: what was written, by which change, and when.
 
-    ``fields`` is None for a removed record. ``lineage`` names the changes the
-    key went through before, newest first, so that a change counts as complete
-    when a later one has already overwritten a part of it.
+    ``fields`` is None for a removal. ``revision`` is the platform's revision
+    of the write; the newest write of a key takes it from the key itself.
     """
 
     fields: Mapping[str, str] | None
     change: Change
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """A record's newest write, with the writes that it replaced.
+
+    ``history`` holds the replaced writes, newest first. They are kept whole,
+    so that a change can still be taken when a later one has overwritten a
+    part of it and is refused.
+    """
+
+    write: Write
     nonce: str
-    lineage: tuple[str, ...] = ()
-
-    def encode(self) -> bytes:
-        """Return the value as JSON."""
-        return json.dumps(
-            {
-                "fields": None if self.fields is None else dict(self.fields),
-                "change": self.change.id,
-                "change_size": self.change.size,
-                "nonce": self.nonce,
-                "lineage": list(self.lineage[:MAX_LINEAGE]),
-            },
-            sort_keys=True,
-        ).encode()
-
-
-def decode_stored_record(value: bytes) -> Result[StoredRecord, str]:
-    """Read a record's value; the error is a reason."""
+    history: tuple[Write, ...] = ()
+
+    @property
+    def writes(self) -> tuple[Write, ...]:
+        """Every write that is kept, newest first."""
+        return (self.write, *self.history)
+
+    def encode(self, pinned: bool = False) -> bytes:
+        """Return the value as JSON.
+
+        ``pinned`` keeps the revision of the newest write, for when an earlier
+        value is put back.
+        """
+        body = _write_body(self.write)
+        if pinned:
+            body["revision"] = self.write.revision
+        body["nonce"] = self.nonce
+        body["history"] = [
+            _write_body(write) | {"revision": write.revision}
+            for write in self.history[:MAX_HISTORY]
+        ]
+        return json.dumps(body, sort_keys=True).encode()
+
+
+def decode_stored_record(value: bytes, revision: int) -> Result[StoredRecord, str]:
+    """Read the value found at a revision; the error is a reason."""
     try:
         document = json.loads(value)
-        raw_fields = document["fields"]
         parsed = StoredRecord(
-            fields=None if raw_fields is None else _text_fields(raw_fields),
-            change=Change(str(document["change"]), int(document["change_size"])),
+            write=_parse_write(document, int(document.get("revision", revision))),
             nonce=str(document["nonce"]),
-            lineage=tuple(str(change) for change in document["lineage"]),
+            history=tuple(
+                _parse_write(body, int(body["revision"]))
+                for body in document["history"]
+            ),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Err(f"is not a stored record: {error!r}")
     return Ok(parsed)
 
 
+def _write_body(write: Write) -> dict[str, Any]:
+    return {
+        "fields": None if write.fields is None else dict(write.fields),
+        "change": write.change.id,
+        "change_size": write.change.size,
+    }
+
+
+def _parse_write(body: Mapping[str, Any], revision: int) -> Write:
+    raw = body["fields"]
+    change = Change(str(body["change"]), int(body["change_size"]))
+    return Write(None if raw is None else _text_fields(raw), change, revision)
+
+
 def _text_fields(raw: Mapping[str, object]) -> dict[str, str]:
     for key, value in raw.items():
         if not isinstance(value, str):
@@ -77,4 +113,4 @@
     return {key: str(value) for key, value in raw.items()}
 
 
-__all__ = ["Change", "StoredRecord", "decode_stored_record"]
+__all__ = ["MAX_HISTORY", "Change", "StoredRecord", "Write", "decode_stored_record"]
--- /dev/null
+++ b/tests/process/test_change_writer.py
@@ -0,0 +1,228 @@
+"""Tests of the writing of changes: races, outages and lost answers."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from result import Err
+from twisted.internet.defer import Deferred
+
+from briarslip.process.change_status import ChangeStatuses
+from briarslip.process.change_writer import LostRace
+from briarslip.process.change_writer import RecordWrite
+from briarslip.process.change_writer import WriteFailed
+from briarslip.process.change_writer import write_change
+from briarslip.process.platform import PlatformError
+from briarslip.process.publisher import publish
+from briarslip.version.snapshot import EMPTY_SNAPSHOT
+from tests.support.records import Operator
+from tests.support.records import ids
+from tests.support.records import names
+from tests.support.records import removed
+from tests.support.records import route
+from tests.support.records import service
+from tests.support.virtual import VirtualPlatform
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briarslip.version.snapshot import Snapshot
+
+
+class Hooked:
+    """A client that runs hooks before some of its swaps."""
+
+    def __init__(self, world: VirtualPlatform, hooks: dict[int, Any]) -> None:
+        self.world = world
+        self.hooks = hooks
+        self.swaps = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.world.client, name)
+
+    async def swap(self, *arguments: Any) -> Any:
+        """Swap after the hook for this one."""
+        self.swaps += 1
+        self.hooks.get(self.swaps, lambda: None)()
+        return await self.world.client.swap(*arguments)
+
+
+class ChangeWriterTest(unittest.TestCase):
+    """One operator wins, the other is told, and nothing is half in."""
+
+    def setUp(self) -> None:
+        self.world = VirtualPlatform()
+        self.new_id = ids()
+        self.operator = Operator(self.world, self.new_id)
+
+    def hooked(self, hooks: dict[int, Callable[[], Any]]) -> Operator:
+        """Return an operator whose swaps run hooks first."""
+        client: Any = Hooked(self.world, hooks)
+        return Operator(self.world, self.new_id, client)
+
+    def in_force(self) -> Snapshot:
+        """Publish and return what is in force."""
+        client = self.world.client
+        statuses = ChangeStatuses(client)
+        return self.world.run(publish(client, statuses, EMPTY_SNAPSHOT, 0.0)).unwrap()
+
+    def test_the_second_writer_is_told_which_record_moved(self) -> None:
+        self.operator.apply(service("a"), route("r", "a"))
+        mine = (service("b"), route("r", "b", "/mine"))
+        other = self.hooked({2: lambda: self.operator.apply(route("r", "a", "/other"))})
+        lost = other.try_apply(*mine).unwrap_err()
+        self.assertEqual(lost, LostRace(route("r", "").key))
+        snapshot = self.in_force()
+        self.assertEqual(names(snapshot.records), ["route r", "service a"])
+        self.assertIsNone(self.world.store.get(str(service("b").key)))
+
+    def test_what_is_put_back_is_not_published_again(self) -> None:
+        self.operator.apply(service("a"), route("r", "a"))
+        before = self.in_force()
+        race = self.hooked({2: lambda: self.operator.apply(route("q", "a", "/q"))})
+        lost = race.try_apply(route("r", "a", "/new"), route("q", "a", "/mine"))
+        self.assertTrue(lost.is_err())
+        after = self.in_force()
+        self.assertEqual(after.version, before.version + 1)
+        key = route("r", "").key
+        self.assertEqual(after.origins[key], before.origins[key])
+        self.assertEqual(after.records[key], before.records[key])
+
+    def test_an_outage_while_putting_back_leaves_nothing_in_force(self) -> None:
+        def race() -> None:
+            self.operator.apply(service("b"))
+
+        def outage() -> None:
+            self.world.store.outage = "503"
+
+        other = self.hooked({2: race, 3: outage})
+        lost = other.try_apply(service("new"), service("b"), route("r", "b"))
+        self.world.store.outage = ""
+        expected = LostRace(service("b").key, (service("new").key,))
+        self.assertEqual(lost.unwrap_err(), expected)
+        self.assertEqual(names(self.in_force().records), ["service b"])
+        # The operator tries again: the same record, left over, counts as new.
+        self.operator.apply(service("new"))
+        self.assertEqual(names(self.in_force().records), ["service b", "service new"])
+
+    def test_lost_answers(self) -> None:
+        for count in range(1, 5):
+            with self.subTest(lost=count):
+                self.world.store.lose_answers = count
+                self.operator.apply(service(f"a{count}"), service(f"b{count}"))
+                self.world.store.lose_answers = 0
+                self.assertEqual(len(self.in_force().records), 2 * count)
+
+    def test_ours_was_overwritten_before_its_lost_answer_was_settled(self) -> None:
+        lost = Hooked(self.world, {})
+
+        async def swap(key: str, value: bytes | None, revision: int) -> Any:
+            lost.swaps += 1
+            reply = await self.world.client.swap(key, value, revision)
+            if lost.swaps == 1:
+                # The answer is lost, and another operator writes on top.
+                self.world.run(
+                    write_change(
+                        self.world.client, [route("r", "a", "/other")], self.new_id
+                    )
+                )
+                return Err(PlatformError("lost", True))
+            return reply
+
+        client: Any = lost
+        client.swap = swap
+        written = Operator(self.world, self.new_id, client).try_apply(
+            route("r", "a", "/mine"), service("a")
+        )
+        self.assertEqual(len(written.unwrap().keys), 2)
+        snapshot = self.in_force()
+        self.assertEqual(
+            snapshot.records[route("r", "").key].fields["path_prefix"], "/other"
+        )
+
+    def test_expected_revision(self) -> None:
+        self.operator.apply(service("a"))
+        found = self.world.store.get(str(service("a").key))
+        assert found is not None
+        stale = RecordWrite(service("a").key, None, found.mod_revision + 1)
+        key = service("a").key
+        self.assertEqual(
+            self.operator.try_apply(service("b"), stale).unwrap_err(), LostRace(key)
+        )
+        self.assertIsNone(self.world.store.get(str(service("b").key)))
+        self.operator.apply(RecordWrite(key, None, found.mod_revision))
+        created = RecordWrite(key, {}, 0)
+        self.assertEqual(self.operator.try_apply(created).unwrap_err(), LostRace(key))
+
+    def test_what_is_in_force_is_left_alone(self) -> None:
+        self.operator.apply(service("a"))
+        self.in_force()
+        self.assertEqual(self.operator.try_apply(service("a")).unwrap().keys, ())
+        self.operator.apply(removed(service("a")))
+        self.in_force()
+        again = self.operator.try_apply(removed(service("a"))).unwrap()
+        self.assertEqual(again.keys, ())
+
+    def test_an_outage_tells_what_is_in_doubt(self) -> None:
+        def outage() -> None:
+            self.world.store.outage = "503"
+
+        result = self.hooked({2: outage}).try_apply(service("a"), service("b"))
+        error = result.unwrap_err()
+        assert isinstance(error, WriteFailed)
+        self.assertEqual(error.in_doubt, (service("a").key, service("b").key))
+        self.world.store.outage = ""
+        self.assertEqual(names(self.in_force().records), [])
+
+
+class RacingTest(unittest.TestCase):
+    """Several operators write the same records at once, under faults."""
+
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @given(st.data())
+    def test_every_change_is_whole(self, data: Any) -> None:
+        world = VirtualPlatform()
+        new_id = ids()
+        statuses = ChangeStatuses(world.client)
+        snapshot = EMPTY_SNAPSHOT
+        order = st.permutations(("a", "b", "c"))
+        results: dict[str, Any] = {}
+
+        def begin(number: int) -> None:
+            mark = str(1000 + number)
+            writes = [
+                route(name, "s", f"/{name}", timeout_ms=mark)
+                for name in data.draw(order)[: data.draw(st.integers(1, 3))]
+            ]
+            work = Deferred.fromCoroutine(write_change(world.client, writes, new_id))
+            work.addBoth(lambda result: results.update({mark: result}))
+
+        Operator(world, new_id).apply(service("s"))
+        for number in range(data.draw(st.integers(2, 5))):
+            world.store.delay_ms = data.draw(st.sampled_from((10, 20, 35)))
+            begin(number)
+            world.store.lose_answers = data.draw(st.integers(0, 2))
+            world.clock.advance(data.draw(st.sampled_from((0.0, 0.01, 0.05, 2.0))))
+        world.clock.pump([0.01] * 400)
+        world.store.lose_answers = world.store.delay_ms = 0
+        running = world.run(publish(world.client, statuses, snapshot, 0.0)).unwrap()
+        won = {m: r.ok_value for m, r in results.items() if r.is_ok()}
+        in_force = {
+            record.fields["timeout_ms"]
+            for key, record in running.records.items()
+            if key.kind == "route"
+        }
+        self.assertLessEqual(in_force, set(won))
+        for written in won.values():
+            for key in written.keys:
+                self.assertIn(key, running.records)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/process/test_publisher.py
@@ -0,0 +1,249 @@
+"""Tests of publishing, with the failures it is meant for."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+from typing import TYPE_CHECKING
+from typing import Any
+
+from briarslip.process.change_status import ChangeStatuses
+from briarslip.process.publisher import HeadBehind
+from briarslip.process.publisher import LostHead
+from briarslip.process.publisher import publish
+from briarslip.process.version_store import HEAD_KEY
+from briarslip.process.version_store import VERSIONS_PREFIX
+from briarslip.process.version_store import read_head
+from briarslip.process.version_store import read_version
+from briarslip.version.snapshot import EMPTY_SNAPSHOT
+from tests.support.records import Operator
+from tests.support.records import ids
+from tests.support.records import names
+from tests.support.records import route
+from tests.support.records import service
+from tests.support.virtual import VirtualPlatform
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from briarslip.process.platform import KeyValue
+    from briarslip.process.platform import PlatformError
+    from briarslip.process.platform import SwapReply
+    from briarslip.process.publisher import PublishError
+    from briarslip.version.snapshot import Snapshot
+
+
+class Interrupted:
+    """A client that runs a hook before its n-th swap; the hook may raise."""
+
+    def __init__(self, world: VirtualPlatform, before: int, hook: Any) -> None:
+        self.world = world
+        self.before = before
+        self.hook = hook
+        self.swaps = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.world.client, name)
+
+    async def swap(
+        self, key: str, value: bytes | None, revision: int, lease_id: int = 0
+    ) -> Result[SwapReply, PlatformError]:
+        """Swap after the hook."""
+        self.swaps += 1
+        if self.swaps == self.before:
+            self.hook()
+        return await self.world.client.swap(key, value, revision, lease_id)
+
+
+class CrashError(Exception):
+    """The publisher died."""
+
+
+class PublisherTest(unittest.TestCase):
+    """Only the swap of the head puts a version in force."""
+
+    def setUp(self) -> None:
+        self.world = VirtualPlatform()
+        self.operator = Operator(self.world, ids())
+        self.statuses = ChangeStatuses(self.world.client)
+
+    def publish(
+        self, client: Any = None, running: Snapshot = EMPTY_SNAPSHOT
+    ) -> Result[Snapshot, PublishError]:
+        """Run one round."""
+        chosen = client or self.world.client
+        return self.world.run(publish(chosen, ChangeStatuses(chosen), running, 0.0))
+
+    def in_force(self, known: Snapshot = EMPTY_SNAPSHOT) -> Snapshot:
+        """Return what the head names, read as a newcomer does."""
+        head = self.world.run(read_head(self.world.client)).unwrap()
+        return self.world.run(read_version(self.world.client, head, known)).unwrap()
+
+    def status(self, change: str) -> Any:
+        """Return a change's status."""
+        found = self.world.store.get(f"status/changes/{change}")
+        return json.loads(found.value) if found else None
+
+    def item(self, prefix: str) -> KeyValue:
+        """Return the last key under a prefix."""
+        return self.world.run(self.world.client.range(prefix)).unwrap().items[-1]
+
+    def test_each_write_s_answer_is_lost(self) -> None:
+        for count in range(1, 4):
+            with self.subTest(lost=count):
+                change = self.operator.apply(service(f"s{count}"))
+                self.world.store.lose_answers = count
+                self.assertEqual(self.publish().unwrap().version, count)
+                self.assertEqual(self.in_force().version, count)
+                self.publish()
+                self.assertEqual(self.status(change)["state"], "accepted")
+
+    def test_a_publisher_that_dies_anywhere_blocks_nobody(self) -> None:
+        def die() -> None:
+            raise CrashError
+
+        self.operator.apply(service("a"))
+        for swap in range(1, 5):
+            with self.subTest(swap=swap), self.assertRaises(CrashError):
+                self.publish(Interrupted(self.world, swap, die))
+        change = self.operator.apply(service("b"))
+        snapshot = self.publish().unwrap()
+        self.publish()
+        self.assertEqual(names(snapshot.records), ["service a", "service b"])
+        self.assertEqual(self.in_force(), snapshot)
+        self.assertEqual(self.status(change)["state"], "accepted")
+
+    def test_status_that_a_dead_publisher_did_not_write_is_written(self) -> None:
+        def die() -> None:
+            raise CrashError
+
+        change = self.operator.apply(service("a"))
+        with self.assertRaises(CrashError):
+            # Chunk, entry, head, then the status.
+            self.publish(Interrupted(self.world, 4, die))
+        self.assertIsNone(self.status(change))
+        self.publish()
+        self.assertEqual(self.status(change), {"state": "accepted", "version": 1})
+
+    def test_two_publishers_one_frozen_before_the_head_moves(self) -> None:
+        self.operator.apply(service("a"))
+
+        def meanwhile() -> None:
+            self.operator.apply(service("b"))
+            self.publish()
+            self.operator.apply(service("c"))
+            self.publish()
+
+        late = self.publish(Interrupted(self.world, 3, meanwhile))
+        self.assertEqual(late.unwrap_err(), LostHead())
+        self.assertEqual(self.in_force().version, 2)
+        self.assertEqual(
+            names(self.in_force().records), ["service a", "service b", "service c"]
+        )
+
+    def test_garbage_left_at_the_next_version_is_replaced(self) -> None:
+        def die() -> None:
+            raise CrashError
+
+        self.operator.apply(service("a"))
+        self.publish()
+        self.operator.apply(service("b"))
+        with self.assertRaises(CrashError):
+            self.publish(Interrupted(self.world, 2, die))
+        item = self.item(VERSIONS_PREFIX)
+        self.world.store.swap(item.key, item.value[:40], item.mod_revision)
+        self.assertEqual(self.publish().unwrap().version, 2)
+        self.assertEqual(self.item(VERSIONS_PREFIX).value, item.value)
+        self.assertEqual(self.in_force().version, 2)
+
+    def test_a_damaged_version_is_never_read(self) -> None:
+        self.operator.apply(service("a"), route("r", "a"))
+        known = self.publish().unwrap()
+        self.operator.apply(service("b"))
+        self.publish()
+        head = self.world.run(read_head(self.world.client)).unwrap()
+        for prefix in (f"{VERSIONS_PREFIX}{2:012}", f"{VERSIONS_PREFIX}{1:012}"):
+            item = self.item(prefix)
+            for position in range(0, len(item.value), 7):
+                damaged = bytearray(item.value)
+                damaged[position] ^= 1
+                current = self.item(prefix)
+                self.world.store.swap(item.key, bytes(damaged), current.mod_revision)
+                for base in (EMPTY_SNAPSHOT, known):
+                    read = self.world.run(read_version(self.world.client, head, base))
+                    if read.is_ok():
+                        self.assertEqual(read.unwrap().digest, head.digest)
+            current = self.item(prefix)
+            self.world.store.swap(item.key, item.value, current.mod_revision)
+
+    def test_a_damaged_head_version_is_got_past_by_who_runs_it(self) -> None:
+        self.operator.apply(service("a"))
+        running = self.publish().unwrap()
+        item = self.item(VERSIONS_PREFIX)
+        self.world.store.swap(item.key, b"x", item.mod_revision)
+        self.operator.apply(service("b"))
+        self.assertTrue(self.publish().is_err())
+        self.assertEqual(self.publish(running=running).unwrap().version, 2)
+
+    def test_a_platform_that_lost_data_takes_nobody_back(self) -> None:
+        self.operator.apply(service("a"))
+        self.publish()
+        self.operator.apply(service("b"))
+        running = self.publish().unwrap()
+        head = self.world.store.get(HEAD_KEY)
+        assert head is not None
+        old = json.dumps({"version": 1, "digest": "0"}).encode()
+        self.world.store.swap(HEAD_KEY, old, head.mod_revision)
+        self.assertEqual(self.publish(running=running).unwrap_err(), HeadBehind(1, 2))
+
+    def test_old_versions_go_and_newcomers_read_the_rest(self) -> None:
+        rng = random.Random(2)
+        running = EMPTY_SNAPSHOT
+        for number in range(100):
+            change = service(f"s{rng.randrange(30)}-{number}")
+            self.operator.apply(change)
+            running = self.publish(running=running).unwrap()
+        self.assertEqual(self.in_force(), running)
+        self.assertEqual(running.version, 100)
+        keys = self.world.run(self.world.client.range(VERSIONS_PREFIX)).unwrap().items
+        self.assertLessEqual(len(keys), 60)
+
+    def test_large_snapshots_stand_in_chunks(self) -> None:
+        rng = random.Random(3)
+        fields = {"service": "a", "match_methods": "GET"}
+        writes = [service("a")]
+        for number in range(1200):
+            path = "/" + "".join(
+                rng.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=1200)
+            )
+            key = route(f"r{number}", "a").key._replace(schema=2)
+            writes.append(type(writes[0])(key, fields | {"match_path": path}))
+        self.operator.apply(*writes)
+        snapshot = self.publish().unwrap()
+        keys = self.world.run(self.world.client.range(VERSIONS_PREFIX)).unwrap().items
+        self.assertGreater(len(keys), 2)
+        self.assertLess(max(len(item.value) for item in keys), 1_000_000)
+        self.assertEqual(self.in_force(), snapshot)
+
+    def test_refusal_and_its_mending_are_told(self) -> None:
+        change = self.operator.apply(route("r", "a"))
+        self.publish()
+        status = self.status(change)
+        self.assertEqual(status["state"], "refused")
+        self.assertIn("'a', which does not exist", status["findings"][0])
+        self.operator.apply(service("a"))
+        self.publish()
+        self.assertEqual(self.status(change), {"state": "accepted", "version": 1})
+
+    def test_a_late_refusal_does_not_replace_an_acceptance(self) -> None:
+        change = self.operator.apply(route("r", "a"))
+        slow = ChangeStatuses(self.world.client)
+        self.world.run(slow.report_accepted([change], 5, 0.0))
+        self.publish()
+        self.assertEqual(self.status(change), {"state": "accepted", "version": 5})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support/records.py
@@ -0,0 +1,83 @@
+"""Short ways to write records in tests."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING
+
+from briarslip.process.change_writer import RecordWrite
+from briarslip.process.change_writer import write_change
+from briarslip.version.record import Record
+from briarslip.version.record import RecordKey
+from briarslip.version.snapshot import Origin
+from briarslip.version.snapshot import Snapshot
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from result import Result
+
+    from briarslip.process.change_writer import ChangeError
+    from briarslip.process.change_writer import WrittenChange
+    from briarslip.process.platform import PlatformClient
+    from tests.support.virtual import VirtualPlatform
+
+
+def service(name: str) -> RecordWrite:
+    """Return the write of a service."""
+    return RecordWrite(RecordKey("service", name, 1), {})
+
+
+def route(name: str, of: str, path: str = "", **fields: str) -> RecordWrite:
+    """Return the write of a route in schema 1."""
+    values = {"service": of, "path_prefix": path or f"/{name}", **fields}
+    return RecordWrite(RecordKey("route", name, 1), values)
+
+
+def removed(record: RecordWrite) -> RecordWrite:
+    """Return the removal of a record."""
+    return RecordWrite(record.key, None)
+
+
+def snapshot_of(version: int, *writes: RecordWrite) -> Snapshot:
+    """Return a snapshot that holds some records."""
+    records = {w.key: Record(w.key, w.fields) for w in writes if w.fields is not None}
+    return Snapshot(version, records, {w.key: Origin("c", version) for w in writes})
+
+
+def ids() -> Callable[[], str]:
+    """Return a source of ids that repeats exactly."""
+    numbers = count(1)
+    return lambda: f"id-{next(numbers):04}"
+
+
+class Operator:
+    """Writes changes through a client and remembers the answers."""
+
+    def __init__(
+        self,
+        world: VirtualPlatform,
+        new_id: Callable[[], str],
+        client: PlatformClient | None = None,
+    ) -> None:
+        self.world = world
+        self.new_id = new_id
+        self.client = client or world.client
+
+    def try_apply(self, *writes: RecordWrite) -> Result[WrittenChange, ChangeError]:
+        """Write records as one change."""
+        return self.world.run(write_change(self.client, writes, self.new_id))
+
+    def apply(self, *writes: RecordWrite) -> str:
+        """Write records as one change and return its id."""
+        return self.try_apply(*writes).unwrap().change
+
+
+def names(records: Mapping[RecordKey, object]) -> list[str]:
+    """Return the records' kinds and names."""
+    return sorted(f"{key.kind} {key.name}" for key in records)
+
+
+__all__ = ["Operator", "ids", "names", "removed", "route", "service", "snapshot_of"]
--- /dev/null
+++ b/tests/support/virtual.py
@@ -0,0 +1,47 @@
+"""A platform in virtual time for tests of coroutines."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from standins.local_platform import LocalPlatformClient
+from standins.platform import PlatformStandIn
+
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+
+T = TypeVar("T")
+STEP_SECONDS = 0.25
+MAX_STEPS = 400
+
+
+class VirtualPlatform:
+    """A clock, a platform stand-in on it, and a client of that."""
+
+    def __init__(self, history_limit: int = 10_000) -> None:
+        self.clock: Any = Clock()
+        self.store = PlatformStandIn(self.clock, history_limit)
+        self.client = LocalPlatformClient(self.store, self.clock.callLater)
+
+    def run(self, work: Coroutine[Any, Any, T]) -> T:
+        """Run a coroutine to its end, advancing the clock as needed."""
+        done: list[Any] = []
+        Deferred.fromCoroutine(work).addBoth(done.append)
+        for _ in range(MAX_STEPS):
+            if done:
+                break
+            self.clock.advance(STEP_SECONDS)
+        if hasattr(done[0], "raiseException"):
+            done[0].raiseException()
+        value: T = done[0]
+        return value
+
+
+__all__ = ["VirtualPlatform"]
--- /dev/null
+++ b/tests/version/test_record.py
@@ -0,0 +1,86 @@
+"""Tests of records and their schema versions."""
+
+from __future__ import annotations
+
+import unittest
+
+from briarslip.version.record import Record
+from briarslip.version.record import RecordKey
+from briarslip.version.record import Route
+from briarslip.version.record import parse_record
+from briarslip.version.record import records_from_ini
+from briarslip.version.routing_table import compile_snapshot
+from tests.support.records import route
+from tests.support.records import service
+from tests.support.records import snapshot_of
+
+
+def parsed(schema: int, **fields: str) -> Route:
+    """Return a route read in a schema."""
+    form = parse_record(Record(RecordKey("route", "r", schema), fields)).unwrap()
+    assert isinstance(form, Route)
+    return form
+
+
+class SchemaTest(unittest.TestCase):
+    """Two schemas of a record are read into one form."""
+
+    def test_schemas_of_a_route_agree(self) -> None:
+        old = parsed(1, service="a", path_prefix="/x/", idempotent="true")
+        new = parsed(2, service="a", match_path="/x", retry="unknown")
+        self.assertEqual(old, new)
+
+    def test_schema_2_names_methods(self) -> None:
+        new = parsed(2, service="a", match_path="/x", match_methods="GET, PUT")
+        self.assertEqual(new.methods, {"GET", "PUT"})
+        self.assertFalse(new.idempotent)
+
+    def test_findings_come_all_together(self) -> None:
+        text = (
+            "[route r]\nschema = 2\nmatch_path = x\nmatch_methods = get\n"
+            "service = a\npath_prefix = /x\n[route q]\nschema = 9\nservice = a\n"
+        )
+        findings = records_from_ini(text, "file").unwrap_err()
+        found = [(f.line, f.field) for f in sorted(findings)]
+        self.assertEqual(
+            found,
+            [(3, "match_path"), (4, "match_methods"), (6, "path_prefix"), (7, "")],
+        )
+
+    def test_the_newest_known_schema_wins(self) -> None:
+        new = route("r", "a", "/old")
+        fields = {"service": "a", "match_path": "/new"}
+        key = RecordKey("route", "r", 2)
+        snapshot = snapshot_of(1, service("a"), new)
+        snapshot = snapshot_of(
+            2,
+            service("a"),
+            new,
+            type(new)(key, fields),
+            type(new)(key._replace(schema=9), {}),
+        )
+        table = compile_snapshot(snapshot).unwrap()
+        self.assertEqual([r.path_prefix for r in table.routes], ["/new"])
+
+    def test_an_unknown_schema_keeps_the_form_that_ran(self) -> None:
+        before = compile_snapshot(
+            snapshot_of(1, service("a"), route("r", "a"))
+        ).unwrap()
+        unknown = type(service("a"))(RecordKey("route", "r", 9), {"service": "a"})
+        snapshot = snapshot_of(2, service("a"), unknown)
+        table = compile_snapshot(snapshot, before).unwrap()
+        self.assertEqual(table.routes, before.routes)
+        self.assertEqual([f.source for f in table.kept], ["records/route/r/9"])
+        self.assertIn("unknown", str(compile_snapshot(snapshot).unwrap_err()[0]))
+
+    def test_a_kept_form_needs_its_service(self) -> None:
+        before = compile_snapshot(
+            snapshot_of(1, service("a"), route("r", "a"))
+        ).unwrap()
+        unknown = type(service("a"))(RecordKey("route", "r", 9), {"service": "b"})
+        refused = compile_snapshot(snapshot_of(2, service("b"), unknown), before)
+        self.assertIn("'a'", str(refused.unwrap_err()[0]))
+
+
+if __name__ == "__main__":
+    unittest.main()
