--- a/src/briarslip/version/snapshot.py
+++ b/src/briarslip/version/snapshot.py
@@ -31,6 +31,9 @@
     revision: int
 
 
+NO_ORIGIN = Origin("", 0)
+
+
 @dataclass(frozen=True)
 class Snapshot:
     """The accepted records of one version.
@@ -78,10 +81,9 @@
     return {
         str(key): [
             dict(records[key].fields) if key in records else None,
-            origin.change,
-            origin.revision,
+            *origins.get(key, NO_ORIGIN),
         ]
-        for key, origin in origins.items()
+        for key in records.keys() | origins.keys()
     }
 
 
--- /dev/null
+++ b/tests/process/test_platform_watch.py
@@ -0,0 +1,110 @@
+"""Tests of watches that go on after outages, and of jobs that are repeated."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TYPE_CHECKING
+
+from briarslip.process.platform_watch import BACKOFF_CAP_SECONDS
+from briarslip.process.platform_watch import PlatformWatch
+from briarslip.process.relay import Job
+from tests.support.virtual import VirtualPlatform
+
+
+if TYPE_CHECKING:
+    from briarslip.process.platform import WatchEvent
+
+
+class PlatformWatchTest(unittest.TestCase):
+    """No event is missed, and a dead platform is not pressed."""
+
+    def setUp(self) -> None:
+        self.world = VirtualPlatform(history_limit=5)
+        self.seen: list[int] = []
+        self.lost = 0
+        self.watch = PlatformWatch(
+            self.world.clock,
+            random.Random(1),
+            self.world.client,
+            "k/",
+            self.take,
+            self.lose,
+        )
+
+    def take(self, events: tuple[WatchEvent, ...]) -> None:
+        self.seen.extend(int(event.value or b"0") for event in events)
+
+    def lose(self) -> None:
+        self.lost += 1
+
+    def write(self, *values: int) -> None:
+        """Write values, each to a key of its own."""
+        for value in values:
+            self.world.store.swap(f"k/{value}", str(value).encode(), 0)
+
+    def test_nothing_is_missed_over_an_outage(self) -> None:
+        self.write(1)
+        self.watch.start(0)
+        self.write(2)
+        self.world.clock.advance(0.1)
+        self.world.store.outage = "close"
+        self.world.clock.advance(3.0)
+        self.world.store.outage = ""
+        self.write(3, 4)
+        self.world.clock.pump([0.1] * 50)
+        self.assertEqual((self.seen, self.lost), ([2, 3, 4], 0))
+
+    def test_a_compacted_revision_is_told(self) -> None:
+        self.watch.start(0)
+        self.world.store.outage = "close"
+        self.world.clock.advance(0.1)
+        self.write(*range(1, 12))
+        self.world.store.outage = ""
+        self.watch.next_revision = 2
+        self.world.clock.pump([0.1] * 50)
+        self.assertEqual(self.lost, 1)
+
+    def test_a_dead_platform_is_not_pressed(self) -> None:
+        self.world.store.outage = "close"
+        self.watch.start(0)
+        self.world.clock.pump([0.05] * 20 * 120)
+        tries = self.world.store.counts["watch"]
+        # Full jitter: half the cap between two tries, on average.
+        self.assertLess(tries, 1.5 * 120 / (BACKOFF_CAP_SECONDS / 2))
+        self.assertGreater(tries, 120 / BACKOFF_CAP_SECONDS)
+
+    def test_a_stopped_watch_stays_stopped(self) -> None:
+        self.world.store.outage = "close"
+        self.watch.start(0)
+        self.world.clock.advance(0.01)
+        self.watch.stop()
+        self.world.store.outage = ""
+        self.world.clock.pump([0.1] * 100)
+        self.assertEqual(self.world.store.waiting_watches, 0)
+
+
+class JobTest(unittest.TestCase):
+    """One run at a time; failures are repeated."""
+
+    def test_failures_and_errors_are_repeated(self) -> None:
+        world = VirtualPlatform()
+        ends: list[bool | None] = [False, None, True]
+        runs: list[float] = []
+
+        async def work() -> bool:
+            runs.append(world.clock.seconds())
+            end = ends[len(runs) - 1]
+            if end is None:
+                raise ValueError
+            return end
+
+        job = Job(world.clock, random.Random(1), work)
+        job.run()
+        world.clock.pump([0.1] * 100)
+        self.assertEqual(len(runs), 3)
+        self.assertFalse(job.busy)
+
+
+if __name__ == "__main__":
+    unittest.main()
