Replace the exchange of whole tables by probes with bounded updates

Change: failure detection after SWIM as functions over messages (probing, suspicion, failure_detector), statements that ride on datagrams below 1,200 bytes a bounded number of times under a byte budget (dissemination), whole zones compared by checksum over peer links (membership_sync and _exchange), other zones through daemons chosen by rendezvous hash per pair of zones (zone_digest), contacts on the platform (contacts), version last heard from an address.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -244,6 +244,8 @@
             self.fleet.seeds,
             HEARTBEAT_SECONDS,
             lambda peer, version: self.distribution.heard_version(peer, version),
+            self.platform,
+            self.send_control,
         )
         self.distribution = DistributionTask(
             self.reactor,
@@ -293,6 +295,8 @@
         """Act on a control message."""
         if topic is Topic.CONFIGURATION:
             self.distribution.take_message(sender, payload)
+        elif topic is Topic.MEMBERSHIP:
+            self.membership.take_message(sender, payload)
 
 
 class Fleet:
--- /dev/null
+++ b/src/briarslip/process/contacts.py
@@ -0,0 +1,114 @@
+"""Contacts on the platform: a few addresses by which a zone can be joined."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from briarslip import fields
+from briarslip.address import Address
+from briarslip.process.zone_digest import carriers
+
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+
+    from result import Result
+
+    from briarslip.process.membership import Membership
+    from briarslip.process.platform import PlatformClient
+    from briarslip.process.platform import PlatformError
+
+
+CONTACTS_PREFIX = "contacts/"
+CONTACTS_PER_ZONE = 3
+LEAST_LIVE_CONTACTS = 2
+FIRST_CHECK_SECONDS = 10.0
+CHECK_SECONDS = 120.0
+
+Contacts = tuple[Address, ...]
+
+
+def contacts_key(zone: str) -> str:
+    """Return the key of a zone's contacts."""
+    return f"{CONTACTS_PREFIX}{zone}"
+
+
+def encode_contacts(contacts: Contacts) -> bytes:
+    """Return the value that stands for contacts."""
+    return ", ".join(map(str, contacts)).encode()
+
+
+def decode_contacts(value: bytes) -> Contacts:
+    """Read contacts; what can't be read counts as none."""
+    read = fields.listed(fields.address)(value.decode(errors="replace"))
+    return () if isinstance(read, Err) else read.ok_value
+
+
+def keeps_contacts(table: Membership) -> bool:
+    """Tell whether this daemon is one of the few that check the contacts."""
+    near = (member.address for member in table.zone_members(table.zone))
+    return table.self_member.address in carriers(near, table.zone)
+
+
+def contacts_to_write(
+    current: Contacts, ranked: Contacts, live: Collection[Address]
+) -> Contacts | None:
+    """Return the contacts to write, None while enough of them are live."""
+    kept = tuple(address for address in current if address in live)
+    if len(kept) >= min(LEAST_LIVE_CONTACTS, len(live)):
+        return None
+    added = tuple(address for address in ranked if address not in kept)
+    return (kept + added)[:CONTACTS_PER_ZONE]
+
+
+async def read_zone_contacts(platform: PlatformClient, zone: str) -> Contacts:
+    """Read one zone's contacts; none if the platform does not answer."""
+    found = await platform.get(contacts_key(zone))
+    if isinstance(found, Err) or found.ok_value is None:
+        return ()
+    return decode_contacts(found.ok_value.value)
+
+
+async def check_contacts(
+    platform: PlatformClient, table: Membership
+) -> Result[Mapping[str, Contacts], PlatformError]:
+    """Read every zone's contacts and rewrite the own zone's if need be.
+
+    A lost swap means that another daemon has just written them.
+    """
+    found = await platform.range(CONTACTS_PREFIX)
+    if isinstance(found, Err):
+        return found
+    items = {
+        item.key.removeprefix(CONTACTS_PREFIX): item for item in found.ok_value.items
+    }
+    own = items.get(table.zone)
+    current = decode_contacts(own.value) if own else ()
+    live = {member.address for member in table.zone_members(table.zone)}
+    chosen = contacts_to_write(current, carriers(live, table.zone), live)
+    if chosen is not None:
+        revision = own.mod_revision if own else 0
+        key = contacts_key(table.zone)
+        written = await platform.swap(key, encode_contacts(chosen), revision)
+        if isinstance(written, Err):
+            return written
+    return found.map(
+        lambda _: {zone: decode_contacts(item.value) for zone, item in items.items()}
+    )
+
+
+__all__ = [
+    "CHECK_SECONDS",
+    "CONTACTS_PREFIX",
+    "FIRST_CHECK_SECONDS",
+    "check_contacts",
+    "contacts_key",
+    "contacts_to_write",
+    "decode_contacts",
+    "encode_contacts",
+    "keeps_contacts",
+    "read_zone_contacts",
+]
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -83,6 +83,8 @@
             settings.membership.seeds,
             settings.membership.heartbeat_interval.total_seconds(),
             lambda peer, version: self.distribution.heard_version(peer, version),
+            self.platform,
+            self.links.send_control,
         )
         self.distribution = DistributionTask(
             reactor,
@@ -179,6 +181,8 @@
         """Act on a control message of a peer."""
         if frame.topic is Topic.CONFIGURATION:
             self.distribution.take_message(sender, frame.payload)
+        elif frame.topic is Topic.MEMBERSHIP:
+            self.membership.take_message(sender, frame.payload)
 
     def take_announcement(self, body: bytes) -> JsonReply:
         """Take what a backend server beside this daemon says of itself."""
--- a/src/briarslip/process/membership.capnp
+++ b/src/briarslip/process/membership.capnp
@@ -1,32 +1,69 @@
 @0xb0c4d2a1f7e63958;
-# Membership messages between daemons.
-
-enum Status {
-  alive @0;
-  suspect @1;
-  dead @2;
-  left @3;
-}
+# Membership messages between daemons. Texts that repeat stand once in `names`.
 
 struct Endpoint {
-  service @0 :Text;
-  version @1 :Text;
+  service @0 :UInt16;
+  version @1 :UInt16;
   slots @2 :UInt16;
   connections @3 :UInt16;
   draining @4 :Bool;
 }
 
-struct Member {
-  host @0 :Text;
+struct Statement {
+  incarnation @0 :UInt64;
+  ipv4 @1 :UInt32;
+  port @2 :UInt16;
+  status @3 :UInt8;
+  runningVersion @4 :UInt64;
+  availabilityZone @5 :UInt16;
+  region @6 :UInt16;
+  ipv6 @7 :Data;
+  endpoints @8 :List(Endpoint);
+}
+
+struct PeerAddress {
+  ipv4 @0 :UInt32;
   port @1 :UInt16;
-  availabilityZone @2 :Text;
-  region @3 :Text;
-  incarnation @4 :UInt64;
-  status @5 :Status;
-  runningVersion @6 :UInt64;
-  endpoints @7 :List(Endpoint);
+  ipv6 @2 :Data;
+}
+
+struct Datagram {
+  zoneTag @0 :UInt32;
+  sequence @1 :UInt32;
+  runningVersion @2 :UInt64;
+  kind @3 :UInt8;
+  target @4 :PeerAddress;
+  names @5 :List(Text);
+  statements @6 :List(Statement);
+}
+
+struct ZoneSummary {
+  availabilityZone @0 :Text;
+  checksum @1 :UInt64;
+  age @2 :UInt32;
+}
+
+struct SyncRequest {
+  runningVersion @0 :UInt64;
+  wantsTable @1 :Bool;
+  summaries @2 :List(ZoneSummary);
+}
+
+struct SyncReply {
+  runningVersion @0 :UInt64;
+  minimumVersion @1 :UInt64;
+  busy @2 :Bool;
+  more @3 :Bool;
+  availabilityZone @4 :Text;
+  peers @5 :List(PeerAddress);
 }
 
-struct Heartbeat {
-  members @0 :List(Member);
+struct Control {
+  names @0 :List(Text);
+  statements @1 :List(Statement);
+  union {
+    request @2 :SyncRequest;
+    reply @3 :SyncReply;
+    updates @4 :Void;
+  }
 }
--- a/src/briarslip/process/membership.py
+++ b/src/briarslip/process/membership.py
@@ -1,10 +1,13 @@
-"""Membership: who is there, learned by exchanged heartbeats."""
+"""The table of members: own zone in detail, other zones by their digests."""
 
 from __future__ import annotations
 
+import hashlib
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from briarslip.process.member import Member
@@ -12,15 +15,50 @@
 
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Iterable
 
     from briarslip.address import Address
     from briarslip.process.member import Endpoint
 
 
-FANOUT = 3
-SILENT_SECONDS = 5.0
+FORGET_SECONDS = 600.0
+KEEP_VERSION_SECONDS = 86_400.0
+MAX_KEPT_VERSIONS = 4_096
+FORGET_ZONE_SECONDS = 7_200.0
+CHECKSUM_MASK = (1 << 64) - 1
+
+
+@dataclass(frozen=True, slots=True)
+class HeardVersion:
+    """The newest version that a daemon at an address was heard to run."""
+
+    version: int
+    heard_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """The live members, sorted out once for each change of the table."""
+
+    live: tuple[Member, ...]
+    by_zone: dict[str, tuple[Member, ...]]
+    by_service: dict[str, tuple[Member, ...]]
+
+    @classmethod
+    def from_members(cls, members: Iterable[Member]) -> View:
+        """Sort out members."""
+        live = tuple(members)
+        zones: dict[str, list[Member]] = {}
+        services: dict[str, list[Member]] = {}
+        for member in live:
+            zones.setdefault(member.availability_zone, []).append(member)
+            for service in {endpoint.service for endpoint in member.endpoints}:
+                services.setdefault(service, []).append(member)
+        return cls(
+            live,
+            {zone: tuple(found) for zone, found in zones.items()},
+            {service: tuple(found) for service, found in services.items()},
+        )
 
 
 @dataclass(slots=True)
@@ -28,74 +66,206 @@
     """What this daemon knows of all daemons, itself among them."""
 
     self_member: Member
-    seeds: tuple[Address, ...]
     members: dict[Address, Member] = field(default_factory=dict)
-    heard: dict[Address, float] = field(default_factory=dict)
+    ended_at: dict[Address, float] = field(default_factory=dict)
+    versions: dict[Address, HeardVersion] = field(default_factory=dict)
+    zone_heard_at: dict[str, float] = field(default_factory=dict)
+    revisions: Counter[str] = field(default_factory=Counter)
+    checksums: dict[str, tuple[int, int]] = field(default_factory=dict)
+    cached_view: View | None = None
+
+    @property
+    def zone(self) -> str:
+        """The availability zone of this daemon."""
+        return self.self_member.availability_zone
+
+    @property
+    def view(self) -> View:
+        """The live members, sorted out."""
+        if self.cached_view is None:
+            others = (m for m in self.members.values() if is_live(m))
+            self.cached_view = View.from_members((self.self_member, *others))
+        return self.cached_view
 
     @property
     def live(self) -> tuple[Member, ...]:
         """Every member that takes part, this daemon first."""
-        others = (m for m in self.members.values() if m.status <= Status.SUSPECT)
-        return (self.self_member, *others)
+        return self.view.live
+
+    @property
+    def peers(self) -> tuple[Member, ...]:
+        """The other live members of the own zone."""
+        own = self.self_member
+        return tuple(m for m in self.zone_members(self.zone) if m is not own)
+
+    @property
+    def zones(self) -> tuple[str, ...]:
+        """The zones of which any member is known, in order."""
+        return tuple(sorted(self.revisions.keys() | {self.zone}))
 
     def zone_members(self, availability_zone: str) -> tuple[Member, ...]:
         """Return the live members of one availability zone."""
-        return tuple(m for m in self.live if m.availability_zone == availability_zone)
+        return self.view.by_zone.get(availability_zone, ())
+
+    def last_heard_version(self, address: Address) -> int:
+        """Return the version last heard from an address, 0 if none was."""
+        heard = self.versions.get(address)
+        return heard.version if heard else 0
+
+    def changed(self, zone: str) -> None:
+        """Drop what was worked out from the members of a zone."""
+        self.revisions[zone] += 1
+        self.cached_view = None
+
+
+def is_live(member: Member) -> bool:
+    """Tell whether a member takes part; a suspect one still does."""
+    return member.status <= Status.SUSPECT
+
+
+def is_newer(statement: Member, known: Member) -> bool:
+    """Tell whether a statement goes before what is known."""
+    return (statement.incarnation, statement.status) > (
+        known.incarnation,
+        known.status,
+    )
 
 
 def announce(
     state: Membership,
     endpoints: tuple[Endpoint, ...],
     running_version: int,
-    status: Status = Status.ALIVE,
-) -> None:
-    """Make a new statement of this daemon about itself."""
+    status: Status,
+) -> bool:
+    """State what this daemon has; return whether others must be told.
+
+    The running version alone is no news: every message carries it.
+    """
+    own = state.self_member
+    is_news = (own.endpoints, own.status) != (endpoints, status)
     state.self_member = replace(
-        state.self_member,
-        incarnation=state.self_member.incarnation + 1,
+        own,
+        incarnation=own.incarnation + is_news,
         endpoints=endpoints,
         running_version=running_version,
         status=status,
     )
+    state.cached_view = None
+    if is_news:
+        state.changed(state.zone)
+    return is_news
+
+
+def raise_incarnation(state: Membership, above: int) -> None:
+    """Go above what was said of this daemon."""
+    own = state.self_member
+    state.self_member = replace(own, incarnation=max(own.incarnation, above) + 1)
+    state.changed(state.zone)
+
+
+def is_refutable(state: Membership, statement: Member) -> bool:
+    """Tell whether a statement about this daemon's address is not its own."""
+    own = state.self_member
+    if statement.incarnation != own.incarnation:
+        return statement.incarnation > own.incarnation
+    if statement.status is Status.ALIVE:
+        return statement.endpoints != own.endpoints
+    return own.status is not Status.LEFT
 
 
-def merge(state: Membership, members: Iterable[Member], now: float) -> bool:
-    """Take over newer statements; return whether anything changed."""
-    changed = False
-    for member in members:
-        if member.address == state.self_member.address:
+def take(state: Membership, statement: Member, now: float) -> Member | None:
+    """Take over a statement about another; return the member if it is news."""
+    address = statement.address
+    known = state.members.get(address)
+    if known is not None and not is_newer(statement, known):
+        return None
+    if known is not None and statement.status is not Status.ALIVE:
+        version = max(known.running_version, statement.running_version)
+        statement = replace(
+            statement, endpoints=known.endpoints, running_version=version
+        )
+    state.members[address] = statement
+    if is_live(statement):
+        state.ended_at.pop(address, None)
+    else:
+        state.ended_at.setdefault(address, now)
+    hear_version(state, address, statement.running_version, now)
+    state.changed(statement.availability_zone)
+    return statement
+
+
+def hear_version(state: Membership, address: Address, version: int, now: float) -> None:
+    """Note the version that an address runs; it never goes back."""
+    kept = max(version, state.last_heard_version(address))
+    if kept:
+        state.versions.pop(address, None)
+        state.versions[address] = HeardVersion(kept, now)
+
+
+def forget(state: Membership, now: float) -> None:
+    """Drop members that ended long ago, and what is kept of addresses."""
+    for address, ended_at in list(state.ended_at.items()):
+        if now - ended_at > FORGET_SECONDS:
+            del state.ended_at[address]
+            member = state.members.pop(address)
+            state.changed(member.availability_zone)
+    _forget_versions(state, now)
+    _forget_zones(state, now)
+
+
+def _forget_versions(state: Membership, now: float) -> None:
+    # The addresses stand in the order in which they were heard.
+    for address, heard in list(state.versions.items()):
+        is_old = now - heard.heard_at > KEEP_VERSION_SECONDS
+        if not is_old and len(state.versions) <= MAX_KEPT_VERSIONS:
+            return
+        del state.versions[address]
+
+
+def _forget_zones(state: Membership, now: float) -> None:
+    for zone, heard_at in list(state.zone_heard_at.items()):
+        if zone == state.zone or now - heard_at <= FORGET_ZONE_SECONDS:
             continue
-        known = state.members.get(member.address)
-        if known is None or (member.incarnation, member.status) > (
-            known.incarnation,
-            known.status,
-        ):
-            state.members[member.address] = member
-            state.heard[member.address] = now
-            changed = True
-    return changed
+        for address, member in list(state.members.items()):
+            if member.availability_zone == zone:
+                del state.members[address]
+                state.ended_at.pop(address, None)
+        del state.zone_heard_at[zone]
+        state.changed(zone)
+        del state.revisions[zone]
+        state.checksums.pop(zone, None)
 
 
-def expire(state: Membership, now: float) -> None:
-    """Mark members dead that no statement has come from."""
-    for address, member in list(state.members.items()):
-        silent = now - state.heard[address]
-        if member.status < Status.DEAD and silent > SILENT_SECONDS:
-            state.members[address] = replace(member, status=Status.DEAD)
+def checksum(state: Membership, zone: str) -> int:
+    """Return the checksum of a zone's live members and their incarnations."""
+    revision = state.revisions.get(zone, 0)
+    cached = state.checksums.get(zone)
+    if cached is not None and cached[0] == revision:
+        return cached[1]
+    total = sum(
+        _checksum_part(member.address, member.incarnation)
+        for member in state.zone_members(zone)
+        if is_live(member)
+    )
+    state.checksums[zone] = (revision, total & CHECKSUM_MASK)
+    return total & CHECKSUM_MASK
 
 
-def heartbeat_targets(state: Membership, rng: random.Random) -> tuple[Address, ...]:
-    """Return the peers that get the next heartbeat."""
-    known = [m.address for m in state.live if m is not state.self_member]
-    own = state.self_member.address
-    candidates = sorted({*known, *state.seeds} - {own})
-    return tuple(rng.sample(candidates, min(FANOUT, len(candidates))))
+@lru_cache(maxsize=4096)
+def _checksum_part(address: Address, incarnation: int) -> int:
+    text = f"{address} {incarnation}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
 
 
 __all__ = [
     "Membership",
     "announce",
-    "expire",
-    "heartbeat_targets",
-    "merge",
+    "checksum",
+    "forget",
+    "hear_version",
+    "is_live",
+    "is_newer",
+    "is_refutable",
+    "raise_incarnation",
+    "take",
 ]
--- a/src/briarslip/process/membership_codec.py
+++ b/src/briarslip/process/membership_codec.py
@@ -1,7 +1,13 @@
-"""The Cap'n Proto codec of membership messages."""
+"""The Cap'n Proto codec of membership messages.
+
+A repeated text is written once and referred to by its number. In datagrams
+the zone and region of the sender are implied, since datagrams stay in a zone.
+"""
 
 from __future__ import annotations
 
+import ipaddress
+import zlib
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
@@ -15,64 +21,219 @@
 from briarslip.process.member import Endpoint
 from briarslip.process.member import Member
 from briarslip.process.member import Status
+from briarslip.process.membership_messages import Datagram
+from briarslip.process.membership_messages import Kind
+from briarslip.process.membership_messages import SyncReply
+from briarslip.process.membership_messages import SyncRequest
+from briarslip.process.membership_messages import Updates
+from briarslip.process.membership_messages import ZoneSummary
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
-
-SCHEMA = capnp.load(str(Path(__file__).with_name("membership.capnp")))
+    from briarslip.process.membership_messages import ControlMessage
 
 
-def encode_heartbeat(members: Sequence[Member]) -> bytes:
-    """Return a heartbeat that carries some members."""
-    message = SCHEMA.Heartbeat.new_message()
-    entries = message.init("members", len(members))
-    for entry, member in zip(entries, members, strict=True):
-        _encode_member(entry, member)
+SCHEMA = capnp.load(str(Path(__file__).with_name("membership.capnp")))
+MAX_CONTROL_BYTES = 4 << 20
+BAD_MESSAGE_ERRORS = (capnp.KjException, ValueError, IndexError, zlib.error)
+
+Place = tuple[str, str]
+NO_PLACE: Place = ("", "")
+
+
+def encode_datagram(datagram: Datagram, place: Place) -> bytes:
+    """Return a datagram; ``place`` is the sender's zone and region."""
+    message = SCHEMA.Datagram.new_message()
+    message.zoneTag = _zone_tag(place)
+    message.kind = int(datagram.kind)
+    message.sequence = datagram.sequence
+    message.runningVersion = datagram.running_version
+    if datagram.target is not None:
+        _write_address(message.init("target"), datagram.target)
+    _write_statements(message, datagram.statements, place)
     data: bytes = message.to_bytes_packed()
     return data
 
 
-def decode_heartbeat(data: bytes) -> Result[tuple[Member, ...], str]:
-    """Read a heartbeat's members; the error is a reason."""
+def decode_datagram(data: bytes, place: Place) -> Result[Datagram, str]:
+    """Read a datagram; the error is a reason."""
+    try:
+        message = SCHEMA.Datagram.from_bytes_packed(data)
+        if message.zoneTag != _zone_tag(place):
+            return Err("a datagram of another zone")
+        has_target = message.kind == Kind.PROBE_REQUEST
+        return Ok(
+            Datagram(
+                kind=Kind(message.kind),
+                sequence=message.sequence,
+                running_version=message.runningVersion,
+                statements=_read_statements(message, place),
+                target=_read_address(message.target) if has_target else None,
+            )
+        )
+    except BAD_MESSAGE_ERRORS as error:
+        return Err(f"not a datagram: {error}")
+
+
+def encode_control(message: ControlMessage) -> bytes:
+    """Return a control message, compressed since zones are written whole."""
+    target = SCHEMA.Control.new_message()
+    statements: Sequence[Member]
+    match message:
+        case SyncRequest(sender):
+            statements = (sender,)
+            _write_request(target.init("request"), message)
+        case SyncReply():
+            statements = message.statements
+            _write_reply(target.init("reply"), message)
+        case Updates(statements):
+            target.updates = None
+    _write_statements(target, statements, NO_PLACE)
+    return zlib.compress(target.to_bytes_packed())
+
+
+def decode_control(data: bytes) -> Result[ControlMessage, str]:
+    """Read a control message; the error is a reason."""
     try:
-        message = SCHEMA.Heartbeat.from_bytes_packed(data)
-        return Ok(tuple(_decode_member(entry) for entry in message.members))
-    except (capnp.KjException, ValueError) as error:
-        return Err(f"not a heartbeat: {error}")
+        inflater = zlib.decompressobj()
+        whole = inflater.decompress(data, MAX_CONTROL_BYTES)
+        message = SCHEMA.Control.from_bytes_packed(whole)
+        statements = _read_statements(message, NO_PLACE)
+        match message.which():
+            case "request":
+                return Ok(_read_request(message.request, statements[0]))
+            case "reply":
+                return Ok(_read_reply(message.reply, statements))
+            case _:
+                return Ok(Updates(statements))
+    except BAD_MESSAGE_ERRORS as error:
+        return Err(f"not a membership message: {error}")
+
+
+def _zone_tag(place: Place) -> int:
+    return zlib.crc32("/".join(place).encode())
+
+
+def _write_request(target: Any, message: SyncRequest) -> None:
+    target.runningVersion = message.sender.running_version
+    target.wantsTable = message.wants_table
+    entries = target.init("summaries", len(message.summaries))
+    for entry, summary in zip(entries, message.summaries, strict=True):
+        entry.availabilityZone = summary.availability_zone
+        entry.checksum = summary.checksum
+        entry.age = summary.age
+
+
+def _read_request(source: Any, sender: Member) -> SyncRequest:
+    summaries = tuple(
+        ZoneSummary(entry.availabilityZone, entry.checksum, entry.age)
+        for entry in source.summaries
+    )
+    return SyncRequest(sender, summaries, source.wantsTable)
+
+
+def _write_reply(target: Any, message: SyncReply) -> None:
+    target.runningVersion = message.running_version
+    target.minimumVersion = message.minimum_version
+    target.busy = message.busy
+    target.more = message.more
+    target.availabilityZone = message.availability_zone
+    entries = target.init("peers", len(message.peers))
+    for entry, peer in zip(entries, message.peers, strict=True):
+        _write_address(entry, peer)
+
+
+def _read_reply(source: Any, statements: tuple[Member, ...]) -> SyncReply:
+    return SyncReply(
+        running_version=source.runningVersion,
+        minimum_version=source.minimumVersion,
+        availability_zone=source.availabilityZone,
+        statements=statements,
+        peers=tuple(_read_address(entry) for entry in source.peers),
+        busy=source.busy,
+        more=source.more,
+    )
+
+
+def _write_statements(target: Any, members: Sequence[Member], place: Place) -> None:
+    numbers = {text: number for number, text in enumerate(dict.fromkeys(place))}
+    implied = len(numbers)
+    entries = target.init("statements", len(members))
+    for entry, member in zip(entries, members, strict=True):
+        _write_statement(entry, member, numbers)
+    names = list(numbers)[implied:]
+    if names:
+        target.names = names
 
 
-def _encode_member(entry: Any, member: Member) -> None:
-    entry.host = member.address.host
-    entry.port = member.address.port
-    entry.availabilityZone = member.availability_zone
-    entry.region = member.region
+def _write_statement(entry: Any, member: Member, numbers: dict[str, int]) -> None:
+    def number(text: str) -> int:
+        return numbers.setdefault(text, len(numbers))
+
+    _write_address(entry, member.address)
     entry.incarnation = member.incarnation
     entry.status = int(member.status)
     entry.runningVersion = member.running_version
-    endpoints = entry.init("endpoints", len(member.endpoints))
-    for target, endpoint in zip(endpoints, member.endpoints, strict=True):
-        target.service = endpoint.service
-        target.version = endpoint.version
+    entry.availabilityZone = number(member.availability_zone)
+    entry.region = number(member.region)
+    if not member.endpoints or member.status is not Status.ALIVE:
+        return
+    targets = entry.init("endpoints", len(member.endpoints))
+    for target, endpoint in zip(targets, member.endpoints, strict=True):
+        target.service = number(endpoint.service)
+        target.version = number(endpoint.version)
         target.slots = endpoint.slots
         target.connections = endpoint.connections
         target.draining = endpoint.draining
 
 
-def _decode_member(entry: Any) -> Member:
+def _read_statements(source: Any, place: Place) -> tuple[Member, ...]:
+    names = [*dict.fromkeys(place), *source.names]
+    return tuple(_read_statement(entry, names) for entry in source.statements)
+
+
+def _read_statement(entry: Any, names: Sequence[str]) -> Member:
     return Member(
-        address=Address(entry.host, entry.port),
-        availability_zone=entry.availabilityZone,
-        region=entry.region,
+        address=_read_address(entry),
+        availability_zone=names[entry.availabilityZone],
+        region=names[entry.region],
         incarnation=entry.incarnation,
-        status=Status(entry.status.raw),
+        status=Status(entry.status),
         running_version=entry.runningVersion,
-        endpoints=tuple(
-            Endpoint(e.service, e.version, e.slots, e.connections, e.draining)
-            for e in entry.endpoints
-        ),
+        endpoints=_read_endpoints(entry.endpoints, names),
+    )
+
+
+def _read_endpoints(
+    entries: Iterable[Any], names: Sequence[str]
+) -> tuple[Endpoint, ...]:
+    return tuple(
+        Endpoint(names[e.service], names[e.version], e.slots, e.connections, e.draining)
+        for e in entries
     )
 
 
-__all__ = ["decode_heartbeat", "encode_heartbeat"]
+def _write_address(target: Any, address: Address) -> None:
+    host = ipaddress.ip_address(address.host)
+    if host.version == 4:
+        target.ipv4 = int(host)
+    else:
+        target.ipv6 = host.packed
+    target.port = address.port
+
+
+def _read_address(source: Any) -> Address:
+    packed = source.ipv6
+    host = ipaddress.ip_address(packed or source.ipv4)
+    return Address(str(host), source.port)
+
+
+__all__ = [
+    "decode_control",
+    "decode_datagram",
+    "encode_control",
+    "encode_datagram",
+]
--- /dev/null
+++ b/src/briarslip/process/membership_protocol.py
@@ -0,0 +1,135 @@
+"""The membership protocol as functions over messages, without any I/O.
+
+Each takes the state, a message and the time, and returns what to send.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briarslip.process import zone_digest
+from briarslip.process.failure_detector import answer_datagram
+from briarslip.process.failure_detector import end_probes
+from briarslip.process.failure_detector import end_suspicions
+from briarslip.process.failure_detector import probe
+from briarslip.process.failure_detector import probe_next
+from briarslip.process.failure_detector import push
+from briarslip.process.member import Endpoint
+from briarslip.process.member import Status
+from briarslip.process.membership import announce
+from briarslip.process.membership import forget
+from briarslip.process.membership import hear_version
+from briarslip.process.membership import raise_incarnation
+from briarslip.process.membership_exchange import answer_request
+from briarslip.process.membership_exchange import compare
+from briarslip.process.membership_exchange import hear_zone
+from briarslip.process.membership_exchange import synchronize
+from briarslip.process.membership_exchange import take_reply
+from briarslip.process.membership_messages import ControlMessage
+from briarslip.process.membership_messages import Datagram
+from briarslip.process.membership_messages import Send
+from briarslip.process.membership_messages import SyncReply
+from briarslip.process.membership_messages import SyncRequest
+from briarslip.process.membership_messages import Updates
+from briarslip.process.membership_state import Protocol
+from briarslip.process.membership_state import learn
+from briarslip.process.membership_state import learn_all
+from briarslip.process.membership_state import some_peers
+from briarslip.process.membership_state import spread
+
+
+if TYPE_CHECKING:
+    from briarslip.address import Address
+
+
+VERSION_FANOUT = 2
+WAKE_SECONDS = 2.0
+FORGET_EVERY_SECONDS = 5.0
+
+
+def tick(state: Protocol, now: float) -> tuple[Send, ...]:
+    """Do what time asks for; return what to send."""
+    for budget in (state.datagram_budget, state.sync_budget):
+        budget.fill(now)
+    if now - state.ticked_at > WAKE_SECONDS:
+        _wake(state, now - state.ticked_at)
+    state.ticked_at = now
+    zone_digest.refresh(state.links, state.table, now)
+    if now >= state.forget_at:
+        state.forget_at = now + FORGET_EVERY_SECONDS
+        forget(state.table, now)
+    return (
+        *end_probes(state, now),
+        *end_suspicions(state, now),
+        *probe_next(state, now),
+        *push(state, now),
+        *zone_digest.flush(state.links, now),
+        *synchronize(state, now),
+    )
+
+
+def update(
+    state: Protocol,
+    endpoints: tuple[Endpoint, ...],
+    running_version: int,
+    status: Status,
+    now: float,
+) -> tuple[Send, ...]:
+    """State what this daemon has now; return what to send at once."""
+    is_new_version = running_version != state.own.running_version
+    if announce(state.table, endpoints, running_version, status):
+        spread(state, state.own, urgent=True)
+        return (*push(state, now), *zone_digest.flush(state.links, now))
+    if not is_new_version:
+        return ()
+    # Every probe carries the version, so whoever is behind pulls.
+    peers = some_peers(state, VERSION_FANOUT)
+    return tuple(probe(state, peer, now) for peer in peers)
+
+
+def take_datagram(
+    state: Protocol, sender: Address, datagram: Datagram, now: float
+) -> tuple[Send, ...]:
+    """Act on a datagram; return the answers."""
+    state.health.heard_at = now
+    hear_version(state.table, sender, datagram.running_version, now)
+    known = state.table.members.get(sender)
+    # Who is held to be dead accuses nobody until it has refuted that itself.
+    is_trusted = known is None or known.status is not Status.DEAD
+    for statement in datagram.statements:
+        if is_trusted or statement.address in (sender, state.own.address):
+            learn(state, statement, now)
+    if sender in state.suspicions.since:
+        # It is alive, so it may have more time to refute.
+        state.suspicions.since[sender] = now
+    sends = answer_datagram(state, sender, datagram, now)
+    if known is None and sender not in state.table.members:
+        return (*sends, *compare(state, sender, now))
+    return sends
+
+
+def take_control(
+    state: Protocol, sender: Address, message: ControlMessage, now: float
+) -> tuple[Send, ...]:
+    """Act on a control message; return the answers."""
+    match message:
+        case SyncRequest():
+            return answer_request(state, sender, message, now)
+        case SyncReply():
+            return take_reply(state, sender, message, now)
+        case Updates(statements):
+            hear_zone(state, sender, now)
+            learn_all(state, statements, now)
+    return ()
+
+
+def _wake(state: Protocol, paused_seconds: float) -> None:
+    """Start afresh after a pause: its probes failed for no other's fault."""
+    state.prober.probes.clear()
+    state.prober.errands.clear()
+    state.suspicions.delay(paused_seconds)
+    raise_incarnation(state.table, 0)
+    spread(state, state.own, urgent=True)
+
+
+__all__ = ["take_control", "take_datagram", "tick", "update"]
--- /dev/null
+++ b/src/briarslip/process/membership_state.py
@@ -0,0 +1,184 @@
+"""The state of the membership protocol, and how statements are taken into it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from briarslip.process.dissemination import ByteBudget
+from briarslip.process.dissemination import Outbox
+from briarslip.process.dissemination import estimated_bytes
+from briarslip.process.member import Member
+from briarslip.process.member import Status
+from briarslip.process.membership import Membership
+from briarslip.process.membership import is_refutable
+from briarslip.process.membership import raise_incarnation
+from briarslip.process.membership import take
+from briarslip.process.membership_messages import Datagram
+from briarslip.process.membership_messages import Kind
+from briarslip.process.membership_messages import SendDatagram
+from briarslip.process.membership_sync import Bootstrap
+from briarslip.process.probing import Prober
+from briarslip.process.suspicion import LocalHealth
+from briarslip.process.suspicion import Suspicions
+from briarslip.process.zone_digest import ZoneLinks
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from briarslip.address import Address
+
+
+MAX_SPREAD_STATEMENTS = 50
+DATAGRAM_BYTES_PER_SECOND = 1_024.0
+DATAGRAM_BURST_BYTES = 4_096.0
+SYNC_BYTES_PER_SECOND = 512.0
+SYNC_BURST_BYTES = 8_192.0
+
+
+@dataclass(slots=True)
+class Protocol:
+    """The state of membership at one daemon."""
+
+    table: Membership
+    bootstrap: Bootstrap
+    rng: random.Random
+    interval_seconds: float
+    ticked_at: float
+    prober: Prober = field(default_factory=Prober)
+    health: LocalHealth = field(default_factory=LocalHealth)
+    suspicions: Suspicions = field(default_factory=Suspicions)
+    outbox: Outbox = field(default_factory=Outbox)
+    links: ZoneLinks = field(default_factory=ZoneLinks)
+    datagram_budget: ByteBudget = field(
+        default_factory=lambda: ByteBudget(
+            DATAGRAM_BYTES_PER_SECOND, DATAGRAM_BURST_BYTES
+        )
+    )
+    sync_budget: ByteBudget = field(
+        default_factory=lambda: ByteBudget(SYNC_BYTES_PER_SECOND, SYNC_BURST_BYTES)
+    )
+    probe_at: float = 0.0
+    push_at: float = 0.0
+    forget_at: float = 0.0
+
+    @classmethod
+    def from_member(
+        cls,
+        member: Member,
+        contacts: tuple[Address, ...],
+        rng: random.Random,
+        interval_seconds: float,
+        now: float,
+    ) -> Protocol:
+        """Build the state of a daemon that knows nobody yet."""
+        return cls(Membership(member), Bootstrap(contacts), rng, interval_seconds, now)
+
+    @property
+    def own(self) -> Member:
+        """This daemon as it states itself."""
+        return self.table.self_member
+
+
+def compose(
+    state: Protocol,
+    peer: Address,
+    kind: Kind,
+    sequence: int,
+    target: Address | None = None,
+) -> SendDatagram:
+    """Return a datagram with as many statements as the byte budget allows.
+
+    A peer that is not held to be alive is told so first, to let it refute.
+    """
+    zone_size = len(state.table.zone_members(state.own.availability_zone))
+    picked = state.outbox.pick(state.datagram_budget.available, zone_size)
+    names: set[str] = {state.own.availability_zone, state.own.region}
+    state.datagram_budget.spend(sum(estimated_bytes(s, names) for s in picked))
+    known = state.table.members.get(peer)
+    if known is not None and known.status in (Status.SUSPECT, Status.DEAD):
+        picked = (known, *picked)
+    version = state.own.running_version
+    return SendDatagram(peer, Datagram(kind, sequence, version, picked, target))
+
+
+def some_peers(
+    state: Protocol, count: int, other_than: Address | None = None
+) -> tuple[Address, ...]:
+    """Return a few random live peers of the own zone."""
+    peers = [m.address for m in state.table.peers if m.address != other_than]
+    return tuple(state.rng.sample(peers, min(count, len(peers))))
+
+
+def learn(state: Protocol, statement: Member, now: float) -> Member | None:
+    """Take a statement that may be new; return it if it was."""
+    if statement.address == state.own.address:
+        _refute(state, statement)
+        return None
+    known = state.table.members.get(statement.address)
+    is_near = statement.availability_zone == state.own.availability_zone
+    is_alive = known is not None and known.status is Status.ALIVE
+    if is_near and is_alive and statement.status is Status.DEAD:
+        # Another's word alone does not end a member of the own zone.
+        statement = replace(statement, status=Status.SUSPECT)
+    return take_statement(state, statement, now)
+
+
+def learn_all(
+    state: Protocol, statements: Iterable[Member], now: float, spread: bool = True
+) -> None:
+    """Take statements from a control message; many at once spread no further.
+
+    What is not spread reaches the others by their own comparisons.
+    """
+    before = dict(state.outbox.queued)
+    news = [s for s in statements if learn(state, s, now) is not None]
+    if not spread or len(news) > MAX_SPREAD_STATEMENTS:
+        own = state.outbox.queued.get(state.own.address)
+        state.outbox.queued = before
+        if own is not None:
+            state.outbox.queued[state.own.address] = own
+
+
+def take_statement(state: Protocol, statement: Member, now: float) -> Member | None:
+    """Take a statement as it stands; return the member if it is news."""
+    zone = statement.availability_zone
+    state.table.zone_heard_at.setdefault(zone, now)
+    changed = take(state.table, statement, now)
+    if changed is None:
+        return None
+    if changed.status is Status.SUSPECT and zone == state.own.availability_zone:
+        state.suspicions.begin(changed.address, now)
+    else:
+        state.suspicions.end(changed.address)
+    spread(state, changed)
+    return changed
+
+
+def spread(state: Protocol, statement: Member, urgent: bool = False) -> None:
+    """Queue a statement for the own zone, and for those carried to."""
+    state.outbox.put(statement, urgent)
+    is_near = statement.availability_zone == state.own.availability_zone
+    if is_near and statement.status is not Status.SUSPECT:
+        state.links.put(statement)
+
+
+def _refute(state: Protocol, statement: Member) -> None:
+    if is_refutable(state.table, statement):
+        raise_incarnation(state.table, statement.incarnation)
+        spread(state, state.own, urgent=True)
+
+
+__all__ = [
+    "Protocol",
+    "compose",
+    "learn",
+    "learn_all",
+    "some_peers",
+    "spread",
+    "take_statement",
+]
--- /dev/null
+++ b/src/briarslip/process/membership_sync.py
@@ -0,0 +1,169 @@
+"""Comparison of whole zones by checksum: at a join, and now and then after.
+
+A reply carries one zone at most, and a daemon short of its byte budget names
+other peers instead, so that a herd of joining daemons is paced.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from briarslip.process.membership import checksum
+from briarslip.process.membership import is_newer
+from briarslip.process.membership_messages import SyncReply
+from briarslip.process.membership_messages import SyncRequest
+from briarslip.process.membership_messages import Updates
+from briarslip.process.membership_messages import ZoneSummary
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from briarslip.address import Address
+    from briarslip.process.member import Member
+    from briarslip.process.membership import Membership
+
+
+SYNC_SECONDS = 30.0
+FOLLOW_UP_SECONDS = 0.5
+HINTED_PEERS = 6
+JOIN_PEERS = 3
+FIRST_RETRY_SECONDS = 0.5
+MAX_RETRY_SECONDS = 30.0
+
+
+@dataclass(slots=True)
+class Bootstrap:
+    """How far this daemon has joined.
+
+    ``minimum_version`` is the newest version that anyone heard from this
+    daemon's address before it.
+    """
+
+    contacts: tuple[Address, ...]
+    hints: tuple[Address, ...] = ()
+    joined: bool = False
+    attempts: int = 0
+    retry_at: float = 0.0
+    sync_at: float = 0.0
+    minimum_version: int = 0
+    follow_up_peer: Address | None = None
+    contacts_wanted: bool = True
+
+
+def retry_seconds(attempts: int, rng: random.Random) -> float:
+    """Return a wait before the next attempt, capped and with full jitter."""
+    limit = min(MAX_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2 ** min(attempts, 10))
+    return rng.uniform(0.0, limit)
+
+
+def join_targets(
+    bootstrap: Bootstrap, table: Membership, rng: random.Random
+) -> tuple[Address, ...]:
+    """Return the peers to ask next; the first one is asked for its table."""
+    own = table.self_member.address
+    near = {*bootstrap.hints, *(member.address for member in table.peers)} - {own}
+    known = sorted(near) or sorted({*bootstrap.contacts} - {own})
+    return tuple(rng.sample(known, min(JOIN_PEERS, len(known))))
+
+
+def summaries(
+    table: Membership, zones: Iterable[str], now: float
+) -> tuple[ZoneSummary, ...]:
+    """Return the checksums of some zones."""
+    return tuple(
+        ZoneSummary(zone, checksum(table, zone), _age(table, zone, now))
+        for zone in zones
+    )
+
+
+def _age(table: Membership, zone: str, now: float) -> int:
+    if zone == table.zone:
+        return 0
+    return max(0, int(now - table.zone_heard_at.get(zone, now)))
+
+
+def request(
+    table: Membership, zones: Iterable[str], wants_table: bool, now: float
+) -> SyncRequest:
+    """Return a request to compare some zones."""
+    return SyncRequest(table.self_member, summaries(table, zones, now), wants_table)
+
+
+def differing_zones(table: Membership, message: SyncRequest) -> tuple[str, ...]:
+    """Return the zones on which the asker differs.
+
+    A member of another zone compares only the zones that it names, unless it
+    wants the whole table. Who names no zone asks for versions only.
+    """
+    if not message.summaries:
+        return ()
+    asker_zone = message.sender.availability_zone
+    given = {s.availability_zone: s.checksum for s in message.summaries}
+    zones = set(given)
+    if message.wants_table or asker_zone == table.zone:
+        zones |= set(table.zones)
+    differing = [z for z in zones if given.get(z, 0) != checksum(table, z)]
+    return tuple(sorted(differing))
+
+
+def reply(
+    table: Membership,
+    asker: Member,
+    zones: tuple[str, ...],
+    busy: bool,
+    rng: random.Random,
+) -> SyncReply:
+    """Return the answer to a request, with one of the zones whole."""
+    zone = "" if busy else _chosen_zone(zones, asker.availability_zone, rng)
+    near = [m.address for m in table.peers if m.address != asker.address]
+    return SyncReply(
+        running_version=table.self_member.running_version,
+        minimum_version=table.last_heard_version(asker.address),
+        availability_zone=zone,
+        statements=zone_statements(table, zone),
+        peers=tuple(rng.sample(near, min(HINTED_PEERS, len(near)))) if busy else (),
+        busy=busy,
+        more=len(zones) > 1,
+    )
+
+
+def _chosen_zone(zones: tuple[str, ...], first: str, rng: random.Random) -> str:
+    if first in zones:
+        return first
+    return rng.choice(zones) if zones else ""
+
+
+def zone_statements(table: Membership, zone: str) -> tuple[Member, ...]:
+    """Return everything known of a zone, ended members included."""
+    others = tuple(m for m in table.members.values() if m.availability_zone == zone)
+    return (table.self_member, *others) if zone == table.zone else others
+
+
+def missing_there(table: Membership, message: SyncReply) -> Updates | None:
+    """Return what the answering peer does not know, None if nothing."""
+    if not message.availability_zone:
+        return None
+    given = {statement.address: statement for statement in message.statements}
+    missing = tuple(
+        known
+        for known in zone_statements(table, message.availability_zone)
+        if known.address not in given or is_newer(known, given[known.address])
+    )
+    return Updates(missing) if missing else None
+
+
+__all__ = [
+    "FOLLOW_UP_SECONDS",
+    "SYNC_SECONDS",
+    "Bootstrap",
+    "differing_zones",
+    "join_targets",
+    "missing_there",
+    "reply",
+    "request",
+    "retry_seconds",
+    "summaries",
+]
--- a/src/briarslip/process/membership_task.py
+++ b/src/briarslip/process/membership_task.py
@@ -2,36 +2,55 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
 from result import Err
+from twisted.internet.defer import Deferred
 from twisted.internet.protocol import DatagramProtocol
 
 from briarslip.address import Address
+from briarslip.connection.frame import Topic
+from briarslip.process import membership_protocol as protocol
+from briarslip.process.contacts import CHECK_SECONDS
+from briarslip.process.contacts import FIRST_CHECK_SECONDS
+from briarslip.process.contacts import check_contacts
+from briarslip.process.contacts import keeps_contacts
+from briarslip.process.contacts import read_zone_contacts
+from briarslip.process.dissemination import MAX_DATAGRAM_BYTES
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.member import Status
-from briarslip.process.membership import Membership
-from briarslip.process.membership import announce
-from briarslip.process.membership import expire
-from briarslip.process.membership import heartbeat_targets
-from briarslip.process.membership import merge
-from briarslip.process.membership_codec import decode_heartbeat
-from briarslip.process.membership_codec import encode_heartbeat
+from briarslip.process.membership_codec import decode_control
+from briarslip.process.membership_codec import decode_datagram
+from briarslip.process.membership_codec import encode_control
+from briarslip.process.membership_codec import encode_datagram
+from briarslip.process.membership_exchange import compare_with
+from briarslip.process.membership_messages import SendDatagram
+from briarslip.process.membership_messages import SyncReply
+from briarslip.process.membership_messages import SyncRequest
+from briarslip.process.membership_state import Protocol
 
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from briarslip.process.clock import Clock
     from briarslip.process.member import Endpoint
     from briarslip.process.member import Member
+    from briarslip.process.membership_messages import Datagram
+    from briarslip.process.membership_messages import Send
+    from briarslip.process.platform import PlatformClient
+
+
+TICKS_PER_INTERVAL = 5
 
 
 class MembershipTask:
-    """Exchanges heartbeats with other daemons.
+    """Keeps this daemon a member and knows the others.
 
     ``on_version`` is told which version a peer runs whenever it is heard.
     """
@@ -45,29 +64,62 @@
         seeds: tuple[Address, ...],
         interval_seconds: float,
         on_version: Callable[[Address, int], None],
+        platform: PlatformClient,
+        send: Callable[[Address, Topic, bytes], None],
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.rng = rng
-        self.interval_seconds = interval_seconds
+        self.seeds = seeds
+        self.tick_seconds = interval_seconds / TICKS_PER_INTERVAL
         self.on_version = on_version
-        self.state = Membership(self_member, seeds)
-        self.datagrams = HeartbeatProtocol(self.take_heartbeat)
+        self.platform = platform
+        self.send_control = send
+        self.state = Protocol.from_member(
+            self_member, seeds, rng, interval_seconds, clock.monotonic()
+        )
+        self.place = (self_member.availability_zone, self_member.region)
+        self.datagrams = MembershipDatagrams(self.take_datagram)
+        self.is_reading_contacts = False
 
     @property
     def live(self) -> tuple[Member, ...]:
         """Every live member, this daemon first."""
-        return self.state.live
+        return self.state.table.live
 
     @property
     def known(self) -> tuple[Member, ...]:
         """Every member, dead ones included."""
-        return (self.state.self_member, *self.state.members.values())
+        table = self.state.table
+        return (table.self_member, *table.members.values())
+
+    @property
+    def joined(self) -> bool:
+        """Whether any other daemon has answered yet."""
+        return self.state.bootstrap.joined
+
+    @property
+    def minimum_version(self) -> int:
+        """The newest version that peers heard from this address before."""
+        return self.state.bootstrap.minimum_version
+
+    def last_heard_version(self, address: Address) -> int:
+        """Return the version last heard from an address, 0 if none was."""
+        return self.state.table.last_heard_version(address)
+
+    def zone_members(self, availability_zone: str) -> tuple[Member, ...]:
+        """Return the live members of one availability zone."""
+        return self.state.table.zone_members(availability_zone)
+
+    def servers_of(self, service: str) -> tuple[Member, ...]:
+        """Return the live members with a server of a service."""
+        return self.state.table.view.by_service.get(service, ())
 
     def start(self) -> None:
-        """Listen and begin the heartbeats."""
-        host, port = self.state.self_member.address
+        """Listen and begin."""
+        host, port = self.state.own.address
         self.reactor.listenUDP(port, self.datagrams, interface=host)
+        self.reactor.callLater(FIRST_CHECK_SECONDS, self._check_contacts)
         self._tick()
 
     def update(
@@ -75,45 +127,105 @@
     ) -> None:
         """Tell the others at once what has changed at this daemon."""
         status = Status.LEFT if draining else Status.ALIVE
-        announce(self.state, endpoints, running_version, status)
-        self._send_heartbeats()
-
-    def take_heartbeat(self, data: bytes, sender: Address) -> None:
-        """Merge a peer's heartbeat."""
-        members = decode_heartbeat(data)
-        if isinstance(members, Err):
-            emit(Event.MESSAGE_REFUSED, peer=sender, reason=members.err_value)
+        now = self.clock.monotonic()
+        self._send_all(
+            protocol.update(self.state, endpoints, running_version, status, now)
+        )
+
+    def take_datagram(self, data: bytes, sender: Address) -> None:
+        """Act on a peer's datagram."""
+        datagram = decode_datagram(data, self.place)
+        if isinstance(datagram, Err):
+            emit(Event.MESSAGE_REFUSED, peer=sender, reason=datagram.err_value)
             return
-        merge(self.state, members.ok_value, self.clock.monotonic())
-        for member in members.ok_value:
-            if member.address == sender:
+        message = datagram.ok_value
+        now = self.clock.monotonic()
+        self._send_all(protocol.take_datagram(self.state, sender, message, now))
+        self.on_version(sender, message.running_version)
+
+    def take_message(self, sender: Address, payload: bytes) -> None:
+        """Act on a peer's control message."""
+        decoded = decode_control(payload)
+        if isinstance(decoded, Err):
+            emit(Event.MESSAGE_REFUSED, peer=sender, reason=decoded.err_value)
+            return
+        message = decoded.ok_value
+        now = self.clock.monotonic()
+        self._send_all(protocol.take_control(self.state, sender, message, now))
+        match message:
+            case SyncRequest(member):
                 self.on_version(sender, member.running_version)
+            case SyncReply(version):
+                self.on_version(sender, version)
 
     def _tick(self) -> None:
-        own = self.state.self_member
-        announce(self.state, own.endpoints, own.running_version, own.status)
-        expire(self.state, self.clock.monotonic())
-        self._send_heartbeats()
-        delay = self.interval_seconds * self.rng.uniform(0.8, 1.2)
+        self._send_all(protocol.tick(self.state, self.clock.monotonic()))
+        if self.state.bootstrap.contacts_wanted and not self.is_reading_contacts:
+            self._start_reading(self._read_contacts())
+        delay = self.tick_seconds * self.rng.uniform(0.9, 1.1)
         self.reactor.callLater(delay, self._tick)
 
-    def _send_heartbeats(self) -> None:
+    def _start_reading(self, reading: Any) -> None:
+        self.is_reading_contacts = True
+        Deferred.fromCoroutine(reading).addBoth(self._reading_ended)
+
+    def _reading_ended(self, result: object) -> None:
+        self.is_reading_contacts = False
+        self.state.bootstrap.contacts_wanted = False
+
+    async def _read_contacts(self) -> None:
+        zone = self.state.own.availability_zone
+        contacts = await read_zone_contacts(self.platform, zone)
+        self.state.bootstrap.contacts = (*self.seeds, *contacts)
+
+    def _check_contacts(self) -> None:
+        delay = CHECK_SECONDS * self.rng.uniform(0.8, 1.2)
+        self.reactor.callLater(delay, self._check_contacts)
+        if keeps_contacts(self.state.table) and not self.is_reading_contacts:
+            self._start_reading(self._keep_contacts())
+
+    async def _keep_contacts(self) -> None:
+        found = await check_contacts(self.platform, self.state.table)
+        if isinstance(found, Err):
+            emit(Event.PLATFORM_FAILED, reason=found.err_value.reason)
+            return
+        table = self.state.table
+        strangers = [
+            address
+            for zone, contacts in found.ok_value.items()
+            if not table.zone_members(zone)
+            for address in contacts
+        ]
+        now = self.clock.monotonic()
+        self._send_all(compare_with(self.state, strangers, now))
+
+    def _send_all(self, sends: Iterable[Send]) -> None:
+        for send in sends:
+            if isinstance(send, SendDatagram):
+                self._send_datagram(send.peer, send.datagram)
+            else:
+                payload = encode_control(send.message)
+                self.send_control(send.peer, Topic.MEMBERSHIP, payload)
+
+    def _send_datagram(self, peer: Address, datagram: Datagram) -> None:
         if self.datagrams.transport is None:
             return
-        payload = encode_heartbeat(self.state.live)
-        for peer in heartbeat_targets(self.state, self.rng):
-            self.datagrams.transport.write(payload, tuple(peer))
+        payload = encode_datagram(datagram, self.place)
+        while len(payload) > MAX_DATAGRAM_BYTES and datagram.statements:
+            datagram = replace(datagram, statements=datagram.statements[:-1])
+            payload = encode_datagram(datagram, self.place)
+        self.datagrams.transport.write(payload, tuple(peer))
 
 
-class HeartbeatProtocol(DatagramProtocol):
-    """Heartbeats as datagrams."""
+class MembershipDatagrams(DatagramProtocol):
+    """Membership's datagrams."""
 
-    def __init__(self, on_heartbeat: Callable[[bytes, Address], None]) -> None:
-        self.on_heartbeat = on_heartbeat
+    def __init__(self, on_datagram: Callable[[bytes, Address], None]) -> None:
+        self.on_datagram = on_datagram
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Pass a datagram on with its sender."""
-        self.on_heartbeat(datagram, Address(*addr))
+        self.on_datagram(datagram, Address(*addr))
 
 
 __all__ = ["MembershipTask"]
