--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -257,6 +257,8 @@
             lambda: self.membership.live,
             self.send_control,
             self.version_active,
+            self.membership.last_heard_version,
+            lambda: self.membership.minimum_version,
         )
 
     def start(self) -> None:
--- a/src/briarslip/process/bootstrap.py
+++ b/src/briarslip/process/bootstrap.py
@@ -33,6 +33,7 @@
     """Asks the platform and members of the zone until a version runs.
 
     ``ask`` sends a member a query, whose reply goes to ``take_reply``.
+    ``own_last_version`` returns what peers have told of this address unasked.
     ``on_known`` is told the minimum version, which may still grow.
     """
 
@@ -44,6 +45,7 @@
         platform: PlatformClient,
         zone_members: Callable[[], Sequence[Address]],
         ask: Callable[[Address], None],
+        own_last_version: Callable[[], int],
         on_known: Callable[[int], None],
     ) -> None:
         self.reactor = reactor
@@ -52,6 +54,7 @@
         self.platform = platform
         self.zone_members = zone_members
         self.ask = ask
+        self.own_last_version = own_last_version
         self.on_known = on_known
         self.head: int | None = None
         self.replies: dict[Address, VersionReply] = {}
@@ -102,7 +105,7 @@
         waited = first is not None and now - first >= REPLIES_WAIT_SECONDS
         version = minimum_version(self.head, self.replies.values(), waited)
         if version is not None:
-            self.on_known(version)
+            self.on_known(max(version, self.own_last_version()))
 
 
 __all__ = ["Bootstrap"]
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -96,6 +96,8 @@
             lambda: self.membership.live,
             self.links.send_control,
             self.update_membership,
+            self.membership.last_heard_version,
+            lambda: self.membership.minimum_version,
         )
         self.forwarder = Forwarder(clock, rng, self._surroundings())
 
--- a/src/briarslip/process/distribution_task.py
+++ b/src/briarslip/process/distribution_task.py
@@ -43,6 +43,8 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from result import Result
 
@@ -56,10 +58,18 @@
     from briarslip.version.snapshot import Snapshot
 
 
+# How long a daemon has to be chosen before it acts as a relay, so that those
+# which know few members yet, as after a herd's return, leave the platform alone.
+RELAY_PATIENCE_SECONDS = 2.0
+
+
 class DistributionTask:
     """Runs the newest version it learns of, and passes it on.
 
     ``on_version`` runs after another version has become active.
+    ``last_heard_version`` returns what an address was last heard to run, also
+    before it was replaced; ``own_last_version`` returns the same of this one,
+    as peers have told.
     """
 
     def __init__(
@@ -73,6 +83,8 @@
         members: Callable[[], tuple[Member, ...]],
         send: Callable[[Address, Topic, bytes], None],
         on_version: Callable[[], None],
+        last_heard_version: Callable[[Address], int],
+        own_last_version: Callable[[], int],
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -82,11 +94,13 @@
         self.members = members
         self.send = send
         self.on_version = on_version
+        self.last_heard_version = last_heard_version
         self.state = Distribution()
         self.puller = Puller()
         self.heard: dict[Address, int] = {}
         self.zones: dict[str, list[Address]] = {}
         self.wake_call: Any = None
+        self.chosen_since: float | None = None
         self.started = False
         self.relay = Relay(
             reactor,
@@ -104,6 +118,7 @@
             platform,
             lambda: [a for a in self._zone_addresses() if a != own_address],
             lambda peer: self._send(peer, VersionQuery()),
+            own_last_version,
             self._minimum_version_known,
         )
 
@@ -126,29 +141,44 @@
         chosen = {
             zone: relays(addresses, zone) for zone, addresses in self.zones.items()
         }
-        active = self.own_address in chosen[self.availability_zone] and not draining
+        is_chosen = self.own_address in chosen[self.availability_zone] and not draining
+        active = is_chosen and self._patient()
+        if not is_chosen:
+            self.chosen_since = None
         if active != self.relay.active:
             emit(Event.RELAY_STARTED if active else Event.RELAY_STOPPED)
         if active:
-            everyone = sorted(
-                (place, address)
-                for addresses in chosen.values()
-                for place, address in enumerate(addresses)
-            )
-            self.relay.rank = [address for _, address in everyone].index(
-                self.own_address
-            )
+            self.relay.rank = self._rank(chosen)
         self.relay.set_active(active)
         if not self.started:
             self.started = True
             self.bootstrap.start()
 
+    def _patient(self) -> bool:
+        """Tell whether this daemon has been chosen as a relay for long enough."""
+        now = self.clock.monotonic()
+        if self.chosen_since is None:
+            self.chosen_since = now
+        return now - self.chosen_since >= RELAY_PATIENCE_SECONDS
+
+    def _rank(self, chosen: Mapping[str, Sequence[Address]]) -> int:
+        """Return how many relays of all zones publish before this one."""
+        everyone = sorted(
+            (place, address)
+            for addresses in chosen.values()
+            for place, address in enumerate(addresses)
+        )
+        return [address for _, address in everyone].index(self.own_address)
+
     def _take_members(self) -> None:
         """Note the zones' addresses and what every address has run."""
         zones: dict[str, list[Address]] = {}
         for member in self.members():
             zones.setdefault(member.availability_zone, []).append(member.address)
             self._note(member.address, member.running_version)
+        if zones != self.zones:
+            known = {address for addresses in zones.values() for address in addresses}
+            self.heard = {a: v for a, v in self.heard.items() if a in known}
         self.zones = zones
 
     def _note(self, peer: Address, version: int) -> None:
@@ -242,7 +272,7 @@
             case Busy(retry_after_ms):
                 self._take_busy(sender, retry_after_ms / MS_PER_SECOND)
             case VersionQuery():
-                last_heard = self.heard.get(sender, 0)
+                last_heard = self.last_heard_version(sender)
                 self._send(sender, VersionReply(self.snapshot.version, last_heard))
             case VersionReply() as reply:
                 self.heard_version(sender, reply.running)
--- a/tests/process/test_distribution_task.py
+++ b/tests/process/test_distribution_task.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.connection.frame import Topic
+from briarslip.process.membership import HeardVersion
 from briarslip.version.configuration_codec import Offer
 from briarslip.version.configuration_codec import Whole
 from briarslip.version.configuration_codec import compress
@@ -115,6 +116,22 @@
         self.assertEqual(len(self.fleet.running), 12)
         self.assert_converges(2)
 
+    def test_a_herd_that_returns_opens_no_watches(self) -> None:
+        platform = self.fleet.platform
+        usual = platform.waiting_watches
+        victims = list(self.fleet.running)[1:]
+        for daemon in victims:
+            self.fleet.kill(daemon)
+        self.watched.run(5.0)
+        for daemon in victims:
+            self.fleet.restart(daemon)
+        most = 0
+        for _ in range(50):
+            self.watched.run(0.1)
+            most = max(most, platform.waiting_watches)
+        self.assertLessEqual(most, usual)
+        self.assert_converges(1)
+
     def test_every_relay_killed_with_the_change(self) -> None:
         for address in self.relays():
             self.fleet.kill(self.fleet.daemons[address])
@@ -239,7 +256,9 @@
         ahead = snapshot_of(7, service("a"))
         for daemon in self.fleet.running:
             if daemon.zone == victim.zone and daemon is not victim:
-                daemon.distribution.heard[victim.address] = 7
+                daemon.membership.state.table.versions[victim.address] = HeardVersion(
+                    7, 0.0
+                )
         fresh = self.fleet.restart(victim)
         self.watched.run(10.0)
         self.assertEqual(fresh.distribution.state.minimum_version, 7)
