Bounded keys: removed records go after a while; statuses outlive a lapsed lease

Change: removals long in force are deleted and forgotten by the next version; a failed status write asks for another lease; event 310 names such records. The members are sorted out only when they change.

--- a/src/briarslip/process/change_status.py
+++ b/src/briarslip/process/change_status.py
@@ -81,7 +81,10 @@
         lease_id = await self._lease(now)
         revision = found.mod_revision if found else 0
         reply = await self.platform.swap(key, value, revision, lease_id)
-        if not isinstance(reply, Err) and reply.ok_value.swapped:
+        if isinstance(reply, Err):
+            # The lease may be gone; the next status asks for another one.
+            self.lease_until = 0.0
+        elif reply.ok_value.swapped:
             self._remember(change, value)
 
     async def _lease(self, now: float) -> int:
--- a/src/briarslip/process/distribution_task.py
+++ b/src/briarslip/process/distribution_task.py
@@ -99,6 +99,8 @@
         self.puller = Puller()
         self.heard: dict[Address, int] = {}
         self.zones: dict[str, list[Address]] = {}
+        self.relays_by_zone: dict[str, tuple[Address, ...]] = {}
+        self.seen_members: tuple[Member, ...] = ()
         self.wake_call: Any = None
         self.chosen_since: float | None = None
         self.started = False
@@ -138,10 +140,9 @@
         Called periodically; the first call starts the bootstrap.
         """
         self._take_members()
-        chosen = {
-            zone: relays(addresses, zone) for zone, addresses in self.zones.items()
-        }
-        is_chosen = self.own_address in chosen[self.availability_zone] and not draining
+        chosen = self.relays_by_zone
+        near = chosen[self.availability_zone]
+        is_chosen = self.own_address in near and not draining
         active = is_chosen and self._patient()
         if not is_chosen:
             self.chosen_since = None
@@ -171,15 +172,24 @@
         return [address for _, address in everyone].index(self.own_address)
 
     def _take_members(self) -> None:
-        """Note the zones' addresses and what every address has run."""
+        """Note the zones' addresses and what every address has run.
+
+        An unchanged tuple of members is not looked at again.
+        """
+        members = self.members()
+        if members is self.seen_members:
+            return
+        self.seen_members = members
         zones: dict[str, list[Address]] = {}
-        for member in self.members():
+        for member in members:
             zones.setdefault(member.availability_zone, []).append(member.address)
             self._note(member.address, member.running_version)
-        if zones != self.zones:
-            known = {address for addresses in zones.values() for address in addresses}
-            self.heard = {a: v for a, v in self.heard.items() if a in known}
+        known = {address for addresses in zones.values() for address in addresses}
+        self.heard = {a: v for a, v in self.heard.items() if a in known}
         self.zones = zones
+        self.relays_by_zone = {
+            zone: relays(addresses, zone) for zone, addresses in zones.items()
+        }
 
     def _note(self, peer: Address, version: int) -> None:
         if peer != self.own_address and version > self.heard.get(peer, 0):
@@ -236,10 +246,10 @@
         This reaches zones that are cut from the platform.
         """
         version = self.snapshot.version
-        for zone, addresses in self.zones.items():
+        for zone, addresses in self.relays_by_zone.items():
             if zone == self.availability_zone:
                 continue
-            for peer in relays(addresses, zone):
+            for peer in addresses:
                 if self.heard.get(peer, 0) < version:
                     self._send(peer, Offer(version))
 
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -47,6 +47,7 @@
     PUBLISH_FAILED = (307, Level.WARNING, "publishing failed and is repeated")
     RECORD_KEPT = (308, Level.WARNING, "record of an unknown schema keeps its form")
     STEP_REFUSED = (309, Level.INFO, "version from a peer can't be taken")
+    RECORD_UNREADABLE = (310, Level.ERROR, "record on the platform can't be read")
     MESSAGE_REFUSED = (401, Level.WARNING, "message was refused")
     PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
 
--- a/src/briarslip/process/publisher.py
+++ b/src/briarslip/process/publisher.py
@@ -9,6 +9,8 @@
 from result import Ok
 from result import Result
 
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.process.platform import PlatformError
 from briarslip.process.version_store import WHOLE_INTERVAL_VERSIONS
 from briarslip.process.version_store import delete_old_versions
@@ -29,6 +31,7 @@
     from briarslip.process.change_status import ChangeStatuses
     from briarslip.process.platform import KeyValue
     from briarslip.process.platform import PlatformClient
+    from briarslip.process.platform import RangeReply
     from briarslip.process.version_store import Head
     from briarslip.version.acceptance import Acceptance
     from briarslip.version.record import RecordKey
@@ -36,6 +39,9 @@
     from briarslip.version.stored_record import StoredRecord
 
 
+KEPT_REMOVAL_REVISIONS = 2_000
+
+
 @dataclass(frozen=True, slots=True)
 class LostHead:
     """Another publisher moved the head first; the round has to be repeated."""
@@ -84,6 +90,9 @@
         moved = await _put_in_force(platform, head, base.ok_value, acceptance)
         if isinstance(moved, Err):
             return moved
+        if acceptance.snapshot.version % WHOLE_INTERVAL_VERSIONS == 0:
+            await delete_old_versions(platform, acceptance.snapshot.version)
+            await _delete_removed(platform, base.ok_value, stored.ok_value)
     elif head.version:
         await _repeat_statuses(platform, statuses, head, now)
     await statuses.report(acceptance, now)
@@ -101,11 +110,29 @@
     moved = await move_head(platform, head, snapshot)
     if isinstance(moved, Err):
         return moved
-    if not moved.ok_value:
-        return Err(LostHead())
-    if snapshot.version % WHOLE_INTERVAL_VERSIONS == 0:
-        await delete_old_versions(platform, snapshot.version)
-    return Ok(None)
+    return Ok(None) if moved.ok_value else Err(LostHead())
+
+
+async def _delete_removed(
+    platform: PlatformClient, base: Snapshot, stored: RangeReply
+) -> None:
+    """Delete keys of records whose removal has long been in force.
+
+    The next version then drops them as well. A change that is still being
+    written may count on such a key, so that recent ones are kept.
+    """
+    oldest = stored.revision - KEPT_REMOVAL_REVISIONS
+    for item in stored.items:
+        key = parse_key(item.key)
+        if key is None or key in base.records or item.mod_revision >= oldest:
+            continue
+        origin = base.origins.get(key)
+        record = decode_stored_record(item.value, item.mod_revision)
+        if origin is None or isinstance(record, Err):
+            continue
+        write = record.ok_value.write
+        if write.fields is None and write.revision == origin.revision:
+            await platform.swap(item.key, None, item.mod_revision)
 
 
 async def _repeat_statuses(
@@ -122,8 +149,11 @@
     for item in items:
         key = parse_key(item.key)
         record = decode_stored_record(item.value, item.mod_revision)
-        if key is not None and not isinstance(record, Err):
-            records[key] = record.ok_value
+        if key is None or isinstance(record, Err):
+            reason = record.err_value if isinstance(record, Err) else "bad key"
+            emit(Event.RECORD_UNREADABLE, key=item.key, reason=reason)
+            continue
+        records[key] = record.ok_value
     return records
 
 
--- a/src/briarslip/version/acceptance.py
+++ b/src/briarslip/version/acceptance.py
@@ -77,6 +77,7 @@
     is accepted any more; then those left over are tried together, so that
     changes which need one another are accepted. A write that is older than
     the accepted one of its record has been superseded and has no effect.
+    ``stored`` must have been read after ``base`` was in force.
     """
     pending = _pending(base, stored)
     incomplete = tuple(sorted(c.id for c in pending if not c.complete))
@@ -91,7 +92,12 @@
         snapshot, more, refusals = _accept_one_by_one(snapshot, left)
         accepted.extend(more)
     if accepted:
-        snapshot = Snapshot(base.version + 1, snapshot.records, snapshot.origins)
+        origins = {
+            key: origin
+            for key, origin in snapshot.origins.items()
+            if key in snapshot.records or key in stored
+        }
+        snapshot = Snapshot(base.version + 1, snapshot.records, origins)
     refused = tuple(Refusal(change, refusals[change]) for change in sorted(refusals))
     written = {key for c in waiting if c.id in accepted for key in c.writes}
     shadowed = tuple(sorted(filter(_is_shadowed_in(snapshot), written)))
--- a/src/briarslip/version/delta.py
+++ b/src/briarslip/version/delta.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from briarslip.version.record import parse_key
 from briarslip.version.snapshot import Snapshot
 from briarslip.version.snapshot import decode_entries
 from briarslip.version.snapshot import encode_entries
@@ -28,7 +29,7 @@
     """The changed records of a version, to be applied to ``base`` only.
 
     ``digest`` is that of the whole snapshot afterwards. A key of ``origins``
-    without a record was removed.
+    without a record was removed; of ``forgotten`` keys the removal is dropped.
     """
 
     version: int
@@ -37,6 +38,7 @@
     base_digest: str
     records: Mapping[RecordKey, Record]
     origins: Mapping[RecordKey, Origin]
+    forgotten: tuple[RecordKey, ...] = ()
 
     def encode(self) -> bytes:
         """Return the canonical JSON of the delta."""
@@ -46,6 +48,7 @@
             "base_version": self.base_version,
             "base_digest": self.base_digest,
             "records": encode_entries(self.records, self.origins),
+            "forgotten": [str(key) for key in self.forgotten],
         }
         return json.dumps(body, sort_keys=True, separators=(",", ":")).encode()
 
@@ -65,6 +68,7 @@
         base.digest,
         records,
         origins,
+        tuple(sorted(base.origins.keys() - snapshot.origins.keys())),
     )
 
 
@@ -80,19 +84,30 @@
             str(document["base_digest"]),
             records,
             origins,
+            tuple(_read_key(text) for text in document["forgotten"]),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Err(f"is not a delta: {error!r}")
     return Ok(delta)
 
 
+def _read_key(text: str) -> RecordKey:
+    key = parse_key(text)
+    if key is None:
+        raise ValueError(f"{text!r} is not a record key")
+    return key
+
+
 def apply_delta(base: Snapshot, delta: Delta) -> Result[Snapshot, str]:
     """Apply a delta and check the digest of the whole; the error is a reason."""
     if (delta.base_version, delta.base_digest) != (base.version, base.digest):
         return Err(f"applies to version {delta.base_version}, not {base.version}")
     records = {k: v for k, v in base.records.items() if k not in delta.origins}
     records.update(delta.records)
-    snapshot = Snapshot(delta.version, records, {**base.origins, **delta.origins})
+    origins = {**base.origins, **delta.origins}
+    for key in delta.forgotten:
+        origins.pop(key, None)
+    snapshot = Snapshot(delta.version, records, origins)
     if snapshot.digest != delta.digest:
         return Err(f"version {delta.version} does not have its digest")
     return Ok(snapshot)
--- a/src/briarslip/version/push_tree.py
+++ b/src/briarslip/version/push_tree.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import hashlib
+import heapq
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 
@@ -15,20 +17,29 @@
 
 FANOUT = 4
 RELAYS_PER_ZONE = 2
+KEPT_WEIGHTS = 8192
 
 
 def rendezvous(addresses: Iterable[Address], salt: str) -> list[Address]:
     """Return addresses in the order that everyone computes for ``salt``."""
-
-    def weight(address: Address) -> bytes:
-        return hashlib.sha256(f"{salt} {address}".encode()).digest()
-
-    return sorted(addresses, key=weight, reverse=True)
+    return sorted(addresses, key=lambda a: _weight(a, salt), reverse=True)
 
 
 def relays(addresses: Iterable[Address], zone: str) -> tuple[Address, ...]:
     """Return the members of a zone that act as relays."""
-    return tuple(rendezvous(addresses, zone)[:RELAYS_PER_ZONE])
+    ranked = heapq.nlargest(
+        RELAYS_PER_ZONE, addresses, key=lambda a: _zone_weight(a, zone)
+    )
+    return tuple(ranked)
+
+
+def _weight(address: Address, salt: str) -> bytes:
+    return hashlib.sha256(f"{salt} {address}".encode()).digest()
+
+
+@lru_cache(maxsize=KEPT_WEIGHTS)
+def _zone_weight(address: Address, zone: str) -> bytes:
+    return _weight(address, zone)
 
 
 def push_targets(
--- a/tests/process/test_publisher.py
+++ b/tests/process/test_publisher.py
@@ -7,7 +7,9 @@
 import unittest
 from typing import TYPE_CHECKING
 from typing import Any
+from unittest import mock
 
+from briarslip.process import publisher
 from briarslip.process.change_status import ChangeStatuses
 from briarslip.process.publisher import HeadBehind
 from briarslip.process.publisher import LostHead
@@ -20,6 +22,7 @@
 from tests.support.records import Operator
 from tests.support.records import ids
 from tests.support.records import names
+from tests.support.records import removed
 from tests.support.records import route
 from tests.support.records import service
 from tests.support.virtual import VirtualPlatform
@@ -210,6 +213,37 @@
         keys = self.world.run(self.world.client.range(VERSIONS_PREFIX)).unwrap().items
         self.assertLessEqual(len(keys), 60)
 
+    def test_removed_records_leave_no_trace(self) -> None:
+        keep = service("kept")
+        self.operator.apply(keep, service("gone"))
+        self.operator.apply(removed(service("gone")))
+        running = EMPTY_SNAPSHOT
+        with mock.patch.object(publisher, "KEPT_REMOVAL_REVISIONS", 20):
+            for number in range(34):
+                self.operator.apply(route("r", "kept", f"/{number}"))
+                running = self.publish(running=running).unwrap()
+        self.assertEqual(set(running.origins), {keep.key, route("r", "").key})
+        self.assertIsNone(self.world.store.get(str(service("gone").key)))
+        self.assertEqual(self.in_force(), running)
+        self.operator.apply(service("gone"))
+        self.assertIn(service("gone").key, self.publish().unwrap().records)
+
+    def test_a_lapsed_lease_does_not_stop_statuses(self) -> None:
+        self.operator.apply(service("a"))
+        self.world.run(publish(self.world.client, self.statuses, EMPTY_SNAPSHOT, 0.0))
+        self.world.store.lapse_lease(self.statuses.lease_id)
+        change = self.operator.apply(service("b"))
+        for _ in range(2):
+            work = publish(self.world.client, self.statuses, EMPTY_SNAPSHOT, 1.0)
+            self.world.run(work).unwrap()
+        self.assertEqual(self.status(change)["state"], "accepted")
+
+    def test_an_unreadable_record_holds_up_nobody(self) -> None:
+        self.world.store.swap("records/route/r/1", b"{}", 0)
+        self.world.store.swap("records/odd", b"{}", 0)
+        self.operator.apply(service("a"))
+        self.assertEqual(names(self.publish().unwrap().records), ["service a"])
+
     def test_large_snapshots_stand_in_chunks(self) -> None:
         rng = random.Random(3)
         fields = {"service": "a", "match_methods": "GET"}
