--- a/src/briarslip/console/change.py
+++ b/src/briarslip/console/change.py
@@ -21,31 +21,27 @@
 from briarslip.console.session import pause
 from briarslip.console.session import platform_client
 from briarslip.console.session import run
+from briarslip.process.change_status import CHANGE_STATUS_PREFIX
 from briarslip.process.change_writer import LostRace
 from briarslip.process.change_writer import write_change
-from briarslip.process.publisher import CHANGE_STATUS_PREFIX
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
-    from collections.abc import Mapping
 
     from briarslip.process.change_writer import ChangeError
+    from briarslip.process.change_writer import RecordWrite
     from briarslip.process.change_writer import WrittenChange
     from briarslip.process.platform import PlatformClient
-    from briarslip.version.record import RecordKey
 
 
 POLL_SECONDS = 0.1
 
 
-Records = list[tuple["RecordKey", "Mapping[str, str] | None"]]
-
-
 def write_and_report(
     platform: str,
-    plan: Callable[[PlatformClient], Coroutine[Any, Any, Records]],
+    plan: Callable[[PlatformClient], Coroutine[Any, Any, list[RecordWrite]]],
     wait_s: float,
 ) -> None:
     """Write the planned records as one change; print the outcome or exit.
@@ -106,4 +102,4 @@
     fail(EXIT_NO_ANSWER, f"the platform failed: {error.reason}{suffix}")
 
 
-__all__ = ["Records", "write_and_report"]
+__all__ = ["write_and_report"]
--- a/src/briarslip/console/commands/apply.py
+++ b/src/briarslip/console/commands/apply.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from briarslip.console.change import Records
 from briarslip.console.change import write_and_report
 from briarslip.console.options import FilesArgument  # noqa: TC001  # read by typer
 from briarslip.console.options import PlatformOption  # noqa: TC001  # read by typer
 from briarslip.console.options import WaitOption  # noqa: TC001  # read by typer
 from briarslip.console.record_files import read_files
+from briarslip.process.change_writer import RecordWrite
 
 
 if TYPE_CHECKING:
@@ -20,9 +20,9 @@
     files: FilesArgument, platform: PlatformOption, wait_s: WaitOption = 0.0
 ) -> None:
     """Write the records of INI files to the platform as one change."""
-    records: Records = [(record.key, record.fields) for record in read_files(files)]
+    records = [RecordWrite(record.key, record.fields) for record in read_files(files)]
 
-    async def plan(_: PlatformClient) -> Records:
+    async def plan(_: PlatformClient) -> list[RecordWrite]:
         return records
 
     write_and_report(platform, plan, wait_s)
--- a/src/briarslip/console/commands/remove.py
+++ b/src/briarslip/console/commands/remove.py
@@ -7,13 +7,13 @@
 
 import typer
 
-from briarslip.console.change import Records
 from briarslip.console.change import write_and_report
 from briarslip.console.options import PlatformOption  # noqa: TC001  # read by typer
 from briarslip.console.options import WaitOption  # noqa: TC001  # read by typer
 from briarslip.console.session import EXIT_FAILED
 from briarslip.console.session import fail
 from briarslip.console.stored import fetch_stored
+from briarslip.process.change_writer import RecordWrite
 
 
 if TYPE_CHECKING:
@@ -28,11 +28,11 @@
 ) -> None:
     """Remove every schema's form of a record as one change."""
 
-    async def plan(client: PlatformClient) -> Records:
+    async def plan(client: PlatformClient) -> list[RecordWrite]:
         forms = await fetch_stored(client, f"{kind}/{name}/")
         if not forms:
             fail(EXIT_FAILED, f"no record {kind} {name}")
-        return [(form.key, None) for form in forms]
+        return [RecordWrite(form.key, None) for form in forms]
 
     write_and_report(platform, plan, wait_s)
 
--- a/src/briarslip/console/stored.py
+++ b/src/briarslip/console/stored.py
@@ -47,12 +47,13 @@
     forms = []
     for item in result.ok_value.items:
         key = parse_key(item.key)
-        stored = decode_stored_record(item.value)
-        if key is None or isinstance(stored, Err) or stored.ok_value.fields is None:
+        stored = decode_stored_record(item.value, item.mod_revision)
+        if key is None or isinstance(stored, Err):
             continue
-        record = stored.ok_value
-        fields = record.fields or {}
-        forms.append(StoredForm(key, fields, record.change.id, item.mod_revision))
+        write = stored.ok_value.write
+        if write.fields is not None:
+            change = write.change.id
+            forms.append(StoredForm(key, write.fields, change, item.mod_revision))
     return forms
 
 
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -83,15 +83,21 @@
             settings.membership.seeds,
             settings.membership.heartbeat_interval.total_seconds(),
             lambda peer, version: self.distribution.heard_version(peer, version),
+            self.platform,
+            self.links.send_control,
         )
         self.distribution = DistributionTask(
             reactor,
+            clock,
+            rng,
             self.platform,
             own_address,
             zone,
             lambda: self.membership.live,
             self.links.send_control,
             self.update_membership,
+            self.membership.last_heard_version,
+            lambda: self.membership.minimum_version,
         )
         self.forwarder = Forwarder(clock, rng, self._surroundings())
 
@@ -179,6 +185,8 @@
         """Act on a control message of a peer."""
         if frame.topic is Topic.CONFIGURATION:
             self.distribution.take_message(sender, frame.payload)
+        elif frame.topic is Topic.MEMBERSHIP:
+            self.membership.take_message(sender, frame.payload)
 
     def take_announcement(self, body: bytes) -> JsonReply:
         """Take what a backend server beside this daemon says of itself."""
