--- a/tests/request/support.py
+++ b/tests/request/support.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from datetime import timedelta
 from typing import TYPE_CHECKING
+from typing import Any
 
 from briarslip.address import Address
 from briarslip.process.member import Endpoint
@@ -150,15 +151,20 @@
     """A forwarder among fake servers, in virtual time."""
 
     def __init__(
-        self, *members: Member, route: Route = ROUTE, seed: int = SEED
+        self,
+        *members: Member,
+        route: Route = ROUTE,
+        seed: int = SEED,
+        time: Any = None,
+        claims: Any = None,
     ) -> None:
-        self.time = VirtualTime()
+        self.time = time or VirtualTime()
         self.members = members
         self.sent: list[Sent] = []
         self.samples: list[Sample] = []
         self.excluded: frozenset[str] = frozenset()
         self.version = ""
-        self.claims = FakeClaims(NoPlatform())
+        self.claims = claims or FakeClaims(NoPlatform())
         self.react: Callable[[Sent], None] = lambda sent: None
         table = RoutingTable(1, {"holds": Service("holds")}, (route,), {}, {})
         surroundings = Surroundings(
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -4,22 +4,37 @@
 
 import itertools
 import unittest
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
+from briarslip.request.claim import Claim
+from briarslip.request.claim import HandedOver
+from briarslip.request.claim import HeldClaim
+from briarslip.request.claim import KeyMismatch
+from briarslip.request.claim import NoPlatform
+from briarslip.request.claim import Replay
+from briarslip.request.claim import StoredAnswer
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
 from briarslip.request.retry import FIRST_TOKENS
 from briarslip.request.retry import MAX_TOKENS
 from tests.request.support import NOT_RUN
+from tests.request.support import ROUTE
 from tests.request.support import TIMEOUT
 from tests.request.support import UNKNOWN
 from tests.request.support import Bench
 from tests.request.support import Sent
+from tests.request.support import Sink
 from tests.request.support import member
 
 
+if TYPE_CHECKING:
+    from briarslip.request.claim import Decision
+
+
 class OutcomeTest(unittest.TestCase):
     """What the caller is told is true."""
 
@@ -146,6 +161,63 @@
         return len(chain[-1].sent)
 
 
+class ClaimTest(unittest.TestCase):
+    """A request with a key, by what its claim and its attempt come to."""
+
+    def setUp(self) -> None:
+        route = replace(ROUTE, claims="required")
+        self.bench = Bench(member(1), route=route)
+        self.held = HeldClaim("claims/holds/1", Claim("n", "d"), 1, 1)
+
+    def send(self, decision: Decision | None) -> Sink:
+        """Send a request whose claim gets a decision."""
+        self.bench.claims.decision = decision
+        return self.bench.request(headers=b"Idempotency-Key: k\r\n")[0]
+
+    def test_claim_that_comes_after_the_deadline_is_given_back(self) -> None:
+        sink = self.send(None)
+        self.bench.time.advance(TIMEOUT + 0.1)
+        self.assertEqual(sink.failure, Failure(Outcome.NOT_RUN, Reason.DEADLINE))
+        self.bench.claims.waiting[0](self.held)
+        self.assertEqual(self.bench.sent, [])
+        self.assertEqual(self.bench.claims.released, [self.held])
+
+    def test_only_a_request_that_surely_did_not_run_gives_its_claim_back(self) -> None:
+        for failure, released in ((NOT_RUN, 1), (UNKNOWN, 0)):
+            self.setUp()
+            self.send(self.held)
+            self.bench.sent[0].sink.failed(failure, None)
+            self.assertEqual(len(self.bench.claims.released), released)
+
+    def test_shed_answer_gives_the_claim_back_and_is_not_stored(self) -> None:
+        self.send(self.held)
+        self.bench.sent[0].answer(b"shed", 503, Outcome.NOT_RUN)
+        claims = self.bench.claims
+        self.assertEqual((claims.released, claims.stored), ([self.held], []))
+
+    def test_whole_answer_is_stored_and_a_large_or_cut_one_is_not(self) -> None:
+        self.send(self.held)
+        self.bench.sent[0].answer(b"booked")
+        self.send(self.held)
+        self.bench.sent[1].answer(b"x" * 3000)
+        self.send(self.held)
+        self.bench.sent[2].sink.head(ResponseHead(200, b"", Outcome.RAN, Load(1, 9)))
+        self.bench.sent[2].sink.failed(UNKNOWN, None)
+        self.assertEqual([a.body for a in self.bench.claims.stored], [b"booked"])
+        self.assertEqual(self.bench.claims.released, [])
+
+    def test_decisions_against_a_second_run(self) -> None:
+        cases: tuple[tuple[Decision, Outcome], ...] = (
+            (HandedOver(), Outcome.UNKNOWN),
+            (KeyMismatch(), Outcome.NOT_RUN),
+            (NoPlatform(), Outcome.NOT_RUN),
+            (Replay(StoredAnswer(201, b"", b"booked")), Outcome.RAN),
+        )
+        for decision, outcome in cases:
+            self.assertIs(self.send(decision).outcome, outcome)
+        self.assertEqual(self.bench.sent, [])
+
+
 class VersionTest(unittest.TestCase):
     """Versions of a service, and what is recorded of them."""
 
