--- /dev/null
+++ b/tests/request/test_at_most_once.py
@@ -0,0 +1,131 @@
+"""At most one run of a request with a key, with real processes."""
+
+from __future__ import annotations
+
+import signal
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+
+from standins.mesh import Answer
+from standins.mesh import Mesh
+from standins.mesh import get_json
+from standins.mesh import put_json
+from standins.mesh import wait_until
+
+
+RECORDS = """\
+[service holds]
+
+[route holds]
+service = holds
+path_prefix = /holds
+priority = urgent
+timeout_ms = 2000
+claims = required
+"""
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """Copies of a request through two daemons, counted by the servers."""
+
+    mesh: Mesh
+    backends: list[str]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        directory = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls.mesh = cls.enterClassContext(Mesh(Path(directory)))
+        cls.mesh.start_platform()
+        cls.mesh.add_nodes(("klang", "klang"))
+        cls.mesh.start_daemons()
+        slow = ("--route-time", "/holds/slow=400", "--drain-s", "0")
+        cls.backends = [cls.mesh.start_backend(n, "holds", "1", *slow) for n in (0, 1)]
+        cls.mesh.apply(RECORDS)
+        cls.mesh.wait_for_version(1)
+        for number in (0, 1):
+            wait_until(lambda n=number: cls.mesh.call(n, "/holds").status == 200)  # type: ignore[misc]
+
+    def book(self, daemon: int, name: str, path: str = "/holds/1") -> Answer:
+        """Send one copy of a booking."""
+        headers = {"Idempotency-Key": name, "Request-Id": name}
+        return self.mesh.call(daemon, path, "POST", b"lot 7", headers)
+
+    def runs(self, name: str) -> int:
+        """Return how often the servers that still run have run a booking."""
+        return sum(
+            get_json(address, "/standin/requests?ids=1").get(name, 0)
+            for address in self.backends
+        )
+
+    def switch_platform(self, **switches: object) -> None:
+        put_json(self.mesh.platform, "/standin/switches", switches)
+
+    def test_copies_get_the_first_answer(self) -> None:
+        answers = [self.book(daemon, "copies") for daemon in (0, 1, 1, 0)]
+        self.assertEqual({(a.status, a.outcome) for a in answers}, {(200, "ran")})
+        self.assertEqual(len({a.body for a in answers}), 1)
+        self.assertEqual(self.runs("copies"), 1)
+
+    def test_copies_at_the_same_time(self) -> None:
+        answers: list[Answer] = []
+
+        def send(daemon: int) -> None:
+            answers.append(self.book(daemon, "race", "/holds/slow"))
+
+        threads = [threading.Thread(target=send, args=(n % 2,)) for n in range(6)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual({(a.status, a.outcome) for a in answers}, {(200, "ran")})
+        self.assertEqual(self.runs("race"), 1)
+
+    def test_lost_answer_of_the_claims_write(self) -> None:
+        self.book(0, "before")
+        self.switch_platform(lose_answers=1)
+        answers = [self.book(daemon, "lost") for daemon in (0, 1)]
+        self.assertEqual([a.outcome for a in answers], ["ran", "ran"])
+        self.assertEqual(self.runs("lost"), 1)
+
+    def test_server_that_closes_after_it_ran(self) -> None:
+        for address in self.backends:
+            put_json(address, "/standin/faults", {"close_after": 1.0})
+        answers = [self.book(daemon, "closed") for daemon in (0, 1, 0)]
+        for address in self.backends:
+            put_json(address, "/standin/faults", {})
+        self.assertEqual([a.outcome for a in answers], ["unknown"] * 3)
+        self.assertEqual([a.status for a in answers], [502, 409, 409])
+        self.assertEqual(self.runs("closed"), 1)
+
+    def test_server_killed_while_it_runs(self) -> None:
+        answers: list[Answer] = []
+        first = threading.Thread(
+            target=lambda: answers.append(self.book(0, "killed", "/holds/slow"))
+        )
+        first.start()
+        wait_until(lambda: self.runs("killed") == 1)
+        for number, address in enumerate(self.backends):
+            if get_json(address, "/standin/requests?ids=1").get("killed"):
+                self.mesh.kill(f"backend-{address.rpartition(':')[2]}")
+                del self.backends[number]
+                break
+        first.join()
+        answers.append(self.book(1, "killed", "/holds/slow"))
+        self.assertEqual([a.outcome for a in answers], ["unknown"] * 2)
+        self.assertEqual(self.runs("killed"), 0)
+
+    def test_platform_outage_refuses_truly(self) -> None:
+        self.mesh.signal("platform", signal.SIGSTOP)
+        refused = self.book(0, "outage")
+        self.mesh.signal("platform", signal.SIGCONT)
+        self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+        self.assertEqual(self.runs("outage"), 0)
+        for daemon in (1, 0):
+            wait_until(lambda n=daemon: self.book(n, "outage").outcome == "ran")  # type: ignore[misc]
+        self.assertEqual(self.runs("outage"), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
