Two distinct choices; calls without a report no longer count for ever

Cause: two choices with repetition send a quarter of a fourth of the calls to a server whatever was learned of it (both choices the same server). Drawing two distinct ones showed a second fault: a failure brings no load report, so that the calls sent since the last report were never forgotten and a server that had come back got nothing (test_failing_server_gets_little_and_comes_back: KeyError 2, no call of 1000); the repetition had hidden it.

Change: distinct choices; the count is bounded by the calls in flight.

--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -115,7 +115,7 @@
 
     def _end(self, outcome: Outcome, reason: Reason | None) -> None:
         self.ended = True
-        self.server.in_flight -= 1
+        self._leave_server()
         failed = reason is not None or self.status >= FIRST_ERROR_STATUS
         if reason is not Reason.CANCELLED:
             self._judge_server(outcome, reason, failed)
@@ -132,6 +132,12 @@
             )
         )
 
+    def _leave_server(self) -> None:
+        server = self.server
+        server.in_flight -= 1
+        # A failure may bring no report, so the count is bounded here too.
+        server.sent_since = min(server.sent_since, server.in_flight)
+
     def _judge_server(
         self, outcome: Outcome, reason: Reason | None, failed: bool
     ) -> None:
--- a/src/briarslip/request/choice.py
+++ b/src/briarslip/request/choice.py
@@ -52,10 +52,10 @@
         return None
     if len(servers) == 1:
         return servers[0]
-    first = servers[int(rng.random() * len(servers))]
-    second = servers[int(rng.random() * len(servers))]
-    if first is second:
-        return first
+    count = len(servers)
+    place = int(rng.random() * count)
+    first = servers[place]
+    second = servers[(place + 1 + int(rng.random() * (count - 1))) % count]
     if first.warm_at > now or second.warm_at > now:
         first_ready = _passes_warm_up(first, now, rng)
         if first_ready != _passes_warm_up(second, now, rng):
