--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ("membership",)
+BENCHES: tuple[str, ...] = ("membership", "requests",)
 
 
 def main() -> int:
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -49,6 +49,8 @@
     STEP_REFUSED = (309, Level.INFO, "version from a peer can't be taken")
     RECORD_UNREADABLE = (310, Level.ERROR, "record on the platform can't be read")
     MESSAGE_REFUSED = (401, Level.WARNING, "message was refused")
+    CLAIMS_UNAVAILABLE = (451, Level.WARNING, "claims can't be made")
+    CLAIM_LEFT = (452, Level.WARNING, "a claim of a request not run was left standing")
     PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
 
     def __init__(self, number: int, level: Level, text: str) -> None:
