--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ("membership", "requests",)
+BENCHES: tuple[str, ...] = ("membership", "requests", "latency",)
 
 
 def main() -> int:
