Rollout policy: share, sequential tests, decisions, with a bench on synthetic outcomes

Cause: nothing decided on rollouts yet. Change: a sum over possible begins (e-detector) for each of four tests a route; a suspicion holds the rollout so that the old version stays comparable.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ()
+BENCHES: tuple[str, ...] = ("rollouts",)
 
 
 def main() -> int:
--- /dev/null
+++ b/bench/rollout_trial.py
@@ -0,0 +1,191 @@
+"""One rollout in virtual time, through the decision functions of the daemon."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from datetime import UTC
+from datetime import datetime
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from bench.rollout_outcomes import NEW
+from bench.rollout_outcomes import OLD
+from bench.rollout_outcomes import SERVERS
+from bench.rollout_outcomes import Outcomes
+from briarslip.address import Address
+from briarslip.version.analyzer import Analyzer
+from briarslip.version.decision import Decision
+from briarslip.version.decision import Decisions
+from briarslip.version.decision import RolloutId
+from briarslip.version.evidence import SLICE_SECONDS
+from briarslip.version.record import Rollout
+from briarslip.version.rollout import State
+from briarslip.version.rollout import status
+from briarslip.version.rollout import traffic_plan
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from bench.rollout_outcomes import Cell
+    from briarslip.version.evidence import Increment
+
+
+BEGIN = datetime(2026, 1, 1, tzinfo=UTC)
+COARSE_STEPS = 150
+FINE_SECONDS = 20.0
+SPREAD_SECONDS = 0.5
+SHOWN_CALLS = 10
+HOLD_SECONDS = 5.0
+STEPS = ((0.0, 0.01), (0.2, 0.05), (0.4, 0.25), (0.6, 0.5), (0.8, 1.0))
+FIXED_EXCESS_FAILURES = 0.05
+FIXED_SLOWNESS = 1.5
+FIXED_MIN_CALLS = 20
+FIXED_PERIOD_SECONDS = 10.0
+
+
+@dataclass(frozen=True)
+class Trial:
+    """What became of one rollout.
+
+    ``seconds_to_none`` counts from the fault's begin to no traffic at all,
+    ``seconds_from_shown`` from the moment ``SHOWN_CALLS`` calls had met it.
+    ``share_before`` is the greatest share up to the begin.
+    """
+
+    done: bool
+    rolled_back: bool
+    seconds_to_none: float
+    seconds_from_shown: float
+    spoiled: int
+    share_before: float
+
+
+class SequentialPolicy:
+    """The policy that daemons run."""
+
+    def __init__(self, window: float) -> None:
+        deadline = BEGIN + timedelta(seconds=window)
+        self.rollout = Rollout("r", "s", NEW, deadline, timedelta(seconds=window), 0.05)
+        self.id = RolloutId.from_rollout(self.rollout)
+        self.analyzer = Analyzer(NEW, int(window / SLICE_SECONDS))
+        self.decisions = Decisions(synced=True)
+        self.decisions.start(self.id, BEGIN)
+        self.servers = {
+            version: frozenset(Address(f"10.0.0.{version}", n) for n in range(SERVERS))
+            for version in (OLD, NEW)
+        }
+
+    def share(self, at: float) -> tuple[float, int]:
+        """Return the new version's share and how many servers carry it."""
+        now = BEGIN + timedelta(seconds=at)
+        plan = traffic_plan("s", (self.rollout,), self.servers, self.decisions, now)
+        if plan is None:
+            return 0.0, SERVERS
+        focused = plan.focus.get(NEW, tuple(self.servers[NEW]))
+        return dict(plan.shares).get(NEW, 0.0), len(focused)
+
+    def observe(
+        self, at: float, seconds: float, increments: Sequence[Increment]
+    ) -> bool:
+        """Take a step's evidence; return whether the rollout is rolled back."""
+        steps = max(1, round(seconds / SLICE_SECONDS))
+        conclusion = self.analyzer.observe(increments, steps)
+        now = BEGIN + timedelta(seconds=at + seconds)
+        if conclusion.fault is not None:
+            self.decisions.decide(
+                Decision(self.id, "s", NEW, conclusion.fault, now, "a", False)
+            )
+            return True
+        if conclusion.suspicious:
+            self.decisions.hold(self.id, now + timedelta(seconds=HOLD_SECONDS))
+        return False
+
+    def done(self, at: float) -> bool:
+        """Whether the rollout counts as done."""
+        now = BEGIN + timedelta(seconds=at)
+        return status(self.rollout, self.servers, self.decisions, now).state is (
+            State.DONE
+        )
+
+
+class FixedPolicy:
+    """The baseline: fixed steps and fixed thresholds on what a step counted."""
+
+    def __init__(self, window: float) -> None:
+        self.window = window
+        self.counts = {OLD: [0, 0, 0.0], NEW: [0, 0, 0.0]}
+        self.checked = 0.0
+
+    def share(self, at: float) -> tuple[float, int]:
+        """Return the share of the step that a time lies in."""
+        shares = [share for begin, share in STEPS if begin * self.window <= at]
+        return shares[-1], SERVERS
+
+    def observe(
+        self, at: float, seconds: float, increments: Sequence[Increment]
+    ) -> bool:
+        """Compare the counts of the last period."""
+        for increment in increments:
+            counts = self.counts[increment.version]
+            counts[0] += increment.counters.calls
+            counts[1] += increment.counters.failures
+            counts[2] += sum(
+                count * 2.0 ** (bucket / 2)
+                for bucket, count in enumerate(increment.counters.latencies)
+            )
+        if at + seconds - self.checked < FIXED_PERIOD_SECONDS:
+            return False
+        self.checked = at + seconds
+        old, new = self.counts[OLD], self.counts[NEW]
+        if min(old[0], new[0]) < FIXED_MIN_CALLS:
+            return False
+        failing = new[1] / new[0] > old[1] / old[0] + FIXED_EXCESS_FAILURES
+        slow = new[2] / new[0] > FIXED_SLOWNESS * old[2] / old[0]
+        self.counts = {OLD: [0, 0, 0.0], NEW: [0, 0, 0.0]}
+        return bool(failing or slow)
+
+    def done(self, at: float) -> bool:
+        """Whether the rollout counts as done."""
+        return at >= STEPS[-1][0] * self.window
+
+
+Policy = type[SequentialPolicy] | type[FixedPolicy]
+
+
+def run_trial(cell: Cell, policy_class: Policy, seed: int) -> Trial:
+    """Run one rollout from its start to its deadline."""
+    outcomes = Outcomes(cell, random.Random(f"{cell} {seed}"))
+    policy = policy_class(cell.window)
+    at, spoiled, share_before = 0.0, 0, 0.0
+    coarse = max(SLICE_SECONDS, cell.window / COARSE_STEPS)
+    began: float | None = None
+    shown: float | None = None
+    while at < cell.window:
+        if began is None and outcomes.shows(at, *policy.share(at)):
+            began = at
+        close = began is not None and at - began <= FINE_SECONDS
+        soon = began is None and outcomes.shows(at + coarse, *policy.share(at + coarse))
+        seconds = SLICE_SECONDS if close or soon else coarse
+        share, focused = policy.share(at)
+        if began is None or at == began:
+            share_before = max(share_before, share)
+        increments, bad = outcomes.draw(at, seconds, share, focused)
+        spoiled += bad
+        if shown is None and spoiled >= SHOWN_CALLS:
+            shown = at
+        if policy.observe(at, seconds, increments):
+            _, bad = outcomes.draw(at + seconds, SPREAD_SECONDS, share, focused)
+            none_at = at + seconds + SPREAD_SECONDS
+            after_shown = 0.0 if shown is None else none_at - shown
+            after_began = 0.0 if began is None else none_at - began
+            return Trial(
+                False, True, after_began, after_shown, spoiled + bad, share_before
+            )
+        at += seconds
+    done = policy.done(cell.window - 1e-3)
+    return Trial(done, False, 0.0, 0.0, spoiled, share_before)
+
+
+__all__ = ["FixedPolicy", "Policy", "SequentialPolicy", "Trial", "run_trial"]
--- /dev/null
+++ b/src/briarslip/version/evidence.py
@@ -0,0 +1,187 @@
+"""Evidence: what each daemon has counted of its own backend servers.
+
+Counters only grow within one incarnation of a daemon, so a newer report
+replaces an older one and a lost report costs nothing.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from dataclasses import field
+
+
+SLICE_SECONDS = 0.5
+BUCKETS = 36
+BUCKETS_PER_DOUBLING = 2
+FIRST_BUCKET_SECONDS = 0.0005
+WARM_UP_SECONDS = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Subject:
+    """What a counter is about."""
+
+    service: str
+    version: str
+    route: str
+
+
+@dataclass(frozen=True, slots=True)
+class Counters:
+    """Calls, failures and latencies; ``latencies`` has ``BUCKETS`` counts."""
+
+    calls: int
+    failures: int
+    latencies: tuple[int, ...]
+
+    def since(self, before: Counters) -> Counters:
+        """Return what was added after ``before``."""
+        pairs = zip(self.latencies, before.latencies, strict=True)
+        return Counters(
+            self.calls - before.calls,
+            self.failures - before.failures,
+            tuple(now - then for now, then in pairs),
+        )
+
+
+NO_COUNTERS = Counters(0, 0, (0,) * BUCKETS)
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """The counters of one daemon at the end of a time slice.
+
+    ``time_slice`` counts slices of ``SLICE_SECONDS`` of wall time since 1970,
+    so that the reports of all daemons cover the same time.
+    """
+
+    reporter: str
+    availability_zone: str
+    incarnation: int
+    time_slice: int
+    entries: tuple[tuple[Subject, Counters], ...]
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """What orders the reports of one daemon."""
+        return (self.incarnation, self.time_slice)
+
+
+@dataclass(frozen=True, slots=True)
+class Increment:
+    """What one server of a version added on one route."""
+
+    server: str
+    version: str
+    route: str
+    counters: Counters
+
+
+def bucket_of(latency: float) -> int:
+    """Return the bucket of a latency in seconds."""
+    if latency <= FIRST_BUCKET_SECONDS:
+        return 0
+    steps = math.log2(latency / FIRST_BUCKET_SECONDS) * BUCKETS_PER_DOUBLING
+    return min(BUCKETS - 1, int(steps) + 1)
+
+
+def bucket_limit(bucket: int) -> float:
+    """Return the longest latency of a bucket in seconds."""
+    return float(FIRST_BUCKET_SECONDS * 2.0 ** (bucket / BUCKETS_PER_DOUBLING))
+
+
+def time_slice_of(timestamp: float) -> int:
+    """Return the slice of a wall time in seconds since 1970."""
+    return int(timestamp / SLICE_SECONDS)
+
+
+@dataclass(slots=True)
+class Tally:
+    """The growing counters of one subject at one server."""
+
+    began: float
+    calls: int = 0
+    failures: int = 0
+    latencies: list[int] = field(default_factory=lambda: [0] * BUCKETS)
+
+    def add(self, failed: bool, latency: float, now: float) -> None:
+        """Count one call; a cold server's latencies are left out."""
+        self.calls += 1
+        self.failures += failed
+        if now - self.began >= WARM_UP_SECONDS:
+            self.latencies[bucket_of(latency)] += 1
+
+    @property
+    def counters(self) -> Counters:
+        """The counters as they stand."""
+        return Counters(self.calls, self.failures, tuple(self.latencies))
+
+
+@dataclass(slots=True)
+class EvidenceBook:
+    """The newest report of each daemon, and what was last taken from it."""
+
+    reports: dict[str, Report] = field(default_factory=dict)
+    taken: dict[str, Report] = field(default_factory=dict)
+
+    def merge(self, report: Report) -> bool:
+        """Take a report over if it is newer than the known one."""
+        known = self.reports.get(report.reporter)
+        if known is not None and known.age >= report.age:
+            return False
+        self.reports[report.reporter] = report
+        return True
+
+    def take_increments(self, service: str) -> tuple[Increment, ...]:
+        """Return what was added to a service's counters since the last call.
+
+        The first report of an incarnation only sets the base: what it counted
+        may be long past.
+        """
+        increments: list[Increment] = []
+        for reporter, report in self.reports.items():
+            before = self.taken.get(reporter)
+            if before is report:
+                continue
+            self.taken[reporter] = report
+            if before is not None and before.incarnation == report.incarnation:
+                increments.extend(_added(report, before, service))
+        return tuple(increments)
+
+    def forget_before(self, time_slice: int) -> None:
+        """Forget the daemons that have not reported since a slice."""
+        for reporter, report in list(self.reports.items()):
+            if report.time_slice < time_slice:
+                del self.reports[reporter]
+                self.taken.pop(reporter, None)
+
+
+def _added(report: Report, before: Report, service: str) -> list[Increment]:
+    known = dict(before.entries)
+    return [
+        Increment(
+            report.reporter,
+            subject.version,
+            subject.route,
+            counters.since(known.get(subject, NO_COUNTERS)),
+        )
+        for subject, counters in report.entries
+        if subject.service == service and counters != known.get(subject)
+    ]
+
+
+__all__ = [
+    "BUCKETS",
+    "NO_COUNTERS",
+    "SLICE_SECONDS",
+    "Counters",
+    "EvidenceBook",
+    "Increment",
+    "Report",
+    "Subject",
+    "Tally",
+    "bucket_limit",
+    "bucket_of",
+    "time_slice_of",
+]
--- /dev/null
+++ b/src/briarslip/version/traffic_share.py
@@ -0,0 +1,88 @@
+"""The share of a service's traffic that a rollout's version gets."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from datetime import datetime
+
+    from briarslip.address import Address
+    from briarslip.version.record import Rollout
+
+
+FIRST_SHARE = 0.01
+CONTROL_SHARE = 0.02
+HELD_SHARE = 0.5
+SMALL_SHARE_REACHED = 0.25
+RAMP_BEGINS = 0.5
+RAMP_ENDS = 0.85
+DONE_AT = 0.93
+MIN_SPAN_SECONDS = 20.0
+
+
+def progress(rollout: Rollout, started: datetime, now: datetime) -> float:
+    """Return how far a rollout's time has run: 0 at its start, 1 at its deadline.
+
+    ``started`` is when the rollout and servers of its version were first
+    seen together. A rollout seen late runs in the time that is left, but in
+    no less than ``MIN_SPAN_SECONDS``.
+    """
+    begin = max(rollout.deadline - rollout.window, started)
+    span = max((rollout.deadline - begin).total_seconds(), MIN_SPAN_SECONDS)
+    return (now - begin).total_seconds() / span
+
+
+def traffic_share(rollout: Rollout, done: float, held: bool) -> float:
+    """Return the version's share at a progress of ``done``.
+
+    A small share up to the middle of the window, then a ramp. Until
+    ``DONE_AT`` the old version keeps a small share to compare with. While
+    the evidence holds the rollout, the share is at most ``HELD_SHARE``.
+    """
+    share = _planned_share(rollout.max_traffic_share, done)
+    return min(share, HELD_SHARE) if held else share
+
+
+def _planned_share(small: float, done: float) -> float:
+    if done < 0 or small <= 0:
+        return 0.0 if done < RAMP_BEGINS else _ramp(FIRST_SHARE, done)
+    if done < SMALL_SHARE_REACHED:
+        first = min(FIRST_SHARE, small)
+        return _between(first, small, done / SMALL_SHARE_REACHED)
+    return small if done < RAMP_BEGINS else _ramp(small, done)
+
+
+def _ramp(small: float, done: float) -> float:
+    if done >= DONE_AT:
+        return 1.0
+    along = min(1.0, (done - RAMP_BEGINS) / (RAMP_ENDS - RAMP_BEGINS))
+    return _between(small, 1.0 - CONTROL_SHARE, along)
+
+
+def _between(low: float, high: float, along: float) -> float:
+    """Return a point between two shares, in equal steps of their logarithm."""
+    return float(low * (high / low) ** along)
+
+
+def focus(
+    servers: Iterable[Address], others: int, share: float, salt: str
+) -> tuple[Address, ...]:
+    """Return the new servers that carry the share, as few as can.
+
+    ``others`` counts the servers of the old version: each chosen server then
+    carries at most about what one of these carried before.
+    """
+
+    def weight(address: Address) -> bytes:
+        return hashlib.sha256(f"{salt} {address}".encode()).digest()
+
+    ranked = sorted(servers, key=weight)
+    return tuple(ranked[: max(1, math.ceil(share * max(1, others) - 1e-9))])
+
+
+__all__ = ["DONE_AT", "HELD_SHARE", "focus", "progress", "traffic_share"]
