Rollouts as real processes: evidence beside the servers, spreading, one report; service-level counters

Cause: version_for, excluded and record were empty hooks. Ruled out: evidence counted by callers' daemons (one report for each daemon that calls, 2,600 at the target size, instead of one for each server of the service).

--- a/src/briarslip/process/admin.py
+++ b/src/briarslip/process/admin.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.connection.local_http import JsonReply
+from briarslip.version.rollout_document import rollout_document
 
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
     return {
         ("GET", "/v1/status"): lambda _: _status(daemon),
         ("GET", "/v1/members"): lambda _: _members(daemon),
+        ("GET", "/v1/rollouts"): lambda _: _rollouts(daemon),
+        ("GET", "/v1/service-levels"): lambda _: _service_levels(daemon),
     }
 
 
@@ -56,4 +59,36 @@
     )
 
 
+def _rollouts(daemon: Daemon) -> JsonReply:
+    board = daemon.rollouts.board
+    return JsonReply(
+        200,
+        [
+            {
+                **rollout_document(
+                    status,
+                    board.decisions,
+                    daemon.clock.now(),
+                    daemon.distribution.snapshot.version,
+                    board.zones_not_heard,
+                ),
+                "share": status.share,
+                "analyzer": daemon.rollouts.analyzes(status.rollout.service),
+            }
+            for status in board.statuses
+        ],
+    )
+
+
+def _service_levels(daemon: Daemon) -> JsonReply:
+    return JsonReply(
+        200,
+        {
+            "peer": str(daemon.settings.listen.peers),
+            "availability_zone": daemon.settings.daemon.availability_zone,
+            **daemon.service_levels.report(),
+        },
+    )
+
+
 __all__ = ["admin_endpoints"]
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -26,6 +26,9 @@
 from briarslip.process.member import Member
 from briarslip.process.member import Status
 from briarslip.process.membership_task import MembershipTask
+from briarslip.process.rollout_report import RolloutReporter
+from briarslip.process.rollout_task import RolloutTask
+from briarslip.process.service_levels import ServiceLevels
 from briarslip.request.forwarder import Forwarder
 from briarslip.request.forwarder import Surroundings
 from briarslip.request.outcome import Failure
@@ -74,6 +77,7 @@
             settings.limits.announcement_lease.total_seconds(),
             self.update_membership,
             self.excluded,
+            lambda own, backend: self.rollouts.collector.watch(own, backend),
         )
         self.claims = PlatformClaims(self.platform, clock, rng, reactor.callLater)
         hello = Hello(str(own_address), zone)
@@ -96,6 +100,23 @@
             self.links.send_control,
             self.update_membership,
         )
+        self.rollouts = RolloutTask(
+            reactor,
+            clock,
+            rng,
+            self._self_member(),
+            lambda: self.distribution.table,
+            lambda: self.membership.live,
+            self.links.send_control,
+        )
+        self.rollout_reporter = RolloutReporter(
+            reactor,
+            self.platform,
+            rng,
+            self.rollouts,
+            lambda: self.distribution.snapshot.version,
+        )
+        self.service_levels = ServiceLevels(clock)
         self.forwarder = Forwarder(clock, rng, self._surroundings())
 
     @classmethod
@@ -125,6 +146,7 @@
             version_for=self.version_for,
             record=self.record,
             excluded=self.excluded,
+            focus=self.rollouts.focus,
             call_later=self.reactor.callLater,
             claims=self.claims,
         )
@@ -149,6 +171,8 @@
             listen.admin, LocalHttpFactory(self.reactor, admin_endpoints(self))
         )
         emit(Event.DAEMON_STARTED, peer=listen.peers, callers=listen.callers)
+        self.rollouts.start()
+        self.rollout_reporter.start()
         self.keep_house()
 
     def _listen(self, address: Address, factory: Any) -> Any:
@@ -176,19 +200,22 @@
 
     def version_for(self, route: Route) -> str:
         """Return the service version a call of this route must go to, if any."""
-        return ""
+        return self.rollouts.version_for(route)
 
     def excluded(self, service: str) -> frozenset[str]:
         """Return the versions of a service that must get no work."""
-        return frozenset()
+        return self.rollouts.excluded(service)
 
     def record(self, sample: Sample) -> None:
         """Take what a finished attempt tells about its server."""
+        self.service_levels.record(sample, self.distribution.table.objectives)
 
     def take_control(self, sender: Address, frame: ControlFrame) -> None:
         """Act on a control message of a peer."""
         if frame.topic is Topic.CONFIGURATION:
             self.distribution.take_message(sender, frame.payload)
+        elif frame.topic is Topic.EVIDENCE:
+            self.rollouts.take_message(sender, frame.payload)
 
     def take_announcement(self, body: bytes) -> JsonReply:
         """Take what a backend server beside this daemon says of itself."""
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -45,6 +45,11 @@
     MESSAGE_REFUSED = (401, Level.WARNING, "message was refused")
     CLAIMS_UNAVAILABLE = (451, Level.WARNING, "claims can't be made")
     CLAIM_LEFT = (452, Level.WARNING, "a claim of a request not run was left standing")
+    ROLLOUT_ROLLED_BACK = (501, Level.ERROR, "rollout is rolled back")
+    ROLLOUT_STATE = (502, Level.INFO, "rollout is in another state")
+    ROLLOUT_REPORTED = (503, Level.INFO, "rollout's state is on the platform")
+    ROLLOUTS_SYNCED = (504, Level.INFO, "decisions on rollouts are known")
+    ROLLOUT_HELD = (505, Level.WARNING, "rollout is held by its evidence")
     PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
 
     def __init__(self, number: int, level: Level, text: str) -> None:
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -18,6 +18,7 @@
     from briarslip.process.announcements import Announcement
     from briarslip.process.clock import Clock
     from briarslip.process.member import Endpoint
+    from briarslip.request.call import Dispatch
 
 
 class LocalServer:
@@ -30,12 +31,14 @@
         reactor: Any,
         clock: Clock,
         excluded: Callable[[str], frozenset[str]],
+        watch: Callable[[Callable[[], Endpoint], Dispatch], Dispatch],
     ) -> None:
         self.announcement = announcement
         self.heard = now
         slots = announcement.endpoint.slots
         self.pool = BackendPool(reactor, announcement.address, slots)
-        self.admission = Admission(clock, slots, self.pool, reactor.callLater, excluded)
+        watched = watch(lambda: self.announcement.endpoint, self.pool)
+        self.admission = Admission(clock, slots, watched, reactor.callLater, excluded)
 
 
 class LocalServers:
@@ -48,12 +51,14 @@
         lease_seconds: float,
         on_change: Callable[[], None],
         excluded: Callable[[str], frozenset[str]],
+        watch: Callable[[Callable[[], Endpoint], Dispatch], Dispatch],
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.lease_seconds = lease_seconds
         self.on_change = on_change
         self.excluded = excluded
+        self.watch = watch
         self.servers: dict[Address, LocalServer] = {}
 
     @property
@@ -72,7 +77,12 @@
         server = self.servers.get(announcement.address)
         if server is None:
             server = LocalServer(
-                announcement, now, self.reactor, self.clock, self.excluded
+                announcement,
+                now,
+                self.reactor,
+                self.clock,
+                self.excluded,
+                self.watch,
             )
             self.servers[announcement.address] = server
             emit(Event.SERVER_ANNOUNCED, server=announcement.address)
--- /dev/null
+++ b/src/briarslip/process/rollout_state.py
@@ -0,0 +1,184 @@
+"""The rollouts' state at one daemon, from its table, members and decisions."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.version.decision import Decisions
+from briarslip.version.decision import RolloutId
+from briarslip.version.rollout import RolloutStatus
+from briarslip.version.rollout import State
+from briarslip.version.rollout import effective
+from briarslip.version.rollout import status
+from briarslip.version.rollout import traffic_plan
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from datetime import datetime
+
+    from briarslip.address import Address
+    from briarslip.process.clock import Clock
+    from briarslip.process.member import Member
+    from briarslip.version.record import Rollout
+    from briarslip.version.rollout import Servers
+    from briarslip.version.rollout import TrafficPlan
+    from briarslip.version.routing_table import RoutingTable
+
+
+ANALYZED = frozenset(
+    (
+        State.SMALL_SHARE,
+        State.RAMPING,
+        State.HELD,
+        State.DONE,
+        State.DEADLINE_MISSED,
+    )
+)
+
+
+class RolloutBoard:
+    """Plans of traffic by service and the state of each rollout."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        table: Callable[[], RoutingTable],
+        members: Callable[[], tuple[Member, ...]],
+    ) -> None:
+        self.clock = clock
+        self.table = table
+        self.members = members
+        self.decisions = Decisions()
+        self.plans: dict[str, TrafficPlan] = {}
+        self.statuses: tuple[RolloutStatus, ...] = ()
+        self.zones_heard: dict[str, datetime] = {}
+        self.previous: dict[str, Rollout] = {}
+
+    def refresh(self) -> tuple[tuple[RolloutId, datetime], ...]:
+        """Work out plans and states anew; return the rollouts that started."""
+        now = self.clock.now()
+        members = self.members()
+        for member in members:
+            self.zones_heard[member.availability_zone] = now
+        rollouts = tuple(self.table().rollouts.values())
+        services = {rollout.service for rollout in rollouts}
+        services |= {d.service for d in self.decisions.rolled_back.values()}
+        servers = {service: _servers(members, service) for service in services}
+        started = self._start(rollouts, servers, now)
+        plans: dict[str, TrafficPlan] = {}
+        for service in services:
+            plan = traffic_plan(
+                service, rollouts, servers[service], self.decisions, now
+            )
+            if plan is not None:
+                plans[service] = plan
+        self.plans = plans
+        self._take_statuses(
+            tuple(
+                self._status(rollout, rollouts, servers[rollout.service], now)
+                for rollout in rollouts
+            )
+        )
+        return started
+
+    def _start(
+        self,
+        rollouts: tuple[Rollout, ...],
+        servers: dict[str, Servers],
+        now: datetime,
+    ) -> tuple[tuple[RolloutId, datetime], ...]:
+        """Note the rollouts whose servers are there for the first time.
+
+        A rollout amended midway goes on from where it is: it keeps the start
+        of the one before, unless that one is rolled back.
+        """
+        started: list[tuple[RolloutId, datetime]] = []
+        for rollout in rollouts:
+            rollout_id = RolloutId.from_rollout(rollout)
+            known = rollout_id in self.decisions.started
+            there = bool(servers[rollout.service].get(rollout.version))
+            if self.decisions.synced and there and not known:
+                started.append((rollout_id, self._first_start(rollout, now)))
+                self.decisions.start(*started[-1])
+            self.previous[rollout.name] = rollout
+        return tuple(started)
+
+    def _first_start(self, rollout: Rollout, now: datetime) -> datetime:
+        before = self.previous.get(rollout.name)
+        if before is None or before.version != rollout.version:
+            return now
+        before_id = RolloutId.from_rollout(before)
+        if before_id in self.decisions.rolled_back:
+            return now
+        return self.decisions.started.get(before_id, now)
+
+    def _status(
+        self,
+        rollout: Rollout,
+        rollouts: tuple[Rollout, ...],
+        servers: Servers,
+        now: datetime,
+    ) -> RolloutStatus:
+        current = effective(rollouts, rollout.service)
+        if rollout in current:
+            return status(rollout, servers, self.decisions, now)
+        later = next(r for r in current if r.version == rollout.version)
+        reason = f"rollout {later.name} to the same version has a later deadline"
+        rollout_id = RolloutId.from_rollout(rollout)
+        return RolloutStatus(rollout, rollout_id, State.SUPERSEDED, 0.0, reason)
+
+    def _take_statuses(self, statuses: tuple[RolloutStatus, ...]) -> None:
+        before = {known.id: known.state for known in self.statuses}
+        self.statuses = statuses
+        for known in statuses:
+            if before.get(known.id) is not known.state:
+                emit(
+                    Event.ROLLOUT_STATE,
+                    rollout=known.rollout.name,
+                    state=known.state.value,
+                    reason=known.reason,
+                )
+
+    def has_other_servers(self, rollout: Rollout) -> bool:
+        """Whether a version that may get work stands beside the rollout's."""
+        plan = self.plans.get(rollout.service)
+        excluded = frozenset() if plan is None else plan.excluded
+        servers = _servers(self.members(), rollout.service)
+        return bool(servers.keys() - excluded - {rollout.version})
+
+    @property
+    def analyzed(self) -> tuple[RolloutStatus, ...]:
+        """The rollouts whose version takes traffic beside another one."""
+        return tuple(
+            known
+            for known in self.statuses
+            if known.state in ANALYZED and self.has_other_servers(known.rollout)
+        )
+
+    @property
+    def zones_not_heard(self) -> tuple[str, ...]:
+        """The zones that had members once and have none now."""
+        live = {member.availability_zone for member in self.members()}
+        return tuple(sorted(self.zones_heard.keys() - live))
+
+    @staticmethod
+    def hold_end(now: datetime, seconds: float) -> datetime:
+        """Return when a hold of some seconds ends."""
+        return now + timedelta(seconds=seconds)
+
+
+def _servers(members: tuple[Member, ...], service: str) -> Servers:
+    """Return the daemons whose servers of a service take work, by version."""
+    found: dict[str, set[Address]] = {}
+    for member in members:
+        for endpoint in member.endpoints:
+            if endpoint.service == service and not endpoint.draining:
+                found.setdefault(endpoint.version, set()).add(member.address)
+    return {version: frozenset(addresses) for version, addresses in found.items()}
+
+
+__all__ = ["RolloutBoard"]
--- /dev/null
+++ b/src/briarslip/process/rollout_task.py
@@ -0,0 +1,263 @@
+"""The task that runs rollouts: shares, evidence, decisions and their spreading."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+
+from briarslip.connection.frame import Topic
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.process.evidence_collector import EvidenceCollector
+from briarslip.process.rollout_analysis import RolloutAnalysis
+from briarslip.process.rollout_analysis import analyzers
+from briarslip.process.rollout_analysis import counterparts
+from briarslip.process.rollout_spread import DIGEST_PEERS
+from briarslip.process.rollout_spread import lacks
+from briarslip.process.rollout_spread import merge_state
+from briarslip.process.rollout_spread import neighbors
+from briarslip.process.rollout_spread import news
+from briarslip.process.rollout_spread import whole_state
+from briarslip.process.rollout_state import RolloutBoard
+from briarslip.version.decision import Decision
+from briarslip.version.evidence import SLICE_SECONDS
+from briarslip.version.evidence import time_slice_of
+from briarslip.version.evidence_codec import Reports
+from briarslip.version.evidence_codec import RolloutState
+from briarslip.version.evidence_codec import StateDigest
+from briarslip.version.evidence_codec import decode_message
+from briarslip.version.evidence_codec import encode_message
+from briarslip.version.rollout import State
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from briarslip.address import Address
+    from briarslip.process.clock import Clock
+    from briarslip.process.member import Member
+    from briarslip.version.evidence import Report
+    from briarslip.version.evidence_codec import EvidenceMessage
+    from briarslip.version.record import Route
+    from briarslip.version.rollout import RolloutStatus
+    from briarslip.version.routing_table import RoutingTable
+
+
+FORWARD_SECONDS = 0.1
+CONCLUDE_SECONDS = 0.25
+DIGEST_SLICES = 2
+HOLD_SECONDS = 5.0
+
+
+class RolloutTask:
+    """Moves traffic by its own clock and by decisions that anyone makes.
+
+    Time goes in slices of the wall clock: at the end of each one evidence is
+    sent to the zone's analyzers, a little later passed on to other zones,
+    and then judged. ``send`` sends a control message to a peer.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        rng: random.Random,
+        own: Member,
+        table: Callable[[], RoutingTable],
+        members: Callable[[], tuple[Member, ...]],
+        send: Callable[[Address, Topic, bytes], None],
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.rng = rng
+        self.own_address = own.address
+        self.availability_zone = own.availability_zone
+        self.members = members
+        self.send = send
+        self.board = RolloutBoard(clock, table, members)
+        self.collector = EvidenceCollector(
+            clock, str(own.address), own.availability_zone, own.incarnation
+        )
+        self.analysis = RolloutAnalysis()
+        self.fresh: dict[tuple[str, str], Report] = {}
+        self.slices = 0
+
+    @property
+    def statuses(self) -> tuple[RolloutStatus, ...]:
+        """The state of every rollout as this daemon sees it."""
+        return self.board.statuses
+
+    def start(self) -> None:
+        """Begin the slices."""
+        self._end_slice()
+
+    def version_for(self, route: Route) -> str:
+        """Return the service version a call must go to, empty for any."""
+        plan = self.board.plans.get(route.service)
+        return "" if plan is None else plan.choose(self.rng.random())
+
+    def excluded(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that must get no work."""
+        plan = self.board.plans.get(service)
+        return frozenset() if plan is None else plan.excluded
+
+    def focus(self, service: str, version: str) -> tuple[Address, ...] | None:
+        """Return the servers that carry a version's share; None for all."""
+        plan = self.board.plans.get(service)
+        return None if plan is None else plan.focus.get(version)
+
+    def analyzes(self, service: str) -> bool:
+        """Whether this daemon is one of its zone's analyzers of a service."""
+        chosen = analyzers(self.members(), self.availability_zone, service)
+        return self.own_address in chosen
+
+    def _end_slice(self) -> None:
+        self.slices += 1
+        later = self.reactor.callLater
+        later(SLICE_SECONDS - self._into_slice(), self._end_slice)
+        started = self.board.refresh()
+        if started:
+            self._pass_on(news(started=started))
+        self._send_evidence()
+        later(FORWARD_SECONDS, self._forward)
+        later(CONCLUDE_SECONDS, self._conclude)
+        if self.slices % DIGEST_SLICES == 0:
+            self._send_digest()
+
+    def _into_slice(self) -> float:
+        return self.clock.now().timestamp() % SLICE_SECONDS
+
+    def _send_evidence(self) -> None:
+        self.collector.follow(s.rollout.service for s in self.board.analyzed)
+        for report in self.collector.reports():
+            chosen = analyzers(self.members(), self.availability_zone, report.service)
+            for analyzer in chosen:
+                if analyzer == self.own_address:
+                    self._take_report(report)
+                else:
+                    self._send(analyzer, Reports((report,)))
+
+    def _forward(self) -> None:
+        """Pass the own zone's evidence on to the analyzers of other zones."""
+        fresh, self.fresh = self.fresh, {}
+        members = self.members()
+        bundles: dict[Address, list[Report]] = {}
+        for report in fresh.values():
+            for peer in counterparts(
+                members, self.availability_zone, report.service, self.own_address
+            ):
+                bundles.setdefault(peer, []).append(report)
+        for peer, reports in bundles.items():
+            self._send(peer, Reports(tuple(reports)))
+
+    def _conclude(self) -> None:
+        """Judge the rollouts that this daemon analyzes."""
+        watched = [
+            status
+            for status in self.board.analyzed
+            if self.analyzes(status.rollout.service)
+        ]
+        self.analysis.follow(watched)
+        time_slice = time_slice_of(self.clock.now().timestamp())
+        for status in watched:
+            conclusion = self.analysis.conclude(status.id, time_slice)
+            if conclusion.fault is not None:
+                self._decide(
+                    Decision(
+                        rollout=status.id,
+                        service=status.rollout.service,
+                        version=status.rollout.version,
+                        fault=conclusion.fault,
+                        decided=self.clock.now(),
+                        availability_zone=self.availability_zone,
+                        after_done=status.state is State.DONE,
+                    )
+                )
+            elif conclusion.suspicious:
+                self._hold(status)
+
+    def _decide(self, decision: Decision) -> None:
+        self._merge(news(decisions=(decision,)))
+
+    def _hold(self, status: RolloutStatus) -> None:
+        now = self.clock.now()
+        until = self.board.decisions.held_until.get(status.id)
+        if until is not None and (until - now).total_seconds() > HOLD_SECONDS / 2:
+            return
+        held = (status.id, self.board.hold_end(now, HOLD_SECONDS))
+        emit(Event.ROLLOUT_HELD, rollout=status.rollout.name, share=status.share)
+        self._merge(news(held_until=(held,)))
+
+    def take_message(self, sender: Address, payload: bytes) -> None:
+        """Act on a rollout message of a peer."""
+        message = decode_message(payload)
+        if isinstance(message, Err):
+            emit(Event.MESSAGE_REFUSED, peer=sender, reason=message.err_value)
+            return
+        match message.ok_value:
+            case Reports(reports):
+                for report in reports:
+                    self._take_report(report)
+            case StateDigest(digest):
+                if digest != self.board.decisions.digest:
+                    self._send(sender, whole_state(self.board.decisions))
+            case RolloutState() as state:
+                self._take_state(sender, state)
+
+    def _take_report(self, report: Report) -> None:
+        self.analysis.take(report)
+        if report.availability_zone == self.availability_zone:
+            self.fresh[report.reporter, report.service] = report
+
+    def _take_state(self, sender: Address, state: RolloutState) -> None:
+        self._merge(state)
+        if state.whole and lacks(self.board.decisions, state):
+            self._send(sender, whole_state(self.board.decisions))
+
+    def take_known(self, state: RolloutState) -> None:
+        """Merge what the platform's reports tell."""
+        self._merge(state)
+
+    def _merge(self, state: RolloutState) -> None:
+        synced = self.board.decisions.synced
+        new = merge_state(self.board.decisions, state)
+        if self.board.decisions.synced and not synced:
+            emit(Event.ROLLOUTS_SYNCED)
+        if new is None:
+            return
+        for decision in new.decisions:
+            emit(
+                Event.ROLLOUT_ROLLED_BACK,
+                rollout=decision.rollout.name,
+                service=decision.service,
+                version=decision.version,
+                route=decision.fault.route,
+                figure=decision.fault.figure,
+                new=decision.fault.new_value,
+                old=decision.fault.old_value,
+            )
+        self.board.refresh()
+        self._pass_on(new)
+
+    def _pass_on(self, state: RolloutState) -> None:
+        payload = encode_message(state)
+        for peer in self._neighbors():
+            self.send(peer, Topic.EVIDENCE, payload)
+
+    def _send_digest(self) -> None:
+        peers = self._neighbors()
+        chosen = self.rng.sample(peers, min(DIGEST_PEERS, len(peers)))
+        for peer in chosen:
+            self._send(peer, StateDigest(self.board.decisions.digest))
+
+    def _neighbors(self) -> tuple[Address, ...]:
+        return neighbors(self.members(), self.own_address, self.availability_zone)
+
+    def _send(self, peer: Address, message: EvidenceMessage) -> None:
+        self.send(peer, Topic.EVIDENCE, encode_message(message))
+
+
+__all__ = ["RolloutTask"]
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -105,7 +105,11 @@
         """Return the servers that a call may go to."""
         excluded = self.surroundings.excluded(call.service)
         now = self.clock.monotonic()
-        return self.directory.find(call.service, call.service_version, excluded, now)
+        found = self.directory.find(call.service, call.service_version, excluded, now)
+        focus = self.surroundings.focus(call.service, call.service_version)
+        if focus is None:
+            return found
+        return [server for server in found if server.address in focus] or found
 
     def finished(self, call: Call) -> None:
         """Count a request out."""
--- a/src/briarslip/request/surroundings.py
+++ b/src/briarslip/request/surroundings.py
@@ -22,6 +22,10 @@
     from briarslip.version.routing_table import RoutingTable
 
 
+def _all_servers(service: str, version: str) -> tuple[Address, ...] | None:
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class Surroundings:
     """The parts of the daemon that requests need.
@@ -29,7 +33,8 @@
     ``version_for`` returns the service version that a call must go to, empty
     for any. ``excluded`` returns the versions of a service that must get no
     work. ``local`` returns what serves a service and version here, if anything
-    does. ``record`` takes the end of each attempt.
+    does. ``focus`` returns the only servers that a version's calls go to, None
+    for all of them. ``record`` takes the end of each attempt.
     """
 
     own_address: Address
@@ -43,6 +48,7 @@
     excluded: Callable[[str], frozenset[str]]
     call_later: CallLater
     claims: Claims
+    focus: Callable[[str, str], tuple[Address, ...] | None] = _all_servers
 
 
 __all__ = ["Surroundings"]
--- /dev/null
+++ b/src/briarslip/version/evidence.capnp
@@ -0,0 +1,58 @@
+@0xb8d1f6c3a7e2954d;
+# Messages on rollouts between daemons: evidence, decisions and their digest.
+
+struct Entry {
+  version @0 :Text;
+  route @1 :Text;
+  calls @2 :UInt32;
+  failures @3 :UInt32;
+  firstBucket @4 :UInt8;      # the bucket of the first count in latencies
+  latencies @5 :List(UInt32); # counts up to the last bucket that has any
+}
+
+struct Report {
+  reporter @0 :Text;          # IP:PORT of the daemon beside the servers
+  availabilityZone @1 :Text;
+  service @2 :Text;
+  incarnation @3 :UInt64;
+  timeSlice @4 :UInt64;
+  entries @5 :List(Entry);
+}
+
+struct Rollout {
+  name @0 :Text;
+  digest @1 :Text;
+}
+
+struct Decision {
+  rollout @0 :Rollout;
+  service @1 :Text;
+  version @2 :Text;
+  route @3 :Text;
+  figure @4 :Text;
+  newValue @5 :Float64;
+  oldValue @6 :Float64;
+  decidedMs @7 :UInt64;       # since 1970
+  availabilityZone @8 :Text;
+  afterDone @9 :Bool;
+}
+
+struct Moment {
+  rollout @0 :Rollout;
+  atMs @1 :UInt64;            # since 1970
+}
+
+struct State {
+  whole @0 :Bool;             # all that a synced daemon knows
+  decisions @1 :List(Decision);
+  started @2 :List(Moment);
+  heldUntil @3 :List(Moment);
+}
+
+struct Message {
+  union {
+    reports @0 :List(Report);
+    digest @1 :Data;
+    state @2 :State;
+  }
+}
--- a/src/briarslip/version/evidence.py
+++ b/src/briarslip/version/evidence.py
@@ -20,9 +20,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Subject:
-    """What a counter is about."""
+    """What a counter of a service is about."""
 
-    service: str
     version: str
     route: str
 
@@ -50,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """The counters of one daemon at the end of a time slice.
+    """The counters of one daemon for one service at the end of a time slice.
 
     ``time_slice`` counts slices of ``SLICE_SECONDS`` of wall time since 1970,
     so that the reports of all daemons cover the same time.
@@ -58,6 +57,7 @@
 
     reporter: str
     availability_zone: str
+    service: str
     incarnation: int
     time_slice: int
     entries: tuple[tuple[Subject, Counters], ...]
@@ -120,7 +120,7 @@
 
 @dataclass(slots=True)
 class EvidenceBook:
-    """The newest report of each daemon, and what was last taken from it."""
+    """The newest report of each daemon on one service, and what was taken of it."""
 
     reports: dict[str, Report] = field(default_factory=dict)
     taken: dict[str, Report] = field(default_factory=dict)
@@ -133,8 +133,8 @@
         self.reports[report.reporter] = report
         return True
 
-    def take_increments(self, service: str) -> tuple[Increment, ...]:
-        """Return what was added to a service's counters since the last call.
+    def take_increments(self) -> tuple[Increment, ...]:
+        """Return what was added to the counters since the last call.
 
         The first report of an incarnation only sets the base: what it counted
         may be long past.
@@ -146,18 +146,11 @@
                 continue
             self.taken[reporter] = report
             if before is not None and before.incarnation == report.incarnation:
-                increments.extend(_added(report, before, service))
+                increments.extend(_added(report, before))
         return tuple(increments)
 
-    def forget_before(self, time_slice: int) -> None:
-        """Forget the daemons that have not reported since a slice."""
-        for reporter, report in list(self.reports.items()):
-            if report.time_slice < time_slice:
-                del self.reports[reporter]
-                self.taken.pop(reporter, None)
-
 
-def _added(report: Report, before: Report, service: str) -> list[Increment]:
+def _added(report: Report, before: Report) -> list[Increment]:
     known = dict(before.entries)
     return [
         Increment(
@@ -167,7 +160,7 @@
             counters.since(known.get(subject, NO_COUNTERS)),
         )
         for subject, counters in report.entries
-        if subject.service == service and counters != known.get(subject)
+        if counters != known.get(subject)
     ]
 
 
--- /dev/null
+++ b/src/briarslip/version/evidence_codec.py
@@ -0,0 +1,218 @@
+"""Rollout messages between daemons and their Cap'n Proto codec."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import UTC
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import capnp
+from result import Err
+from result import Ok
+from result import Result
+
+from briarslip.version.decision import Decision
+from briarslip.version.decision import Fault
+from briarslip.version.decision import RolloutId
+from briarslip.version.evidence import BUCKETS
+from briarslip.version.evidence import Counters
+from briarslip.version.evidence import Report
+from briarslip.version.evidence import Subject
+
+
+SCHEMA = capnp.load(str(Path(__file__).with_name("evidence.capnp")))
+MILLISECONDS_PER_SECOND = 1000
+
+Moments = tuple[tuple[RolloutId, datetime], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Reports:
+    """Evidence of one or more daemons."""
+
+    reports: tuple[Report, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StateDigest:
+    """The digest of the sender's decisions and starts."""
+
+    digest: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutState:
+    """Decisions, starts and holds; ``whole`` if a synced sender knows no more."""
+
+    whole: bool
+    decisions: tuple[Decision, ...]
+    started: Moments
+    held_until: Moments
+
+
+EvidenceMessage = Reports | StateDigest | RolloutState
+
+
+def encode_message(message: EvidenceMessage) -> bytes:
+    """Return the message's bytes."""
+    target = SCHEMA.Message.new_message()
+    match message:
+        case Reports(reports):
+            entries = target.init("reports", len(reports))
+            for entry, report in zip(entries, reports, strict=True):
+                _encode_report(entry, report)
+        case StateDigest(digest):
+            target.digest = digest
+        case RolloutState():
+            _encode_state(target.init("state"), message)
+    encoded: bytes = target.to_bytes_packed()
+    return encoded
+
+
+def _encode_report(target: Any, report: Report) -> None:
+    target.reporter = report.reporter
+    target.availabilityZone = report.availability_zone
+    target.service = report.service
+    target.incarnation = report.incarnation
+    target.timeSlice = report.time_slice
+    entries = target.init("entries", len(report.entries))
+    for entry, (subject, counters) in zip(entries, report.entries, strict=True):
+        entry.version = subject.version
+        entry.route = subject.route
+        entry.calls = counters.calls
+        entry.failures = counters.failures
+        first, counts = _trimmed(counters.latencies)
+        entry.firstBucket = first
+        entry.latencies = counts
+
+
+def _trimmed(latencies: tuple[int, ...]) -> tuple[int, list[int]]:
+    filled = [bucket for bucket, count in enumerate(latencies) if count]
+    if not filled:
+        return 0, []
+    return filled[0], list(latencies[filled[0] : filled[-1] + 1])
+
+
+def _encode_state(target: Any, state: RolloutState) -> None:
+    target.whole = state.whole
+    decisions = target.init("decisions", len(state.decisions))
+    for entry, decision in zip(decisions, state.decisions, strict=True):
+        _encode_decision(entry, decision)
+    _encode_moments(target.init("started", len(state.started)), state.started)
+    _encode_moments(target.init("heldUntil", len(state.held_until)), state.held_until)
+
+
+def _encode_decision(target: Any, decision: Decision) -> None:
+    _encode_id(target.rollout, decision.rollout)
+    target.service = decision.service
+    target.version = decision.version
+    target.route = decision.fault.route
+    target.figure = decision.fault.figure
+    target.newValue = decision.fault.new_value
+    target.oldValue = decision.fault.old_value
+    target.decidedMs = to_milliseconds(decision.decided)
+    target.availabilityZone = decision.availability_zone
+    target.afterDone = decision.after_done
+
+
+def _encode_id(target: Any, rollout: RolloutId) -> None:
+    target.name = rollout.name
+    target.digest = rollout.digest
+
+
+def _encode_moments(target: Any, moments: Moments) -> None:
+    for entry, (rollout, moment) in zip(target, moments, strict=True):
+        _encode_id(entry.rollout, rollout)
+        entry.atMs = to_milliseconds(moment)
+
+
+def decode_message(data: bytes) -> Result[EvidenceMessage, str]:
+    """Read a message; the error is a reason."""
+    try:
+        source = SCHEMA.Message.from_bytes_packed(data)
+        match source.which():
+            case "reports":
+                return Ok(Reports(tuple(_decode_report(r) for r in source.reports)))
+            case "digest":
+                return Ok(StateDigest(source.digest))
+            case _:
+                return Ok(_decode_state(source.state))
+    except (capnp.KjException, ValueError, OverflowError) as error:
+        return Err(f"not a rollout message: {error}")
+
+
+def _decode_report(source: Any) -> Report:
+    return Report(
+        reporter=source.reporter,
+        availability_zone=source.availabilityZone,
+        service=source.service,
+        incarnation=source.incarnation,
+        time_slice=source.timeSlice,
+        entries=tuple(
+            (Subject(entry.version, entry.route), _decode_counters(entry))
+            for entry in source.entries
+        ),
+    )
+
+
+def _decode_counters(source: Any) -> Counters:
+    counts = list(source.latencies)
+    before = source.firstBucket
+    after = BUCKETS - before - len(counts)
+    if after < 0:
+        raise ValueError("latencies lie beyond the last bucket")
+    latencies = (0,) * before + tuple(counts) + (0,) * after
+    return Counters(source.calls, source.failures, latencies)
+
+
+def _decode_state(source: Any) -> RolloutState:
+    return RolloutState(
+        whole=source.whole,
+        decisions=tuple(_decode_decision(entry) for entry in source.decisions),
+        started=_decode_moments(source.started),
+        held_until=_decode_moments(source.heldUntil),
+    )
+
+
+def _decode_decision(source: Any) -> Decision:
+    return Decision(
+        rollout=RolloutId(source.rollout.name, source.rollout.digest),
+        service=source.service,
+        version=source.version,
+        fault=Fault(source.route, source.figure, source.newValue, source.oldValue),
+        decided=from_milliseconds(source.decidedMs),
+        availability_zone=source.availabilityZone,
+        after_done=source.afterDone,
+    )
+
+
+def _decode_moments(source: Any) -> Moments:
+    return tuple(
+        (RolloutId(e.rollout.name, e.rollout.digest), from_milliseconds(e.atMs))
+        for e in source
+    )
+
+
+def to_milliseconds(moment: datetime) -> int:
+    """Return a time as milliseconds since 1970."""
+    return round(moment.timestamp() * MILLISECONDS_PER_SECOND)
+
+
+def from_milliseconds(milliseconds: int) -> datetime:
+    """Return the time of milliseconds since 1970."""
+    return datetime.fromtimestamp(milliseconds / MILLISECONDS_PER_SECOND, UTC)
+
+
+__all__ = [
+    "EvidenceMessage",
+    "Moments",
+    "Reports",
+    "RolloutState",
+    "StateDigest",
+    "decode_message",
+    "encode_message",
+    "from_milliseconds",
+    "to_milliseconds",
+]
--- a/src/briarslip/version/traffic_share.py
+++ b/src/briarslip/version/traffic_share.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from typing import TYPE_CHECKING
 
+from briarslip.rendezvous import ranked
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,6 +24,7 @@
 RAMP_ENDS = 0.85
 DONE_AT = 0.93
 MIN_SPAN_SECONDS = 20.0
+ROUNDING = 1e-9
 
 
 def progress(rollout: Rollout, started: datetime, now: datetime) -> float:
@@ -77,12 +79,8 @@
     ``others`` counts the servers of the old version: each chosen server then
     carries at most about what one of these carried before.
     """
-
-    def weight(address: Address) -> bytes:
-        return hashlib.sha256(f"{salt} {address}".encode()).digest()
-
-    ranked = sorted(servers, key=weight)
-    return tuple(ranked[: max(1, math.ceil(share * max(1, others) - 1e-9))])
+    count = max(1, math.ceil(share * max(1, others) - ROUNDING))
+    return ranked(servers, salt)[:count]
 
 
 __all__ = ["DONE_AT", "HELD_SHARE", "focus", "progress", "traffic_share"]
