--- a/bench/thin_requests.py
+++ b/bench/thin_requests.py
@@ -102,7 +102,7 @@
         self, request: CallerRequest, sink: ResponseSink
     ) -> Callable[[], None]:
         """Serve a request."""
-        route: Any = self.surroundings.table().match(request.target)
+        route: Any = self.surroundings.table().match(request.target, request.method)
         call = Call(
             method=request.method,
             target=request.target,
