Build routing tables from forms, so that a table always has its index

Ruled out: the index itself (its own tests pass). Change: one factory, RoutingTable.from_forms, used by the compiler and by the tests.

--- a/src/briarslip/version/routing_table.py
+++ b/src/briarslip/version/routing_table.py
@@ -50,6 +50,23 @@
     index: RouteNode = field(default_factory=RouteNode)
     kept: tuple[Finding, ...] = ()
 
+    @classmethod
+    def from_forms(
+        cls, version: int, forms: Iterable[Form], kept: tuple[Finding, ...] = ()
+    ) -> RoutingTable:
+        """Build a table of forms that are known to be closed."""
+        known = tuple(forms)
+        routes = [form for form in known if isinstance(form, Route)]
+        return cls(
+            version=version,
+            services={f.name: f for f in known if isinstance(f, Service)},
+            routes=tuple(sorted(routes, key=lambda route: route.name)),
+            rollouts={f.name: f for f in known if isinstance(f, Rollout)},
+            objectives={f.name: f for f in known if isinstance(f, Objective)},
+            index=index_routes(routes),
+            kept=kept,
+        )
+
     def match(self, target: str, method: str) -> Route | None:
         """Return the route of a request, if there is one."""
         return find_route(self.index, target, method)
@@ -83,20 +100,7 @@
     findings.extend(overlaps(routes))
     if findings:
         return Err(tuple(findings))
-    services = [f for f in forms.values() if isinstance(f, Service)]
-    rollouts = [f for f in forms.values() if isinstance(f, Rollout)]
-    objectives = [f for f in forms.values() if isinstance(f, Objective)]
-    return Ok(
-        RoutingTable(
-            version=snapshot.version,
-            services={form.name: form for form in services},
-            routes=tuple(sorted(routes, key=lambda route: route.name)),
-            rollouts={form.name: form for form in rollouts},
-            objectives={form.name: form for form in objectives},
-            index=index_routes(routes),
-            kept=tuple(kept),
-        )
-    )
+    return Ok(RoutingTable.from_forms(snapshot.version, forms.values(), tuple(kept)))
 
 
 def check_records(records: Mapping[RecordKey, Record]) -> tuple[Finding, ...]:
--- a/tests/request/support.py
+++ b/tests/request/support.py
@@ -166,7 +166,7 @@
         self.version = ""
         self.claims = claims or FakeClaims(NoPlatform())
         self.react: Callable[[Sent], None] = lambda sent: None
-        table = RoutingTable(1, {"holds": Service("holds")}, (route,), {}, {})
+        table = RoutingTable.from_forms(1, (Service("holds"), route))
         surroundings = Surroundings(
             own_address=address(99),
             availability_zone="klang",
