--- /dev/null
+++ b/tests/console/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the command-line programs."""
+
+from __future__ import annotations
