--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -100,10 +100,16 @@
 
 
 def _format_text(record: logbook.LogRecord, handler: logbook.Handler) -> str:
-    fields = " ".join(f"{k}={v}" for k, v in record.extra.get("fields", {}).items())
+    given = record.extra.get("fields", {})
+    fields = " ".join(f"{name}={_on_one_line(given[name])}" for name in given)
     number = record.extra.get("event", 0)
     time = record.time.isoformat(timespec="milliseconds")
     return f"{time} {record.level_name:<7} {number} {record.message} {fields}".rstrip()
 
 
+def _on_one_line(value: Any) -> str:
+    text = str(value)
+    return text if text.isprintable() and " " not in text else json.dumps(text)
+
+
 __all__ = ["Event", "Level", "emit", "handler_from_settings", "install_log"]
--- /dev/null
+++ b/tests/process/test_events.py
@@ -0,0 +1,40 @@
+"""Log lines: one event a line, as text or as JSON."""
+
+from __future__ import annotations
+
+import io
+import json
+import unittest
+
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.process.events import handler_from_settings
+from briarslip.process.settings import LogSettings
+
+
+class EventsTest(unittest.TestCase):
+    """Both forms of the log."""
+
+    def lines(self, settings: LogSettings) -> list[str]:
+        stream = io.StringIO()
+        with handler_from_settings(settings, stream).applicationbound():
+            emit(Event.VERSION_ACTIVE, version=3)
+            emit(Event.PLATFORM_FAILED, reason="a\nb")
+        return stream.getvalue().splitlines()
+
+    def test_json_is_one_object_a_line(self) -> None:
+        first, second = map(json.loads, self.lines(LogSettings("json", "info")))
+        self.assertEqual((first["event"], first["version"]), (301, 3))
+        self.assertEqual(second["reason"], "a\nb")
+
+    def test_text_is_one_line_an_event(self) -> None:
+        first, second = self.lines(LogSettings("text", "info"))
+        self.assertIn("301 configuration version is active version=3", first)
+        self.assertIn("601 platform call failed", second)
+
+    def test_level_leaves_lesser_events_out(self) -> None:
+        self.assertEqual(len(self.lines(LogSettings("json", "warning"))), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/process/test_settings.py
@@ -0,0 +1,84 @@
+"""Settings: read whole, every finding reported together."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from briarslip.address import Address
+from briarslip.process.settings import SECTIONS
+from briarslip.process.settings import Settings
+
+
+GOOD = """\
+[daemon]
+availability_zone = klang
+
+[listen]
+callers = 127.0.0.1:1
+peers = [::1]:2
+admin = 127.0.0.1:3
+announcements = 127.0.0.1:4
+
+[platform]
+address = 127.0.0.1:5
+timeout_ms = 250
+
+[membership]
+seeds = 127.0.0.1:6, 127.0.0.1:7
+"""
+NAMES = [spec.name for _, specs in SECTIONS.values() for spec in specs]
+
+
+class SettingsTest(unittest.TestCase):
+    """Good and bad settings."""
+
+    def test_good_settings(self) -> None:
+        settings = Settings.from_ini(GOOD, "d.ini").unwrap()
+        self.assertEqual(settings.listen.peers, Address("::1", 2))
+        self.assertEqual(settings.platform.timeout, timedelta(milliseconds=250))
+        self.assertEqual(len(settings.membership.seeds), 2)
+
+    def test_every_finding_at_once_with_its_place(self) -> None:
+        text = GOOD.replace("127.0.0.1:1", "localhost:1").replace("250", "soon")
+        text = text.replace("availability_zone = klang", "colour = red")
+        text += "\n[extra]\n"
+        findings = Settings.from_ini(text, "d.ini").unwrap_err()
+        places = {(f.line, f.section, f.field) for f in findings}
+        self.assertEqual(
+            places,
+            {
+                (1, "daemon", "availability_zone"),
+                (2, "daemon", "colour"),
+                (5, "listen", "callers"),
+                (12, "platform", "timeout_ms"),
+                (17, "extra", ""),
+            },
+        )
+
+    @hypothesis_settings(derandomize=True, max_examples=200)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([*SECTIONS, "other"]),
+                st.sampled_from([*NAMES, "x"]),
+                st.text(alphabet="0179.:-,truefals[] é", max_size=20),
+            ),
+            max_size=8,
+        )
+    )
+    def test_any_fields_give_settings_or_findings(
+        self, entries: list[tuple[str, str, str]]
+    ) -> None:
+        text = "".join(f"[{s}]\n{k} = {v}\n" for s, k, v in entries)
+        result = Settings.from_ini(text, "d.ini")
+        if result.is_err():
+            self.assertTrue(all(finding.reason for finding in result.unwrap_err()))
+
+
+if __name__ == "__main__":
+    unittest.main()
