--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ("membership", "requests", "latency", "rollouts")
+BENCHES: tuple[str, ...] = ("membership", "requests", "latency", "rollouts", "chaos")
 
 
 def main() -> int:
--- /dev/null
+++ b/bench/chaos/deployment.py
@@ -0,0 +1,73 @@
+"""The deployments of today that the trials are run on."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ServiceTraffic:
+    """One service and the requests that callers send to it."""
+
+    name: str
+    method: str
+    priority: str
+    body_size: int
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """Zones, and the services that each run one server in every zone."""
+
+    region: str
+    zones: tuple[str, ...]
+    services: tuple[ServiceTraffic, ...]
+    slots: int
+    connections: int
+
+    @property
+    def records(self) -> str:
+        """The records of the deployment as INI text."""
+        return "\n".join(
+            f"[service {s.name}]\n\n[route {s.name}]\nservice = {s.name}\n"
+            f"path_prefix = /{s.name}\npriority = {s.priority}\n"
+            "timeout_ms = 3000\nclaims = required\n"
+            for s in self.services
+        )
+
+
+WARMPAW = Deployment(
+    region="qld",
+    zones=("qld-a", "qld-b", "qld-c"),
+    services=(
+        ServiceTraffic("alerts", "GET", "urgent", 200),
+        ServiceTraffic("faults", "POST", "urgent", 200),
+        ServiceTraffic("reports", "GET", "bulk", 20_000),
+        ServiceTraffic("history", "GET", "bulk", 50_000),
+    ),
+    slots=10,
+    connections=130,
+)
+TAN_KEE_SENG = Deployment(
+    region="peninsula",
+    zones=("klang", "penang", "johor", "ipoh"),
+    services=(
+        ServiceTraffic("shelves", "GET", "urgent", 200),
+        ServiceTraffic("holds", "POST", "urgent", 200),
+        ServiceTraffic("history", "GET", "bulk", 50_000),
+        ServiceTraffic("alerts", "GET", "urgent", 200),
+    ),
+    slots=12,
+    connections=120,
+)
+SMALL = Deployment(
+    region="peninsula",
+    zones=("klang", "penang", "johor"),
+    services=TAN_KEE_SENG.services[:3],
+    slots=12,
+    connections=120,
+)
+DEPLOYMENTS = {"warmpaw": WARMPAW, "tan-kee-seng": TAN_KEE_SENG}
+
+
+__all__ = ["DEPLOYMENTS", "SMALL", "Deployment", "ServiceTraffic"]
--- a/src/briarslip/process/admin.py
+++ b/src/briarslip/process/admin.py
@@ -37,6 +37,7 @@
             "running_version": snapshot.version,
             "digest": snapshot.digest,
             "routes": [route.name for route in daemon.distribution.table.routes],
+            "services": sorted(daemon.distribution.table.services),
             "relay": daemon.distribution.relay.active,
             "draining": daemon.draining,
         },
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -121,6 +121,7 @@
     add("--service-time-ms", type=float, default=2.0)
     add("--cold-factor", type=float, default=1.0)
     add("--cold-ms", type=float, default=0.0)
+    add("--log-runs", action="store_true", help="print the id of each run")
     add(
         "--route-time",
         type=behavior.parse_route_time,
@@ -146,7 +147,7 @@
         cold_ms=options.cold_ms,
     )
     reactor: Any = default_reactor
-    backend = Backend(settings, reactor, options.seed)
+    backend = Backend(settings, reactor, options.seed, options.log_runs)
     listener = reactor.listenTCP(
         options.port, BackendFactory(backend), interface=LOOPBACK
     )
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -150,8 +150,11 @@
 class Backend:
     """The state of one backend: its slots, queue, faults and records."""
 
-    def __init__(self, settings: Settings, clock: Any, seed: int = 0) -> None:
+    def __init__(
+        self, settings: Settings, clock: Any, seed: int = 0, log_runs: bool = False
+    ) -> None:
         self.settings = settings
+        self.log_runs = log_runs
         self.clock = clock
         self.port = 0
         self.draining = False
@@ -252,6 +255,8 @@
         }
         self.runs.append(record)
         self.run_counts[record["id"]] += 1
+        if self.log_runs:
+            print(f"ran {record['id']}", flush=True)
         time_s = behavior.service_time_s(
             self.settings, path, now_s - self.started_s, request.slow_factor
         )
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -80,9 +80,10 @@
             return f"{HOST}:{port}"
 
 
-def get_json(address: str, path: str) -> Any:
+def get_json(address: str, path: str, timeout: float = 5.0) -> Any:
     """Read a JSON endpoint."""
-    with urllib.request.urlopen(f"http://{address}{path}", timeout=5) as reply:
+    url = f"http://{address}{path}"
+    with urllib.request.urlopen(url, timeout=timeout) as reply:
         return json.load(reply)
 
 
@@ -110,6 +111,8 @@
     def __init__(self, directory: Path) -> None:
         self.directory = directory
         self.platform = free_address()
+        # By availability zone, where a zone reaches the platform another way.
+        self.platform_routes: dict[str, str] = {}
         self.nodes: list[Node] = []
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
@@ -154,7 +157,8 @@
         node = self.nodes[number]
         path = self.directory / f"daemon-{number}.ini"
         seeds = ", ".join(n.peers for n in self.nodes[:4] if n is not node)
-        text = SETTINGS.format(platform=self.platform, seeds=seeds, **vars(node))
+        platform = self.platform_routes.get(node.zone, self.platform)
+        text = SETTINGS.format(platform=platform, seeds=seeds, **vars(node))
         path.write_text(f"{text}\n{extra}")
         return self.start(f"daemon-{number}", "briarslip.console.daemon", str(path))
 
