--- a/src/briarslip/console/application.py
+++ b/src/briarslip/console/application.py
@@ -5,14 +5,16 @@
 import typer
 
 from briarslip.console.commands.apply import apply
+from briarslip.console.commands.change import change
 from briarslip.console.commands.check import check
+from briarslip.console.commands.remove import remove
 from briarslip.console.commands.status import status
 
 
 application = typer.Typer(
     name="briarslip", no_args_is_help=True, pretty_exceptions_enable=False
 )
-for command in (check, apply, status):
+for command in (check, apply, remove, change, status):
     application.command()(command)
 
 
