--- a/src/briarslip/process/distribution_task.py
+++ b/src/briarslip/process/distribution_task.py
@@ -321,9 +321,9 @@
 
     def _pull(self) -> None:
         """Ask the next source if it is time, and come back when it will be."""
-        if self.wake_call is not None:
+        if self.wake_call is not None and self.wake_call.active():
             self.wake_call.cancel()
-            self.wake_call = None
+        self.wake_call = None
         now = self.clock.monotonic()
         self.puller.forget(self.state.held_version)
         source = next_source(self.puller, now, self.rng)
--- a/src/briarslip/process/relay.py
+++ b/src/briarslip/process/relay.py
@@ -246,9 +246,9 @@
         self.run()
 
     def _cancel(self) -> None:
-        if self.scheduled is not None:
+        if self.scheduled is not None and self.scheduled.active():
             self.scheduled.cancel()
-            self.scheduled = None
+        self.scheduled = None
 
     def _broken(self, failure: Any) -> None:
         emit(Event.PUBLISH_FAILED, reason=failure.getTraceback())
