--- a/src/briarslip/version/acceptance.py
+++ b/src/briarslip/version/acceptance.py
@@ -12,6 +12,8 @@
 from briarslip.version.record import Record
 from briarslip.version.record import parse_record
 from briarslip.version.routing_table import check_records
+from briarslip.version.routing_table import service_names
+from briarslip.version.routing_table import unresolved
 from briarslip.version.snapshot import Origin
 from briarslip.version.snapshot import Snapshot
 
@@ -132,16 +134,19 @@
     accepted: list[str] = []
     refusals: dict[str, tuple[Finding, ...]] = {}
     waiting = list(changes)
+    services = service_names(snapshot.records)
     progress = True
     while progress:
         progress = False
         for change in tuple(waiting):
-            candidate = _merge(snapshot, (change,))
-            findings = _check(candidate, (change,))
+            findings = _findings_by_itself(snapshot, services, change)
+            candidate = snapshot if findings else _merge(snapshot, (change,))
+            findings = findings or check_records(candidate.records)
             if findings:
                 refusals[change.id] = findings
                 continue
             snapshot = candidate
+            services = service_names(snapshot.records)
             accepted.append(change.id)
             refusals.pop(change.id, None)
             waiting.remove(change)
@@ -149,6 +154,24 @@
     return snapshot, accepted, refusals
 
 
+def _findings_by_itself(
+    snapshot: Snapshot, services: frozenset[str], change: _Candidate
+) -> tuple[Finding, ...]:
+    """Return what is wrong with a change without looking at all records.
+
+    Refused changes are looked at in every round, so this has to be cheap.
+    """
+    findings = list(_own_findings(change))
+    known = services | service_names(
+        k for k, w in change.writes.items() if w.fields is not None
+    )
+    for key, write in change.writes.items():
+        if write.fields is None or write.revision <= _accepted_revision(snapshot, key):
+            continue
+        findings.extend(unresolved(key, Record(key, write.fields), known))
+    return tuple(dict.fromkeys(findings))
+
+
 def _closed_together(
     snapshot: Snapshot, changes: Sequence[_Candidate]
 ) -> tuple[_Candidate, ...]:
@@ -190,12 +213,6 @@
     return Snapshot(snapshot.version, records, origins)
 
 
-def _check(snapshot: Snapshot, changes: Iterable[_Candidate]) -> tuple[Finding, ...]:
-    findings = [finding for change in changes for finding in _own_findings(change)]
-    findings.extend(check_records(snapshot.records))
-    return tuple(dict.fromkeys(findings))
-
-
 def _own_findings(change: _Candidate) -> tuple[Finding, ...]:
     """Return what is wrong with the records of a change by themselves."""
     findings: list[Finding] = []
--- a/src/briarslip/version/routing_table.py
+++ b/src/briarslip/version/routing_table.py
@@ -24,6 +24,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -102,23 +103,33 @@
 def check_records(records: Mapping[RecordKey, Record]) -> tuple[Finding, ...]:
     """Return what keeps these records from being a configuration.
 
-    Of a record of which no schema is known only the service is looked at:
-    another publisher knew the schema and has accepted it.
+    Every form has to be closed, also one that stands beside a newer schema:
+    programs that do not know the newer one go by it. Of a record of which no
+    schema is known only the service is looked at: another publisher knew the
+    schema and has accepted it.
     """
     known = {k: r for k, r in records.items() if (k.kind, k.schema) in SPECS}
     forms, findings, _ = _newest_forms(known, EMPTY_TABLE)
-    opaque = [r for k, r in records.items() if k not in known]
-    extra = {record.key.name for record in opaque if record.key.kind == "service"}
-    findings.extend(_unresolved(forms.values(), extra))
     findings.extend(overlaps(f for f in forms.values() if isinstance(f, Route)))
-    services = {f.name for f in forms.values() if isinstance(f, Service)} | extra
-    for record in opaque:
-        service = record.fields.get("service")
-        if service is not None and service not in services:
-            findings.append(
-                _no_service(f"{record.key.kind} {record.key.name}", service)
-            )
-    return tuple(findings)
+    services = service_names(records)
+    for key, record in records.items():
+        findings.extend(unresolved(key, record, services))
+    return tuple(dict.fromkeys(findings))
+
+
+def service_names(records: Iterable[RecordKey]) -> frozenset[str]:
+    """Return the names of the services among some records."""
+    return frozenset(key.name for key in records if key.kind == "service")
+
+
+def unresolved(
+    key: RecordKey, record: Record, services: Collection[str]
+) -> tuple[Finding, ...]:
+    """Return a finding if a record names a service that does not exist."""
+    service = record.fields.get("service")
+    if service is None or service in services:
+        return ()
+    return (_no_service(f"{key.kind} {key.name}", service),)
 
 
 def _newest_forms(
@@ -149,12 +160,9 @@
     return forms, findings, kept
 
 
-def _unresolved(
-    forms: Iterable[Form], extra_services: Iterable[str] = ()
-) -> Iterable[Finding]:
+def _unresolved(forms: Iterable[Form]) -> Iterable[Finding]:
     forms = tuple(forms)
     services = {form.name for form in forms if isinstance(form, Service)}
-    services.update(extra_services)
     for form in forms:
         if not isinstance(form, Service) and form.service not in services:
             kind = type(form).__name__.lower()
@@ -166,4 +174,11 @@
     return Finding(source, 0, "", "service", reason)
 
 
-__all__ = ["EMPTY_TABLE", "RoutingTable", "check_records", "compile_snapshot"]
+__all__ = [
+    "EMPTY_TABLE",
+    "RoutingTable",
+    "check_records",
+    "compile_snapshot",
+    "service_names",
+    "unresolved",
+]
--- a/tests/process/test_change_writer.py
+++ b/tests/process/test_change_writer.py
@@ -26,6 +26,7 @@
 from tests.support.records import removed
 from tests.support.records import route
 from tests.support.records import service
+from tests.support.virtual import HookedClient
 from tests.support.virtual import VirtualPlatform
 
 
@@ -35,24 +36,6 @@
     from briarslip.version.snapshot import Snapshot
 
 
-class Hooked:
-    """A client that runs hooks before some of its swaps."""
-
-    def __init__(self, world: VirtualPlatform, hooks: dict[int, Any]) -> None:
-        self.world = world
-        self.hooks = hooks
-        self.swaps = 0
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.world.client, name)
-
-    async def swap(self, *arguments: Any) -> Any:
-        """Swap after the hook for this one."""
-        self.swaps += 1
-        self.hooks.get(self.swaps, lambda: None)()
-        return await self.world.client.swap(*arguments)
-
-
 class ChangeWriterTest(unittest.TestCase):
     """One operator wins, the other is told, and nothing is half in."""
 
@@ -63,7 +46,7 @@
 
     def hooked(self, hooks: dict[int, Callable[[], Any]]) -> Operator:
         """Return an operator whose swaps run hooks first."""
-        client: Any = Hooked(self.world, hooks)
+        client: Any = HookedClient(self.world, hooks)
         return Operator(self.world, self.new_id, client)
 
     def in_force(self) -> Snapshot:
@@ -120,7 +103,7 @@
                 self.assertEqual(len(self.in_force().records), 2 * count)
 
     def test_ours_was_overwritten_before_its_lost_answer_was_settled(self) -> None:
-        lost = Hooked(self.world, {})
+        lost = HookedClient(self.world, {})
 
         async def swap(key: str, value: bytes | None, revision: int) -> Any:
             lost.swaps += 1
--- a/tests/process/test_publisher.py
+++ b/tests/process/test_publisher.py
@@ -25,6 +25,7 @@
 from tests.support.records import removed
 from tests.support.records import route
 from tests.support.records import service
+from tests.support.virtual import HookedClient
 from tests.support.virtual import VirtualPlatform
 
 
@@ -32,38 +33,19 @@
     from result import Result
 
     from briarslip.process.platform import KeyValue
-    from briarslip.process.platform import PlatformError
-    from briarslip.process.platform import SwapReply
     from briarslip.process.publisher import PublishError
     from briarslip.version.snapshot import Snapshot
 
 
-class Interrupted:
-    """A client that runs a hook before its n-th swap; the hook may raise."""
-
-    def __init__(self, world: VirtualPlatform, before: int, hook: Any) -> None:
-        self.world = world
-        self.before = before
-        self.hook = hook
-        self.swaps = 0
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.world.client, name)
-
-    async def swap(
-        self, key: str, value: bytes | None, revision: int, lease_id: int = 0
-    ) -> Result[SwapReply, PlatformError]:
-        """Swap after the hook."""
-        self.swaps += 1
-        if self.swaps == self.before:
-            self.hook()
-        return await self.world.client.swap(key, value, revision, lease_id)
-
-
 class CrashError(Exception):
     """The publisher died."""
 
 
+def die() -> None:
+    """End the publisher that runs."""
+    raise CrashError
+
+
 class PublisherTest(unittest.TestCase):
     """Only the swap of the head puts a version in force."""
 
@@ -104,13 +86,10 @@
                 self.assertEqual(self.status(change)["state"], "accepted")
 
     def test_a_publisher_that_dies_anywhere_blocks_nobody(self) -> None:
-        def die() -> None:
-            raise CrashError
-
         self.operator.apply(service("a"))
         for swap in range(1, 5):
             with self.subTest(swap=swap), self.assertRaises(CrashError):
-                self.publish(Interrupted(self.world, swap, die))
+                self.publish(HookedClient(self.world, {swap: die}))
         change = self.operator.apply(service("b"))
         snapshot = self.publish().unwrap()
         self.publish()
@@ -119,13 +98,10 @@
         self.assertEqual(self.status(change)["state"], "accepted")
 
     def test_status_that_a_dead_publisher_did_not_write_is_written(self) -> None:
-        def die() -> None:
-            raise CrashError
-
         change = self.operator.apply(service("a"))
         with self.assertRaises(CrashError):
             # Chunk, entry, head, then the status.
-            self.publish(Interrupted(self.world, 4, die))
+            self.publish(HookedClient(self.world, {4: die}))
         self.assertIsNone(self.status(change))
         self.publish()
         self.assertEqual(self.status(change), {"state": "accepted", "version": 1})
@@ -139,7 +115,7 @@
             self.operator.apply(service("c"))
             self.publish()
 
-        late = self.publish(Interrupted(self.world, 3, meanwhile))
+        late = self.publish(HookedClient(self.world, {3: meanwhile}))
         self.assertEqual(late.unwrap_err(), LostHead())
         self.assertEqual(self.in_force().version, 2)
         self.assertEqual(
@@ -147,14 +123,11 @@
         )
 
     def test_garbage_left_at_the_next_version_is_replaced(self) -> None:
-        def die() -> None:
-            raise CrashError
-
         self.operator.apply(service("a"))
         self.publish()
         self.operator.apply(service("b"))
         with self.assertRaises(CrashError):
-            self.publish(Interrupted(self.world, 2, die))
+            self.publish(HookedClient(self.world, {2: die}))
         item = self.item(VERSIONS_PREFIX)
         self.world.store.swap(item.key, item.value[:40], item.mod_revision)
         self.assertEqual(self.publish().unwrap().version, 2)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -44,4 +44,22 @@
         return value
 
 
-__all__ = ["VirtualPlatform"]
+class HookedClient:
+    """A client that runs hooks before some of its swaps; a hook may raise."""
+
+    def __init__(self, world: VirtualPlatform, hooks: dict[int, Any]) -> None:
+        self.world = world
+        self.hooks = hooks
+        self.swaps = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.world.client, name)
+
+    async def swap(self, *arguments: Any) -> Any:
+        """Swap after the hook for this one."""
+        self.swaps += 1
+        self.hooks.get(self.swaps, lambda: None)()
+        return await self.world.client.swap(*arguments)
+
+
+__all__ = ["HookedClient", "VirtualPlatform"]
--- a/tests/version/test_acceptance.py
+++ b/tests/version/test_acceptance.py
@@ -137,6 +137,17 @@
         self.assertEqual(result.accepted, ("2",))
         self.assertEqual([r.change for r in result.refused], ["3"])
 
+    def test_an_older_form_stays_closed_too(self) -> None:
+        """Programs that know the older schema alone still route by it."""
+        store = Store()
+        new = RecordWrite(
+            RecordKey("route", "r", 2), {"service": "b", "match_path": "/r"}
+        )
+        store.change("1", service("a"), service("b"), route("r", "a"), new)
+        base = store.accept().snapshot
+        store.change("2", removed(service("a")))
+        self.assertEqual([r.change for r in store.accept(base).refused], ["2"])
+
     def test_an_older_schema_beside_a_newer_one_is_told(self) -> None:
         store = Store()
         new = RecordWrite(
