--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,17 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ("membership", "requests", "latency", "rollouts", "chaos")
+BENCHES: tuple[str, ...] = (
+    "membership",
+    "convergence",
+    "reconnect",
+    "publish",
+    "mesh_convergence",
+    "requests",
+    "latency",
+    "rollouts",
+    "chaos",
+)
 
 
 def main() -> int:
--- a/src/briarslip/console/application.py
+++ b/src/briarslip/console/application.py
@@ -5,6 +5,7 @@
 import typer
 
 from briarslip.console.commands.apply import apply
+from briarslip.console.commands.change import change
 from briarslip.console.commands.check import check
 from briarslip.console.commands.get import get
 from briarslip.console.commands.list import list_records
@@ -19,7 +20,7 @@
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
-for command in (check, apply, get, members, remove, status):
+for command in (check, apply, change, get, members, remove, status):
     application.command()(command)
 application.command("list")(list_records)
 
