--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ("requests",)
+BENCHES: tuple[str, ...] = ("latency", "requests")
 
 
 def main() -> int:
