Claims: one write instead of two; the holder's daemon keeps the answer

Cause: storing the answer with the claim took a second write per keyed request of the platform's several hundred a second, and copies that waited polled it.

Ruled out: a control topic of its own (deadlines, cancellation, size and whole answers would have to be made again); keeping the answer on the platform as well (the second write is what it is about).

Change: the claim names its holder; a daemon with a copy asks it over the peer link by a call of the service ".claims", and waits there for the end instead of polling. If it is gone, paused or has forgotten: "already handed over".

Figures: 1 platform call per keyed request where it was 2, none for a copy at the holder, 1 at another daemon where it was 2 or more (test_copy_gets_the_stored_answer_for_a_write_each).

--- a/src/briarslip/process/claims.py
+++ b/src/briarslip/process/claims.py
@@ -1,8 +1,9 @@
-"""The platform's side of claims.
+"""Claims on the platform, and the answers that their holders keep.
 
-A claim costs one write before the hand-over and one for the answer. Claims
-hang on a lease that a daemon shares among all its claims, so that they go
-away by themselves.
+A claim costs one write, before the hand-over. Its answer stays with the daemon
+that holds it, which a daemon with a copy of the request asks. Claims hang on a
+lease that a daemon shares among all its claims, so that they go away by
+themselves.
 """
 
 from __future__ import annotations
@@ -12,17 +13,22 @@
 from result import Err
 from twisted.internet.defer import Deferred
 
+from briarslip.address import parse_address
 from briarslip.process.claim_lease import ClaimLease
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.request.claim import MAX_ANSWER_BYTES
 from briarslip.request.claim import Claim
 from briarslip.request.claim import HandedOver
 from briarslip.request.claim import HeldClaim
+from briarslip.request.claim import KeyMismatch
 from briarslip.request.claim import NoPlatform
-from briarslip.request.claim import decide
+from briarslip.request.claim import Released
 from briarslip.request.claim import decode_claim
 from briarslip.request.claim import encode_claim
+from briarslip.request.claim_answers import ClaimAnswers
+from briarslip.request.claim_question import ResultSink
+from briarslip.request.claim_question import ask_for_result
+from briarslip.request.claim_question import send_result
 
 
 if TYPE_CHECKING:
@@ -30,11 +36,15 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
+    from briarslip.address import Address
     from briarslip.process.clock import Clock
     from briarslip.process.platform import KeyValue
     from briarslip.process.platform import PlatformClient
+    from briarslip.request.call import Call
+    from briarslip.request.call import ResponseSink
     from briarslip.request.claim import ClaimRequest
     from briarslip.request.claim import Decision
+    from briarslip.request.claim import Result
     from briarslip.request.claim import StoredAnswer
     from briarslip.request.timer import CallLater
     from briarslip.request.timer import Timer
@@ -45,8 +55,6 @@
 # What a call leaves the platform of its time; the rest is for the call itself.
 PLATFORM_SHARE = 0.5
 ANSWER_MARGIN_SECONDS = 0.02
-FIRST_POLL_SECONDS = 0.1
-POLLS = 6
 RELEASE_DELAYS_SECONDS = (0.0, 1.0, 4.0, 16.0)
 DOWN_SECONDS = 1.0
 NONCE_BITS = 64
@@ -65,40 +73,37 @@
         clock: Clock,
         rng: random.Random,
         call_later: CallLater,
+        own_address: Address,
+        ask: Callable[[Address, Call, ResponseSink], Callable[[], None]],
     ) -> None:
         self.platform = platform
         self.clock = clock
         self.rng = rng
         self.call_later = call_later
+        self.own_address = own_address
+        self.ask = ask
+        self.answers = ClaimAnswers(clock)
         self.lease = ClaimLease(platform, clock)
         self.down_until = float("-inf")
 
     def acquire(self, request: ClaimRequest, then: Callable[[Decision], None]) -> None:
         """Make a claim; ``then`` gets the decision, before the deadline."""
-        if self.clock.monotonic() < self.down_until:
-            then(NoPlatform())
-            return
         nonce = f"{self.rng.getrandbits(NONCE_BITS):016x}"
-        acquisition = Acquisition(self, request, Claim(nonce, request.digest), then)
-        acquisition.start()
+        claim = Claim(nonce, request.digest, str(self.own_address))
+        Acquisition(self, request, claim, then).start()
+
+    def serve(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
+        """Tell a peer what became of a request that is claimed here."""
+        nonce = call.body.decode("latin-1")
+        return self.answers.wait(call.target, nonce, lambda r: send_result(r, sink))
 
     def store(self, held: HeldClaim, answer: StoredAnswer) -> None:
         """Keep the answer for later copies, if it is small enough."""
-        if answer.size <= MAX_ANSWER_BYTES:
-            _spawn(self._store(held, answer))
-
-    async def _store(self, held: HeldClaim, answer: StoredAnswer) -> None:
-        value = encode_claim(Claim(held.claim.nonce, held.claim.digest, answer))
-        revision = held.revision
-        # A lost answer is not read back: the value is written or it is not.
-        reply = await self.platform.swap(held.key, value, revision, held.lease_id)
-        if isinstance(reply, Err) or reply.ok_value.swapped:
-            return
-        current = reply.ok_value.current
-        if current is not None and _is_pending(current, held):
-            await self.platform.swap(
-                held.key, value, current.mod_revision, held.lease_id
-            )
+        self.answers.store(held, answer)
+
+    def abandon(self, held: HeldClaim) -> None:
+        """Take note that there is no answer; the request may have run."""
+        self.answers.end(held, HandedOver())
 
     def release(self, held: HeldClaim) -> None:
         """Take back a claim whose request has surely not run."""
@@ -108,8 +113,11 @@
         for delay in RELEASE_DELAYS_SECONDS:
             await self.sleep(delay)
             # An unclear claim may be written late, so it is looked for again.
-            if await self._delete(held) and held.revision:
-                return
+            if await self._delete(held):
+                self.answers.end(held, Released())
+                if held.revision:
+                    return
+        self.answers.end(held, HandedOver())
         if held.revision:
             emit(Event.CLAIM_LEFT, key=held.key)
 
@@ -119,7 +127,7 @@
         if isinstance(reply, Err):
             return False
         current = reply.ok_value
-        if current is None or not _is_pending(current, held):
+        if current is None or decode_claim(current.value) != held.claim:
             return True
         deleted = await self.platform.swap(held.key, None, current.mod_revision)
         return not isinstance(deleted, Err) and deleted.ok_value.swapped
@@ -155,18 +163,34 @@
         self.then = then
         self.timer: Timer | None = None
         self.tried_lease = 0
+        self.cancel: Callable[[], None] = _nothing
         self.ended = False
 
     def start(self) -> None:
-        """Begin, with a bound on the platform's time."""
+        """Look for the claim here first, then make it on the platform."""
+        entry = self.claims.answers.find(self.request.key)
+        if entry is not None:
+            self._wait(entry.claim)
+        else:
+            self._ask_platform()
+
+    def _ask_platform(self) -> None:
+        if self.claims.clock.monotonic() < self.claims.down_until:
+            self._end(NoPlatform())
+            return
         remaining = self.request.deadline - self.claims.clock.monotonic()
         self._set_timer(remaining * PLATFORM_SHARE, self._time_out)
         _spawn(self._run())
 
     async def _run(self) -> None:
-        self._end(await self._decide())
-
-    async def _decide(self) -> Decision:
+        decision = await self._decide()
+        if isinstance(decision, Claim):
+            if not self.ended:
+                self._wait(decision)
+        else:
+            self._end(decision)
+
+    async def _decide(self) -> Decision | Claim:
         for attempt in range(CLAIM_TRIES):
             if attempt:
                 await self.claims.sleep(RETRY_SECONDS * 2**attempt)
@@ -178,7 +202,7 @@
         self.claims.failed("no clear answer")
         return self._no_platform()
 
-    async def _try(self) -> Decision | None:
+    async def _try(self) -> Decision | Claim | None:
         """Write the claim, or find the one that stands; None if unclear.
 
         A write whose answer was lost is simply made again: it creates the key
@@ -200,35 +224,46 @@
             return None
         if reply.ok_value.swapped:
             return self._held(reply.ok_value.revision, lease)
-        return await self._read(reply.ok_value.current)
-
-    async def _read(self, current: KeyValue | None) -> Decision | None:
-        """Decide by the claim that stands, waiting for its answer a while."""
-        delay = FIRST_POLL_SECONDS
-        for _ in range(POLLS):
-            if current is None:
-                return None
-            decision = self._judge(current)
-            if decision != HandedOver() or self.ended:
-                return decision
-            self._wait_for_answer()
-            await self.claims.sleep(delay)
-            delay *= 2
-            if self.ended:
-                return decision
-            reply = await self.claims.platform.get(self.request.key)
-            if isinstance(reply, Err):
-                return decision
-            current = reply.ok_value
-        return HandedOver()
+        current = reply.ok_value.current
+        return None if current is None else self._judge(current)
 
-    def _judge(self, current: KeyValue) -> Decision:
+    def _judge(self, current: KeyValue) -> Decision | Claim:
         existing = decode_claim(current.value)
         if existing is None:
             return HandedOver()
         if existing.nonce == self.claim.nonce:
             return self._held(current.mod_revision, current.lease_id)
-        return decide(existing, self.request.digest)
+        return existing
+
+    def _wait(self, existing: Claim) -> None:
+        """Wait for what became of the request that has the claim."""
+        if existing.digest != self.request.digest:
+            self._end(KeyMismatch())
+            return
+        remaining = self.request.deadline - self.claims.clock.monotonic()
+        self._set_timer(remaining - ANSWER_MARGIN_SECONDS, self._no_answer)
+        key = self.request.key
+        if existing.holder == str(self.claims.own_address):
+            self.cancel = self.claims.answers.wait(key, existing.nonce, self._take)
+            return
+        holder = parse_address(existing.holder)
+        if isinstance(holder, Err):
+            self._no_answer()
+            return
+        question = ask_for_result(key, existing.nonce, self.request.deadline)
+        self.cancel = self.claims.ask(holder.ok_value, question, ResultSink(self._take))
+
+    def _take(self, result: Result) -> None:
+        if self.ended:
+            return
+        if isinstance(result, Released):
+            self._ask_platform()
+        else:
+            self._end(result)
+
+    def _no_answer(self) -> None:
+        self._end(HandedOver())
+        self.cancel()
 
     def _held(self, revision: int, lease: int) -> Decision:
         held = HeldClaim(self.request.key, self.claim, revision, lease)
@@ -244,12 +279,6 @@
         key = self.request.key
         return NoPlatform(HeldClaim(key, self.claim, 0, self.tried_lease))
 
-    def _wait_for_answer(self) -> None:
-        remaining = self.request.deadline - self.claims.clock.monotonic()
-        self._set_timer(
-            remaining - ANSWER_MARGIN_SECONDS, lambda: self._end(HandedOver())
-        )
-
     def _time_out(self) -> None:
         self.claims.failed("timed out")
         self._end(self._no_platform())
@@ -273,13 +302,14 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
+        held = decision.unclear if isinstance(decision, NoPlatform) else decision
+        if isinstance(held, HeldClaim):
+            self.claims.answers.begin(held)
         self.then(decision)
 
 
-def _is_pending(current: KeyValue, held: HeldClaim) -> bool:
-    """Tell whether a value is the held claim, still without an answer."""
-    claim = decode_claim(current.value)
-    return claim is not None and claim == held.claim
+def _nothing() -> None:
+    """Cancel nothing."""
 
 
 def _spawn(work: Coroutine[Deferred[object], object, None]) -> None:
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -30,6 +30,7 @@
 from briarslip.process.shutdown import Phase
 from briarslip.process.shutdown import Remaining
 from briarslip.process.shutdown import Shutdown
+from briarslip.request.claim import CLAIMS_SERVICE
 from briarslip.request.forwarder import Forwarder
 from briarslip.request.forwarder import Surroundings
 from briarslip.request.outcome import Failure
@@ -78,7 +79,14 @@
             self.update_membership,
             self.excluded,
         )
-        self.claims = PlatformClaims(self.platform, clock, rng, reactor.callLater)
+        self.claims = PlatformClaims(
+            self.platform,
+            clock,
+            rng,
+            reactor.callLater,
+            own_address,
+            lambda peer, call, sink: self.links.dispatch_to(peer, call, sink),
+        )
         hello = Hello(str(own_address), zone)
         self.deadlines = DeadlineWheel(reactor, clock)
         self.links = PeerLinks(
@@ -176,6 +184,8 @@
 
     def serve(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
         """Serve a call that came over a peer link."""
+        if call.service == CLAIMS_SERVICE:
+            return self.claims.serve(call, sink)
         admission = self.servers.admission(call.service, call.service_version)
         if admission is None or self.shutdown.refusing:
             reason = Reason.DRAINING if self.shutdown.refusing else Reason.NO_SERVER
--- a/src/briarslip/request/claim.py
+++ b/src/briarslip/request/claim.py
@@ -1,14 +1,15 @@
 """Claims: a non-idempotent request with a key is handed over once.
 
 A claim is written before the hand-over and tells later copies of the request
-that it was handed over. Its value is one JSON object.
+that it was handed over, and which daemon knows what became of it. Its value is
+one JSON object.
 """
 
 from __future__ import annotations
 
-import base64
 import hashlib
 import json
+from dataclasses import asdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -22,7 +23,9 @@
 
 CLAIMS_PREFIX = "claims/"
 MAX_KEY_BYTES = 255
-MAX_ANSWER_BYTES = 2048
+MAX_ANSWER_BYTES = 16 << 10
+# No service of an operator can have this name.
+CLAIMS_SERVICE = ".claims"
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,11 +68,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """A claim as it stands on the platform; ``answer`` is None at first."""
+    """A claim as it stands on the platform.
+
+    ``holder`` is the peer address of the daemon that handed the request over.
+    """
 
     nonce: str
     digest: str
-    answer: StoredAnswer | None = None
+    holder: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +100,11 @@
     """An earlier copy was handed over; what became of it is not known."""
 
 
+@dataclass(frozen=True, slots=True)
+class Released:
+    """The request was not run and its claim is gone."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyMismatch:
     """The key belongs to another request."""
@@ -110,6 +121,7 @@
     unclear: HeldClaim | None = None
 
 
+Result = Replay | HandedOver | Released
 Decision = HeldClaim | Replay | HandedOver | KeyMismatch | NoPlatform
 
 
@@ -122,47 +134,29 @@
     def store(self, held: HeldClaim, answer: StoredAnswer) -> None:
         """Keep the answer for later copies, if it is small enough."""
 
+    def abandon(self, held: HeldClaim) -> None:
+        """Take note that there is no answer; the request may have run."""
+
     def release(self, held: HeldClaim) -> None:
         """Take back a claim whose request has surely not run."""
 
 
-def decide(existing: Claim, digest: str) -> Replay | HandedOver | KeyMismatch:
-    """Decide what a copy of a request gets where a claim stands."""
-    if existing.digest != digest:
-        return KeyMismatch()
-    if existing.answer is not None:
-        return Replay(existing.answer)
-    return HandedOver()
-
-
 def encode_claim(claim: Claim) -> bytes:
     """Return the claim's value on the platform."""
-    document: dict[str, object] = {"nonce": claim.nonce, "digest": claim.digest}
-    answer = claim.answer
-    if answer is not None:
-        document["status"] = answer.status
-        document["headers"] = base64.b64encode(answer.headers).decode()
-        document["body"] = base64.b64encode(answer.body).decode()
-    return json.dumps(document).encode()
+    return json.dumps(asdict(claim)).encode()
 
 
 def decode_claim(value: bytes) -> Claim | None:
     """Read a claim's value; None if it is none."""
     try:
         document = json.loads(value)
-        answer = None
-        if "status" in document:
-            answer = StoredAnswer(
-                int(document["status"]),
-                base64.b64decode(document["headers"], validate=True),
-                base64.b64decode(document["body"], validate=True),
-            )
-        return Claim(str(document["nonce"]), str(document["digest"]), answer)
+        return Claim(*(str(document[name]) for name in ("nonce", "digest", "holder")))
     except (ValueError, KeyError, TypeError):
         return None
 
 
 __all__ = [
+    "CLAIMS_SERVICE",
     "MAX_ANSWER_BYTES",
     "MAX_KEY_BYTES",
     "Claim",
@@ -173,9 +167,10 @@
     "HeldClaim",
     "KeyMismatch",
     "NoPlatform",
+    "Released",
     "Replay",
+    "Result",
     "StoredAnswer",
-    "decide",
     "decode_claim",
     "encode_claim",
 ]
--- /dev/null
+++ b/src/briarslip/request/claim_question.py
@@ -0,0 +1,92 @@
+"""A daemon's question to another for what became of a claimed request.
+
+It goes over the peer link as a call of a service that no record can name, so
+that deadlines, cancellation and whole answers hold for it as for any call.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briarslip.request.call import Call
+from briarslip.request.call import Load
+from briarslip.request.call import ResponseHead
+from briarslip.request.claim import CLAIMS_SERVICE
+from briarslip.request.claim import HandedOver
+from briarslip.request.claim import Released
+from briarslip.request.claim import Replay
+from briarslip.request.claim import StoredAnswer
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briarslip.request.call import ResponseSink
+    from briarslip.request.claim import Result
+
+
+NO_LOAD = Load(0, 0)
+
+
+def ask_for_result(key: str, nonce: str, deadline: float) -> Call:
+    """Return the question for what became of a claim."""
+    return Call(
+        method="GET",
+        target=key,
+        headers=b"",
+        body=nonce.encode(),
+        service=CLAIMS_SERVICE,
+        service_version="",
+        route="",
+        urgent=True,
+        idempotent=True,
+        depth=0,
+        deadline=deadline,
+    )
+
+
+def send_result(result: Result, sink: ResponseSink) -> None:
+    """Answer the question."""
+    match result:
+        case Replay(answer):
+            head = ResponseHead(answer.status, answer.headers, Outcome.RAN, NO_LOAD)
+            sink.head(head)
+            sink.body(answer.body, True)
+        case Released():
+            sink.failed(Failure(Outcome.NOT_RUN, Reason.NO_CLAIM), NO_LOAD)
+        case _:
+            sink.failed(Failure(Outcome.UNKNOWN, Reason.HANDED_OVER), NO_LOAD)
+
+
+class ResultSink:
+    """Takes the answer to the question; whatever is unclear is handed over."""
+
+    def __init__(self, then: Callable[[Result], None]) -> None:
+        self.then = then
+        self.received: ResponseHead | None = None
+        self.parts: list[bytes] = []
+
+    def head(self, head: ResponseHead) -> None:
+        """Take the stored status and headers."""
+        self.received = head
+
+    def body(self, data: bytes, last: bool) -> None:
+        """Take the stored body."""
+        self.parts.append(data)
+        head = self.received
+        if last and head is not None:
+            body = b"".join(self.parts)
+            self.then(Replay(StoredAnswer(head.status, head.headers, body)))
+
+    def failed(self, failure: Failure, load: Load | None) -> None:
+        """Take the word that there is no answer."""
+        if failure == Failure(Outcome.NOT_RUN, Reason.NO_CLAIM):
+            self.then(Released())
+        else:
+            self.then(HandedOver())
+
+
+__all__ = ["ResultSink", "ask_for_result", "send_result"]
--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -195,8 +195,9 @@
         if size > MAX_ANSWER_BYTES:
             self.answer = None
         elif last:
+            held, self.held = self.held, None
             whole = replace(answer, body=b"".join(self.parts))
-            self.forwarder.surroundings.claims.store(self.held, whole)
+            self.forwarder.surroundings.claims.store(held, whole)
 
     def cancel(self) -> None:
         """Give the request up: the caller has gone."""
@@ -229,6 +230,9 @@
 
     def _finish(self) -> None:
         self.ended = True
+        held, self.held = self.held, None
+        if held is not None:
+            self.forwarder.surroundings.claims.abandon(held)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/tests/request/support.py
+++ b/tests/request/support.py
@@ -130,6 +130,7 @@
     waiting: list[Callable[[Decision], None]] = field(default_factory=list)
     stored: list[StoredAnswer] = field(default_factory=list)
     released: list[HeldClaim] = field(default_factory=list)
+    abandoned: list[HeldClaim] = field(default_factory=list)
 
     def acquire(self, request: ClaimRequest, then: Callable[[Decision], None]) -> None:
         """Decide at once if there is a decision."""
@@ -142,6 +143,10 @@
         """Keep the answer."""
         self.stored.append(answer)
 
+    def abandon(self, held: HeldClaim) -> None:
+        """Take note that there is no answer."""
+        self.abandoned.append(held)
+
     def release(self, held: HeldClaim) -> None:
         """Take note of the release."""
         self.released.append(held)
