--- a/bench/requests.py
+++ b/bench/requests.py
@@ -9,6 +9,7 @@
 import functools
 import itertools
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -16,8 +17,10 @@
 from bench.request_model import SLOTS
 from bench.request_model import Model
 from bench.request_model import route
+from briarslip.address import Address
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
+from briarslip.request.directory import Directory
 from briarslip.request.forwarder import CallerRequest
 from briarslip.request.outcome import Outcome
 from standins.virtual_time import VirtualTime
@@ -42,6 +45,8 @@
 MAX_URGENT_P99_RATIO = 1.25
 MAX_AMPLIFICATION = 1.1
 DEPTH = 8
+MEMBERS = 2600
+SERVICES = 190
 ODD: dict[str, dict[str, Any]] = {
     "slow": {"slowness": 10.0},
     "cold": {"slowness": 10.0, "warms_by": 1.0},
@@ -195,7 +200,30 @@
         for _ in range(calls // 5):
             model.send("r")
         best = min(best, (time.process_time() - began) / (calls // 5))
-    return [Figure("policy: request layer, both daemons", best * 1e6, "us a call")]
+    name = "policy: request layer, both daemons"
+    return [Figure(name, best * 1e6, "us a call"), index_cost()]
+
+
+def index_cost() -> Figure:
+    """Return the processor time of the index of servers at the fleet's size."""
+    model = Model((route("r", True, 5.0),), SEED, thin=False, forwarders=1)
+    model.add_server({"r": MEAN_SECONDS})
+    (member,) = model.members
+    fleet = [
+        replace(
+            member,
+            address=Address("127.0.0.1", 1 + number),
+            endpoints=(replace(member.endpoints[0], service=f"s{number % SERVICES}"),),
+        )
+        for number in range(MEMBERS)
+    ]
+    directory = Directory(lambda: tuple(fleet))
+    best = float("inf")
+    for number in range(10):
+        began = time.process_time()
+        directory.refresh(float(number))
+        best = min(best, time.process_time() - began)
+    return Figure(f"policy: index of {MEMBERS} servers", best * 1e3, "ms, twice a s")
 
 
 def answer_at_once(call: Call, sink: ResponseSink) -> Callable[[], None]:
--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -105,9 +105,14 @@
         return call.service_version in self.excluded(call.service)
 
     def expected_wait(self, call: Call) -> float:
-        """Return the seconds that a call would wait for a slot."""
+        """Return the seconds that a call would wait for those of its priority.
+
+        Bulk calls don't count against urgent ones, which are never refused
+        for them.
+        """
         if call.urgent:
-            ahead = len(self.urgent) + self.in_flight - self.slots + 1
+            running = self.in_flight - self.bulk_in_flight
+            ahead = len(self.urgent) + running - self.slots + 1
             slots = self.slots
             mean = self.times.mean(URGENT)
         else:
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -80,7 +80,7 @@
         if len(context.key) > MAX_KEY_BYTES:
             return _refuse(sink, Reason.BAD_REQUEST)
         call = self._call(request, route, context)
-        if not self.outstanding.enter(call.service, call.urgent):
+        if not self.outstanding.pool(call.urgent).enter(call.service):
             return _refuse(sink, Reason.TOO_MANY_OUTSTANDING)
         exchange = Exchange(self, call, context.retried, sink)
         exchange.start(context.key, route.claims)
@@ -113,7 +113,7 @@
 
     def finished(self, call: Call) -> None:
         """Count a request out."""
-        self.outstanding.leave(call.service, call.urgent)
+        self.outstanding.pool(call.urgent).leave(call.service)
 
 
 def _nothing() -> None:
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -173,6 +173,18 @@
         after = self.sent[SLOTS : 2 * SLOTS]
         self.assertTrue(all(sent.call.urgent for sent in after))
 
+    def test_urgent_call_with_little_time_is_not_refused_for_bulk(self) -> None:
+        for _ in range(20):
+            self.offer()
+            self.time.advance(0.1)
+            self.sent[-1].answer()
+        self.time.advance(60.0)
+        for _ in range(SLOTS):
+            self.offer(urgent=False)
+        self.offer()
+        self.assertEqual(self.admission.in_flight, SLOTS)
+        self.assertFalse(self.offer(timeout=0.11).ended)
+
     def test_reserve_follows_what_urgent_calls_need(self) -> None:
         for _ in range(40):
             self.offer()
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -76,7 +76,7 @@
 
     def test_urgent_calls_keep_room_beside_a_slow_service(self) -> None:
         bench = Bench(member(1))
-        bench.forwarder.outstanding.limit = 10
+        bench.forwarder.outstanding.urgent.limit = 10
         sinks = [bench.request()[0] for _ in range(10)]
         refused = [s.failure for s in sinks if s.failure is not None]
         reason = Failure(Outcome.NOT_RUN, Reason.TOO_MANY_OUTSTANDING)
