--- /dev/null
+++ b/tests/request/test_call.py
@@ -0,0 +1,24 @@
+"""Tests of calls."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from tests.request.support import call
+
+
+class SentAsTest(unittest.TestCase):
+    """The call that goes to a server."""
+
+    def test_every_other_field_is_kept(self) -> None:
+        original = call()
+        sent = original.sent_as("7", b"A: 1\r\n")
+        self.assertEqual((sent.service_version, sent.headers), ("7", b"A: 1\r\n"))
+        changed = {"service_version", "headers"}
+        for name in {f.name for f in dataclasses.fields(original)} - changed:
+            self.assertIs(getattr(sent, name), getattr(original, name), name)
+
+
+if __name__ == "__main__":
+    unittest.main()
