--- a/src/briarslip/process/rollout_report.py
+++ b/src/briarslip/process/rollout_report.py
@@ -42,6 +42,7 @@
 REPORT_JITTER_SECONDS = 1.0
 SYNC_WAIT_SECONDS = 2.0
 SYNC_READERS = 2
+FINAL_WORDS = frozenset((State.DONE.value, State.DEADLINE_MISSED.value))
 NOT_REPORTED = frozenset((State.SYNCING,))
 
 
@@ -168,6 +169,12 @@
         return self.task.own_address in ranked(near, "sync")[:SYNC_READERS]
 
     def _learn(self, documents: tuple[Document, ...], whole: bool) -> None:
+        """Take over decisions, starts and terminal words of the platform."""
+        for document in documents:
+            if document["state"] in FINAL_WORDS:
+                rollout_id = RolloutId(document["rollout"], document["digest"])
+                state = State(document["state"])
+                self.task.board.finished[rollout_id] = state
         decisions = (decision_from_document(document) for document in documents)
         started = tuple(
             (RolloutId(d["rollout"], d["digest"]), from_milliseconds(d["started_ms"]))
--- a/src/briarslip/process/rollout_state.py
+++ b/src/briarslip/process/rollout_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 from briarslip.process.events import emit
 from briarslip.version.decision import Decisions
 from briarslip.version.decision import RolloutId
+from briarslip.version.rollout import TERMINAL
 from briarslip.version.rollout import RolloutStatus
 from briarslip.version.rollout import State
 from briarslip.version.rollout import effective
@@ -57,6 +59,7 @@
         self.statuses: tuple[RolloutStatus, ...] = ()
         self.zones_heard: dict[str, datetime] = {}
         self.previous: dict[str, Rollout] = {}
+        self.finished: dict[RolloutId, State] = {}
 
     def refresh(self) -> tuple[tuple[RolloutId, datetime], ...]:
         """Work out plans and states anew; return the rollouts that started."""
@@ -125,12 +128,23 @@
     ) -> RolloutStatus:
         current = effective(rollouts, rollout.service)
         if rollout in current:
-            return status(rollout, servers, self.decisions, now)
+            return self._finish(status(rollout, servers, self.decisions, now))
         later = next(r for r in current if r.version == rollout.version)
         reason = f"rollout {later.name} to the same version has a later deadline"
         rollout_id = RolloutId.from_rollout(rollout)
         return RolloutStatus(rollout, rollout_id, State.SUPERSEDED, 0.0, reason)
 
+    def _finish(self, known: RolloutStatus) -> RolloutStatus:
+        """Keep the first terminal state; only a roll back replaces it."""
+        if known.state is State.ROLLED_BACK or known.state is State.SYNCING:
+            return known
+        if known.state in TERMINAL:
+            self.finished.setdefault(known.id, known.state)
+        state = self.finished.get(known.id)
+        if state is None or state is known.state:
+            return known
+        return replace(known, state=state)
+
     def _take_statuses(self, statuses: tuple[RolloutStatus, ...]) -> None:
         before = {known.id: known.state for known in self.statuses}
         self.statuses = statuses
--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -123,10 +123,8 @@
         self._send(server, self.retried)
 
     def _choose(self) -> Server | None:
-        servers = self.forwarder.servers(self.call)
-        if self.tried:
-            servers = [server for server in servers if server not in self.tried]
         forwarder = self.forwarder
+        servers = forwarder.servers(self.call, self.tried)
         zone = forwarder.surroundings.availability_zone
         return choose(servers, zone, forwarder.clock.monotonic(), forwarder.rng)
 
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
-    from collections.abc import Sequence
+    from collections.abc import Set
 
     from briarslip.process.clock import Clock
     from briarslip.request.call import ResponseSink
@@ -101,15 +101,29 @@
             deadline=self.clock.monotonic() + timeout,
         )
 
-    def servers(self, call: Call) -> Sequence[Server]:
-        """Return the servers that a call may go to."""
-        excluded = self.surroundings.excluded(call.service)
+    def servers(self, call: Call, tried: Set[Server] = frozenset()) -> list[Server]:
+        """Return the servers that a call may go to, less those it has tried.
+
+        A call that its version can't serve goes to one that is not under
+        rollout, never the other way round.
+        """
+        surroundings, service = self.surroundings, call.service
+        excluded = surroundings.excluded(service)
         now = self.clock.monotonic()
-        found = self.directory.find(call.service, call.service_version, excluded, now)
-        focus = self.surroundings.focus(call.service, call.service_version)
-        if focus is None:
+        found = self.directory.find(service, call.service_version, excluded, now)
+        focus = surroundings.focus(service, call.service_version)
+        if focus is not None:
+            found = [server for server in found if server.address in focus]
+        if tried:
+            found = [server for server in found if server not in tried]
+        if found or not call.service_version:
             return found
-        return [server for server in found if server.address in focus] or found
+        return [
+            server
+            for server in self.directory.find(service, "", excluded, now)
+            if server not in tried
+            and surroundings.focus(service, server.version) is None
+        ]
 
     def finished(self, call: Call) -> None:
         """Count a request out."""
--- /dev/null
+++ b/tests/version/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of what lives for a version."""
+
+from __future__ import annotations
