--- /dev/null
+++ b/src/briarslip/burn/__init__.py
@@ -0,0 +1,3 @@
+"""The report on service-level burn."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/briarslip/burn/page.py
@@ -0,0 +1,94 @@
+"""The report on service-level burn as one self-contained HTML page."""
+
+from __future__ import annotations
+
+from html import escape
+from typing import TYPE_CHECKING
+
+from briarslip.burn.table import percent
+from briarslip.burn.table import rate
+from briarslip.burn.table import remarks
+from briarslip.burn.table import span
+
+
+if TYPE_CHECKING:
+    from datetime import datetime
+
+    from briarslip.burn.measurement import BurnReport
+    from briarslip.burn.measurement import LevelFigures
+
+
+PLOT_WIDTH = 240
+PLOT_HEIGHT = 48
+STYLE = """\
+body { font: 14px sans-serif; margin: 2em; }
+table { border-collapse: collapse; }
+th, td { padding: 4px 10px; text-align: right; border-bottom: 1px solid #ccc; }
+th, td.name { text-align: left; }
+td.over { color: #b00020; font-weight: bold; }
+svg { background: #f6f6f6; }
+.bad { fill: #b00020; } .calls { fill: #9db8d2; }
+"""
+
+
+def page(report: BurnReport, made: datetime) -> str:
+    """Return the page; it loads nothing from elsewhere."""
+    heads = ["objective", "service", "route", "version", "calls", "bad", "budget left"]
+    if report.levels:
+        heads.extend(f"burn {span(w.seconds)}" for w in report.levels[0].windows)
+    plot = f"last {span(report.slot_seconds * _slots(report))}"
+    heads.extend(("p50 ms", "p90 ms", "p99 ms", f"calls and bad calls, {plot}"))
+    head = "".join(f"<th>{escape(text)}</th>" for text in heads)
+    rows = "\n".join(_row(level) for level in report.levels)
+    notes = "\n".join(f"<li>{escape(text)}</li>" for text in remarks(report))
+    return (
+        "<!DOCTYPE html>\n"
+        '<html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>'
+        f"<style>{STYLE}</style></head><body>\n<h1>Service-level burn</h1>\n"
+        f"<p>{escape(made.isoformat(timespec='seconds'))},"
+        f" {report.answered} daemons answered.</p>\n"
+        f"<ul>{notes}</ul>\n<table><tr>{head}</tr>\n{rows}\n</table></body></html>\n"
+    )
+
+
+def _slots(report: BurnReport) -> int:
+    return max((len(level.series) for level in report.levels), default=0)
+
+
+def _row(level: LevelFigures) -> str:
+    names = (level.objective or "-", level.service, level.route, level.version or "-")
+    cells = [f'<td class="name">{escape(name)}</td>' for name in names]
+    longest = level.windows[-1]
+    cells.extend(
+        f"<td>{text}</td>"
+        for text in (longest.calls, longest.bad, percent(level.budget_left))
+    )
+    for window in level.windows:
+        over = ' class="over"' if (window.burn_rate or 0) > 1 else ""
+        cells.append(f"<td{over}>{rate(window.burn_rate)}</td>")
+    cells.extend(f"<td>{value:.1f}</td>" for value in level.latencies_ms)
+    cells.append(f"<td>{_plot(level)}</td>")
+    return f"<tr>{''.join(cells)}</tr>"
+
+
+def _plot(level: LevelFigures) -> str:
+    """Return bars of calls by slot; the bad ones stand in them from below."""
+    most = max((calls for calls, _ in level.series), default=0) or 1
+    width = PLOT_WIDTH / max(1, len(level.series))
+    bars = []
+    for number, (calls, bad) in enumerate(level.series):
+        for kind, count in (("calls", calls), ("bad", bad)):
+            height = PLOT_HEIGHT * count / most
+            if count:
+                bars.append(
+                    f'<rect class="{kind}" x="{number * width:.1f}"'
+                    f' y="{PLOT_HEIGHT - height:.1f}" width="{width:.1f}"'
+                    f' height="{height:.1f}"/>'
+                )
+    return (
+        f'<svg width="{PLOT_WIDTH}" height="{PLOT_HEIGHT}" role="img">'
+        f"{''.join(bars)}</svg>"
+    )
+
+
+__all__ = ["page"]
--- a/src/briarslip/console/application.py
+++ b/src/briarslip/console/application.py
@@ -6,13 +6,14 @@
 
 from briarslip.console.commands.apply import apply
 from briarslip.console.commands.check import check
+from briarslip.console.commands.rollouts import rollouts
 from briarslip.console.commands.status import status
 
 
 application = typer.Typer(
     name="briarslip", no_args_is_help=True, pretty_exceptions_enable=False
 )
-for command in (check, apply, status):
+for command in (check, apply, status, rollouts):
     application.command()(command)
 
 
--- /dev/null
+++ b/tests/version/test_analyzer.py
@@ -0,0 +1,136 @@
+"""The analyzer on seeded outcomes and on hand-made evidence."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from bench.rollout_outcomes import Cell
+from bench.rollout_outcomes import FaultKind
+from bench.rollout_trial import SequentialPolicy
+from bench.rollout_trial import Trial
+from bench.rollout_trial import run_trial
+from briarslip.version.analyzer import Analyzer
+from briarslip.version.evidence import BUCKETS
+from briarslip.version.evidence import Counters
+from briarslip.version.evidence import Increment
+from briarslip.version.evidence import bucket_of
+from briarslip.version.sequential_test import Count
+from briarslip.version.sequential_test import Detector
+from briarslip.version.sequential_test import rate_log_ratios
+
+
+STEPS = 120
+
+
+def added(
+    version: str, calls: int, failures: int = 0, latency: float = 0.01, server: str = ""
+) -> Increment:
+    """Return what a server adds in a step."""
+    counts = [0] * BUCKETS
+    counts[bucket_of(latency)] = calls
+    counters = Counters(calls, failures, tuple(counts))
+    return Increment(server or version, version, "holds", counters)
+
+
+def trials(kind: FaultKind, rate: float, window: float, spread: float) -> list[Trial]:
+    """Run a cell with fixed seeds."""
+    cell = Cell(kind, rate, window, spread)
+    return [run_trial(cell, SequentialPolicy, seed) for seed in range(5)]
+
+
+class CellTest(unittest.TestCase):
+    """Good versions are done, bad ones rolled back."""
+
+    def test_good_version_with_little_traffic_is_done(self) -> None:
+        self.assertTrue(all(t.done for t in trials(FaultKind.NONE, 2, 60, 10)))
+
+    def test_shared_cause_is_no_fault(self) -> None:
+        self.assertTrue(all(t.done for t in trials(FaultKind.SHARED, 1000, 60, 1)))
+
+    def test_one_route_is_enough(self) -> None:
+        results = trials(FaultKind.ONE_ROUTE, 1000, 60, 3)
+        self.assertTrue(all(t.rolled_back for t in results))
+
+    def test_fault_after_a_long_good_run_shows_at_once(self) -> None:
+        results = trials(FaultKind.FAILS_LATER, 1000, 3600, 1)
+        self.assertTrue(all(t.rolled_back for t in results))
+        self.assertLessEqual(max(t.seconds_to_none for t in results), 6)
+
+
+class AnalyzerTest(unittest.TestCase):
+    """Single conclusions."""
+
+    def setUp(self) -> None:
+        self.analyzer = Analyzer("2", STEPS)
+
+    def warm_up(self, *old_latencies: float, new: float = 0.01) -> None:
+        for _ in range(5):
+            old = [
+                added("1", 50, 0, latency, f"old-{number}")
+                for number, latency in enumerate(old_latencies)
+            ]
+            self.analyzer.observe([*old, added("2", 20, 0, new)])
+
+    def concludes(self, *increments: Increment, steps: int = 8) -> bool:
+        return any(
+            self.analyzer.observe(increments).fault is not None for _ in range(steps)
+        )
+
+    def test_slower_than_the_spread_of_the_old_servers(self) -> None:
+        self.warm_up(0.01, 0.012, 0.01, new=0.1)
+        self.assertTrue(
+            self.concludes(added("1", 50, 0, 0.01, "old-0"), added("2", 20, 0, 0.1))
+        )
+
+    def test_as_slow_as_the_slowest_old_server_is_no_fault(self) -> None:
+        self.warm_up(0.01, 0.03, 0.1, new=0.12)
+        old = added("1", 50, 0, 0.01, "old-0")
+        self.assertFalse(self.concludes(old, added("2", 20, 0, 0.12)))
+
+    def test_shared_cause_that_is_reported_a_step_late(self) -> None:
+        self.warm_up(0.01, 0.01)
+        new = added("2", 20, 10)
+        self.assertFalse(self.concludes(added("1", 100), new, steps=1))
+        self.assertFalse(self.concludes(added("1", 100, 50), new))
+
+    def test_end_of_a_shared_cause_is_no_fault(self) -> None:
+        self.warm_up(0.01, 0.01)
+        shared = (added("1", 100, 50), added("2", 20, 10))
+        self.assertFalse(self.concludes(*shared))
+        self.assertFalse(self.concludes(added("1", 100), added("2", 20)))
+
+    def test_without_old_traffic_it_asks_for_some_first(self) -> None:
+        self.warm_up(0.01, 0.01)
+        conclusion = self.analyzer.observe([added("2", 100, 50)])
+        self.assertIsNone(conclusion.fault)
+        self.assertTrue(conclusion.suspicious)
+        self.assertTrue(self.concludes(added("1", 50), added("2", 50, 25)))
+
+    def test_pause_is_one_long_step(self) -> None:
+        self.warm_up(0.01, 0.01)
+        self.analyzer.observe([added("1", 5000, 5), added("2", 900, 1)], steps=100)
+        self.assertTrue(self.concludes(added("1", 100), added("2", 20, 10)))
+
+
+class ErrorRateTest(unittest.TestCase):
+    """Reading a test at each step does not raise its error rate."""
+
+    def test_equal_rates_seldom_reach_the_bar(self) -> None:
+        rng = random.Random(1)
+        crossed = 0
+        for _ in range(200):
+            detector = Detector(5)
+            best = 0.0
+            for _ in range(STEPS):
+                new = Count(10, sum(rng.random() < 0.05 for _ in range(10)))
+                old = Count(100, sum(rng.random() < 0.05 for _ in range(100)))
+                detector.update(rate_log_ratios(new, old, 1.0), -4.8)
+                best = max(best, detector.evidence)
+            crossed += best > 3.0
+        # At exp(-3) = 5% the expected count is at most 10 of 200.
+        self.assertLessEqual(crossed, 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
