Records are named KIND/NAME in get and remove; several go in one change

Ruled out: the change writer (its own tests pass). Change: one RecordName, the record's own revision.

--- a/src/briarslip/console/commands/get.py
+++ b/src/briarslip/console/commands/get.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
-import typer
-
 from briarslip.console.options import JsonOption  # noqa: TC001  # read by typer
 from briarslip.console.options import PlatformOption  # noqa: TC001  # read by typer
+from briarslip.console.record_name import RecordArgument  # by typer
+from briarslip.console.record_name import RecordName
 from briarslip.console.session import EXIT_FAILED
 from briarslip.console.session import fail
 from briarslip.console.session import print_json
@@ -17,15 +15,13 @@
 
 
 def get(
-    kind: Annotated[str, typer.Argument(help="Kind of the record")],
-    name: Annotated[str, typer.Argument(help="Name of the record")],
-    platform: PlatformOption,
-    json: JsonOption = False,
+    record: RecordArgument, platform: PlatformOption, json: JsonOption = False
 ) -> None:
     """Print every schema's form of a record as it stands on the platform."""
-    forms = read_stored(platform, f"{kind}/{name}/")
+    name = RecordName.from_argument(record)
+    forms = read_stored(platform, name)
     if not forms:
-        fail(EXIT_FAILED, f"no record {kind} {name}")
+        fail(EXIT_FAILED, f"no record {name.kind}/{name.name}")
     if json:
         print_json([as_json(form) for form in forms])
         return
--- a/src/briarslip/console/commands/list.py
+++ b/src/briarslip/console/commands/list.py
@@ -19,7 +19,8 @@
     json: JsonOption = False,
 ) -> None:
     """Print the key and the change of each record."""
-    forms = read_stored(platform, f"{kind}/" if kind else "")
+    stored = read_stored(platform, None)
+    forms = [form for form in stored if kind in ("", form.key.kind)]
     if json:
         print_json([as_json(form) for form in forms])
         return
--- a/src/briarslip/console/commands/remove.py
+++ b/src/briarslip/console/commands/remove.py
@@ -1,15 +1,14 @@
-"""``briarslip remove``: remove one record."""
+"""``briarslip remove``: remove records, in one or all schemas, as one change."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Annotated
-
-import typer
 
 from briarslip.console.change import write_and_report
 from briarslip.console.options import PlatformOption  # noqa: TC001  # read by typer
 from briarslip.console.options import WaitOption  # noqa: TC001  # read by typer
+from briarslip.console.record_name import RecordName
+from briarslip.console.record_name import RecordsArgument  # by typer
 from briarslip.console.session import EXIT_FAILED
 from briarslip.console.session import fail
 from briarslip.console.stored import fetch_stored
@@ -21,18 +20,19 @@
 
 
 def remove(
-    kind: Annotated[str, typer.Argument(help="Kind of the record")],
-    name: Annotated[str, typer.Argument(help="Name of the record")],
-    platform: PlatformOption,
-    wait_s: WaitOption = 0.0,
+    records: RecordsArgument, platform: PlatformOption, wait_s: WaitOption = 0.0
 ) -> None:
-    """Remove every schema's form of a record as one change."""
+    """Remove records as one change."""
+    names = [RecordName.from_argument(text) for text in records]
 
     async def plan(client: PlatformClient) -> list[RecordWrite]:
-        forms = await fetch_stored(client, f"{kind}/{name}/")
-        if not forms:
-            fail(EXIT_FAILED, f"no record {kind} {name}")
-        return [RecordWrite(form.key, None) for form in forms]
+        writes: list[RecordWrite] = []
+        for name in names:
+            forms = await fetch_stored(client, name)
+            if not forms:
+                fail(EXIT_FAILED, f"no record {name.kind}/{name.name}")
+            writes += [RecordWrite(form.key, None, form.revision) for form in forms]
+        return writes
 
     write_and_report(platform, plan, wait_s)
 
--- a/src/briarslip/console/stored.py
+++ b/src/briarslip/console/stored.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from briarslip.console.record_name import RecordName
     from briarslip.process.platform import PlatformClient
     from briarslip.version.record import RecordKey
 
@@ -34,13 +35,16 @@
     revision: int
 
 
-def read_stored(platform: str, prefix: str) -> list[StoredForm]:
-    """Return the records under ``records/<prefix>`` or exit with an error."""
-    return run(lambda reactor: fetch_stored(platform_client(reactor, platform), prefix))
+def read_stored(platform: str, name: RecordName | None) -> list[StoredForm]:
+    """Return a record's forms, or those of all records, or exit with an error."""
+    return run(lambda reactor: fetch_stored(platform_client(reactor, platform), name))
 
 
-async def fetch_stored(client: PlatformClient, prefix: str) -> list[StoredForm]:
-    """Return the records under ``records/<prefix>`` or exit with an error."""
+async def fetch_stored(
+    client: PlatformClient, name: RecordName | None
+) -> list[StoredForm]:
+    """Return a record's forms, or those of all records, or exit with an error."""
+    prefix = name.prefix if name else ""
     result = await client.range(f"{RECORDS_PREFIX}{prefix}")
     if isinstance(result, Err):
         fail(EXIT_NO_ANSWER, f"the platform failed: {result.err_value.reason}")
@@ -50,6 +54,8 @@
         stored = decode_stored_record(item.value, item.mod_revision)
         if key is None or isinstance(stored, Err):
             continue
+        if name is not None and not name.matches(key):
+            continue
         write = stored.ok_value.write
         if write.fields is not None:
             change = write.change.id
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -44,14 +44,18 @@
             self.assertEqual(applied.returncode, 0, applied.stderr)
             again = briarslip("apply", str(path), *at)
             self.assertEqual(again.stdout, "nothing to change\n")
-            found = json.loads(briarslip("get", "route", "holds", "--json", *at).stdout)
+            found = json.loads(briarslip("get", "route/holds", "--json", *at).stdout)
             self.assertEqual(found[0]["fields"]["service"], "holds")
-            text = briarslip("get", "route", "holds", *at).stdout
+            text = briarslip("get", "route/holds", *at).stdout
             path.write_text(text)
             self.assertEqual(briarslip("check", str(path)).returncode, 0)
-            refused = briarslip("remove", "service", "holds", "--wait-s", "20", *at)
+            refused = briarslip("remove", "service/holds", "--wait-s", "20", *at)
             self.assertEqual(refused.returncode, session.EXIT_REFUSED)
             self.assertIn("route holds: service", refused.stderr)
+            both = ("remove", "route/holds", "service/holds", *at)
+            self.assertEqual(briarslip(*both).returncode, session.EXIT_FAILED)
+            removed = briarslip("remove", "route/holds", "--wait-s", "20", *at)
+            self.assertEqual(removed.returncode, 0, removed.stderr)
 
     def test_no_answer_is_one_clear_line(self) -> None:
         for arguments in (
