--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -123,10 +123,8 @@
         self._send(server, self.retried)
 
     def _choose(self) -> Server | None:
-        servers = self.forwarder.servers(self.call)
-        if self.tried:
-            servers = [server for server in servers if server not in self.tried]
         forwarder = self.forwarder
+        servers = forwarder.servers(self.call, self.tried)
         zone = forwarder.surroundings.availability_zone
         return choose(servers, zone, forwarder.clock.monotonic(), forwarder.rng)
 
@@ -135,9 +133,7 @@
         self.tried.add(server)
         call = self.call
         context = context_lines(call.depth, call.urgent, retried)
-        call = replace(
-            call, service_version=server.version, headers=call.headers + context
-        )
+        call = call.sent_as(server.version, context)
         self.attempt = Attempt(self.forwarder, server, call, self)
         self.attempt.start()
 
@@ -197,8 +193,9 @@
         if size > MAX_ANSWER_BYTES:
             self.answer = None
         elif last:
+            held, self.held = self.held, None
             whole = replace(answer, body=b"".join(self.parts))
-            self.forwarder.surroundings.claims.store(self.held, whole)
+            self.forwarder.surroundings.claims.store(held, whole)
 
     def cancel(self) -> None:
         """Give the request up: the caller has gone."""
@@ -231,6 +228,9 @@
 
     def _finish(self) -> None:
         self.ended = True
+        held, self.held = self.held, None
+        if held is not None:
+            self.forwarder.surroundings.claims.abandon(held)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
-    from collections.abc import Sequence
+    from collections.abc import Set
 
     from briarslip.process.clock import Clock
     from briarslip.request.call import ResponseSink
@@ -73,14 +73,14 @@
         table = self.surroundings.table()
         if not table.version:
             return _refuse(sink, Reason.NO_CONFIGURATION)
-        route = table.match(request.target)
+        route = table.match(request.target, request.method)
         if route is None:
             return _refuse(sink, Reason.NO_ROUTE)
         context = read_context(request.headers)
         if len(context.key) > MAX_KEY_BYTES:
             return _refuse(sink, Reason.BAD_REQUEST)
         call = self._call(request, route, context)
-        if not self.outstanding.enter(call.service, call.urgent):
+        if not self.outstanding.pool(call.urgent).enter(call.service):
             return _refuse(sink, Reason.TOO_MANY_OUTSTANDING)
         exchange = Exchange(self, call, context.retried, sink)
         exchange.start(context.key, route.claims)
@@ -105,15 +105,33 @@
             flow=request.flow,
         )
 
-    def servers(self, call: Call) -> Sequence[Server]:
-        """Return the servers that a call may go to."""
-        excluded = self.surroundings.excluded(call.service)
+    def servers(self, call: Call, tried: Set[Server] = frozenset()) -> list[Server]:
+        """Return the servers that a call may go to, less those it has tried.
+
+        A call that its version can't serve goes to one that is not under
+        rollout, never the other way round.
+        """
+        surroundings, service = self.surroundings, call.service
+        excluded = surroundings.excluded(service)
         now = self.clock.monotonic()
-        return self.directory.find(call.service, call.service_version, excluded, now)
+        found = self.directory.find(service, call.service_version, excluded, now)
+        focus = surroundings.focus(service, call.service_version)
+        if focus is not None:
+            found = [server for server in found if server.address in focus]
+        if tried:
+            found = [server for server in found if server not in tried]
+        if found or not call.service_version:
+            return found
+        return [
+            server
+            for server in self.directory.find(service, "", excluded, now)
+            if server not in tried
+            and surroundings.focus(service, server.version) is None
+        ]
 
     def finished(self, call: Call) -> None:
         """Count a request out."""
-        self.outstanding.leave(call.service, call.urgent)
+        self.outstanding.pool(call.urgent).leave(call.service)
 
 
 def _nothing() -> None:
--- a/tests/request/support.py
+++ b/tests/request/support.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from datetime import timedelta
 from typing import TYPE_CHECKING
+from typing import Any
 
 from briarslip.address import Address
 from briarslip.process.member import Endpoint
@@ -129,6 +130,7 @@
     waiting: list[Callable[[Decision], None]] = field(default_factory=list)
     stored: list[StoredAnswer] = field(default_factory=list)
     released: list[HeldClaim] = field(default_factory=list)
+    abandoned: list[HeldClaim] = field(default_factory=list)
 
     def acquire(self, request: ClaimRequest, then: Callable[[Decision], None]) -> None:
         """Decide at once if there is a decision."""
@@ -141,6 +143,10 @@
         """Keep the answer."""
         self.stored.append(answer)
 
+    def abandon(self, held: HeldClaim) -> None:
+        """Take note that there is no answer."""
+        self.abandoned.append(held)
+
     def release(self, held: HeldClaim) -> None:
         """Take note of the release."""
         self.released.append(held)
@@ -150,17 +156,22 @@
     """A forwarder among fake servers, in virtual time."""
 
     def __init__(
-        self, *members: Member, route: Route = ROUTE, seed: int = SEED
+        self,
+        *members: Member,
+        route: Route = ROUTE,
+        seed: int = SEED,
+        time: Any = None,
+        claims: Any = None,
     ) -> None:
-        self.time = VirtualTime()
+        self.time = time or VirtualTime()
         self.members = members
         self.sent: list[Sent] = []
         self.samples: list[Sample] = []
         self.excluded: frozenset[str] = frozenset()
         self.version = ""
-        self.claims = FakeClaims(NoPlatform())
+        self.claims = claims or FakeClaims(NoPlatform())
         self.react: Callable[[Sent], None] = lambda sent: None
-        table = RoutingTable(1, {"holds": Service("holds")}, (route,), {}, {})
+        table = RoutingTable.from_forms(1, (Service("holds"), route))
         surroundings = Surroundings(
             own_address=address(99),
             availability_zone="klang",
