--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -29,6 +29,7 @@
 )
 # Each hop writes these itself.
 PER_HOP = frozenset((b"content-length", b"briarslip-deadline-ms", b"briarslip-depth"))
+NOT_END_TO_END = HOP_BY_HOP | PER_HOP
 
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 HEADER_LINES = rb"((?:%s:[^\x00-\x08\x0a-\x1f\x7f]*+\r\n)*+)" % TOKEN
@@ -38,7 +39,7 @@
 )
 NOTED = re.compile(
     rb"(?im)^(%s|host|briarslip-not-run):([^\r]*)\r\n"
-    % b"|".join(sorted(HOP_BY_HOP | PER_HOP))
+    % b"|".join(sorted(NOT_END_TO_END))
 )
 DECLARED_LENGTH = re.compile(rb"(?im)^content-length:[ \t]*([0-9]+)[ \t]*\r\n")
 MAX_NUMBER_DIGITS = 15
@@ -114,8 +115,9 @@
 
     def end_to_end(self, kept: frozenset[bytes] = frozenset()) -> bytes:
         """Return the header lines without those of this hop, but for ``kept``."""
-        dropped = ((HOP_BY_HOP | PER_HOP) - kept) & self.values.keys()
-        dropped |= self.connection - {b"close", b"keep-alive"} - kept
+        dropped = (NOT_END_TO_END - kept) & self.values.keys()
+        if b"connection" in dropped:
+            dropped |= self.connection - {b"close", b"keep-alive"} - kept
         if not dropped:
             return self.block
         lines = self.block.splitlines(keepends=True)
@@ -146,13 +148,13 @@
     noted = NotedHeaders(block)
     if minor == b"1" and len(noted.values.get(b"host", ())) != 1:
         return Err(HeadFault(http.BAD_REQUEST, "there must be one Host header"))
-    numbers = []
-    for name in (b"content-length", b"briarslip-deadline-ms", b"briarslip-depth"):
+    numbers: dict[bytes, int | None] = {}
+    for name in PER_HOP & noted.values.keys():
         number = noted.number(name)
         if isinstance(number, Err):
             return Err(HeadFault(http.BAD_REQUEST, number.err_value))
-        numbers.append(number.ok_value)
-    length, timeout_ms, depth = numbers
+        numbers[name] = number.ok_value
+    length = numbers.get(b"content-length")
     encodings = noted.values.get(b"transfer-encoding")
     if encodings is not None:
         if length is not None or minor == b"0":
@@ -169,8 +171,8 @@
             keep=noted.keep(minor),
             expects_continue=expects == [b"100-continue"],
             minor_version=minor,
-            timeout_ms=timeout_ms,
-            depth=depth or 0,
+            timeout_ms=numbers.get(b"briarslip-deadline-ms"),
+            depth=numbers.get(b"briarslip-depth") or 0,
         )
     )
 
--- /dev/null
+++ b/tests/connection/test_deadline_wheel.py
@@ -0,0 +1,115 @@
+"""Tests of the wheel of deadlines and of immediate writes."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from briarslip.connection.deadline_wheel import TICK_SECONDS
+from briarslip.connection.deadline_wheel import DeadlineWheel
+from briarslip.connection.write_now import write_now
+from tests.connection.support import FakeClock
+
+
+class DeadlineWheelTest(unittest.TestCase):
+    """Deadlines on a fake clock."""
+
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.wheel = DeadlineWheel(self.clock, self.clock)
+        self.passed: list[tuple[float, float]] = []
+
+    def add(self, delay: float) -> Any:
+        """Set a deadline that notes when it was due and when it passed."""
+        due = self.clock.seconds() + delay
+        return self.wheel.call_later(
+            delay, lambda: self.passed.append((due, self.clock.seconds()))
+        )
+
+    def test_never_early_and_at_most_a_tick_late(self) -> None:
+        for number in range(200):
+            self.add(number * 0.0137)
+        self.clock.pump([0.001] * 3000)
+        self.assertEqual(200, len(self.passed))
+        for due, passed in self.passed:
+            self.assertGreaterEqual(passed, due)
+            self.assertLessEqual(passed, due + TICK_SECONDS + 0.002)
+
+    def test_cancelled_deadlines_never_pass(self) -> None:
+        deadlines = [self.add(1.0) for _ in range(10)]
+        for deadline in deadlines[::2]:
+            deadline.cancel()
+            deadline.cancel()
+        self.clock.pump([0.1] * 20)
+        self.assertEqual(5, len(self.passed))
+        deadlines[1].cancel()
+
+    def test_one_passing_deadline_may_cancel_another(self) -> None:
+        other: list[Any] = []
+        self.wheel.call_later(1.0, lambda: other[0].cancel())
+        self.wheel.call_later(1.0, lambda: other[0].cancel())
+        other.append(self.wheel.call_later(1.0, lambda: None))
+        self.clock.pump([0.1] * 20)
+
+    def test_many_calls_share_few_timers(self) -> None:
+        for _ in range(1000):
+            self.add(1.0)
+        self.assertEqual(1, len(self.clock.getDelayedCalls()))
+
+
+class SocketTransport:
+    """The part of a socket's transport that immediate writes use."""
+
+    def __init__(self, takes: int | Exception) -> None:
+        self.takes = takes
+        self.dataBuffer = b""
+        self._tempDataBuffer: list[bytes] = []
+        self.disconnecting = False
+        self.connected = True
+        self.sent = b""
+
+    def writeSomeData(self, data: bytes) -> int | Exception:  # noqa: N802 (Twisted)
+        """Take some bytes."""
+        if isinstance(self.takes, Exception):
+            return self.takes
+        self.sent += data[: self.takes]
+        return min(len(data), self.takes)
+
+    def write(self, data: bytes) -> None:
+        """Buffer bytes."""
+        self._tempDataBuffer.append(data)
+
+    @property
+    def buffered(self) -> bytes:
+        """What is buffered."""
+        return b"".join(self._tempDataBuffer)
+
+
+class WriteNowTest(unittest.TestCase):
+    """Immediate writes."""
+
+    def test_rest_is_buffered_and_order_is_kept(self) -> None:
+        transport = SocketTransport(4)
+        write_now(transport, b"first ")
+        write_now(transport, b"second")
+        self.assertEqual(b"firs", transport.sent)
+        self.assertEqual(b"t second", transport.buffered)
+
+    def test_whole_write_leaves_nothing(self) -> None:
+        transport = SocketTransport(100)
+        write_now(transport, b"whole")
+        self.assertEqual((b"whole", b""), (transport.sent, transport.buffered))
+
+    def test_failed_or_closing_sockets_are_left_to_the_transport(self) -> None:
+        failing = SocketTransport(OSError())
+        closing = SocketTransport(100)
+        closing.disconnecting = True
+        lost = SocketTransport(100)
+        lost.connected = False
+        for transport in (failing, closing, lost):
+            write_now(transport, b"data")
+            self.assertEqual((b"", b"data"), (transport.sent, transport.buffered))
+
+
+if __name__ == "__main__":
+    unittest.main()
