Leave no reference cycles behind a call; short answers skip the queue

The garbage was cycles: served stream and its body, deadline and its function, backend exchange and its sink, attempt and its exchange (request/exchange.py: two lines, the cancel path reads the attempt first).

Calls at a server are now timed by the wheel, too.

--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -52,7 +52,7 @@
         self.load = load
         self.on_idle = on_idle
         self.on_lost = on_lost
-        self.on_made = on_made
+        self.on_made: Callable[[BackendConnection], None] | None = on_made
         self.call: Call | None = None
         self.sink: ResponseSink | None = None
         self.idle_since = 0.0
@@ -68,7 +68,9 @@
     def connectionMade(self) -> None:
         """Report the connection."""
         set_options(self.transport)
-        self.on_made(self)
+        on_made, self.on_made = self.on_made, None
+        if on_made is not None:
+            on_made(self)
 
     def start(self, call: Call, sink: ResponseSink) -> None:
         """Send a request; its answer goes to ``sink``."""
--- a/src/briarslip/connection/backend_pool.py
+++ b/src/briarslip/connection/backend_pool.py
@@ -23,6 +23,7 @@
 
     from briarslip.address import Address
     from briarslip.request.call import Call
+    from briarslip.request.call import ResponseHead
     from briarslip.request.call import ResponseSink
 
 
@@ -114,11 +115,10 @@
     def __init__(self, pool: BackendPool, call: Call, sink: ResponseSink) -> None:
         self.pool = pool
         self.call = call
-        self.sink = sink
+        self.sink: ResponseSink | None = sink
         self.connection: BackendConnection | None = None
         self.began = pool.reactor.seconds()
         self.ended = False
-        self.head = sink.head
 
     def start(self, connection: BackendConnection) -> None:
         """Send the request on a connection."""
@@ -128,17 +128,25 @@
         self.connection = connection
         connection.start(self.call, self)
 
+    def head(self, head: ResponseHead) -> None:
+        """Pass the head on."""
+        if self.sink is not None:
+            self.sink.head(head)
+
     def body(self, data: bytes, last: bool) -> None:
         """Pass a body part on."""
-        if last and not self.ended:
+        sink = self.sink
+        if last:
             self._end()
-        self.sink.body(data, last)
+        if sink is not None:
+            sink.body(data, last)
 
     def failed(self, failure: Failure, load: Load | None) -> None:
         """Pass a failure on."""
-        if not self.ended:
-            self._end()
-            self.sink.failed(failure, load)
+        sink = self.sink
+        self._end()
+        if sink is not None:
+            sink.failed(failure, load)
 
     def cancel(self) -> None:
         """Give the request up; the server sees its connection close."""
@@ -152,8 +160,11 @@
             self.connection.give_up()
 
     def _end(self) -> None:
-        self.ended = True
-        self.pool.in_flight -= 1
+        """Count the request out; leave no reference cycle to collect."""
+        if not self.ended:
+            self.ended = True
+            self.sink = None
+            self.pool.in_flight -= 1
 
 
 class ConnectionFactory(ClientFactory):
--- a/src/briarslip/connection/deadline_wheel.py
+++ b/src/briarslip/connection/deadline_wheel.py
@@ -25,8 +25,9 @@
         self.on_passed = on_passed
 
     def cancel(self) -> None:
-        """Forget the deadline."""
+        """Forget the deadline; leave no reference cycle to collect."""
         self.bucket.discard(self)
+        self.on_passed = _nothing
 
 
 class DeadlineWheel:
@@ -62,4 +63,8 @@
             bucket.pop().on_passed()
 
 
+def _nothing() -> None:
+    """Do nothing: the deadline was cancelled."""
+
+
 __all__ = ["TICK_SECONDS", "Deadline", "DeadlineWheel"]
--- a/src/briarslip/connection/link_stream.py
+++ b/src/briarslip/connection/link_stream.py
@@ -7,6 +7,7 @@
 from briarslip.connection.frame import Credit
 from briarslip.connection.frame import FailureFrame
 from briarslip.connection.frame import ResponseFrame
+from briarslip.connection.outgoing_body import PART_BYTES
 from briarslip.connection.outgoing_body import WINDOW_BYTES
 from briarslip.connection.outgoing_body import OutgoingBody
 from briarslip.request.call import Load
@@ -106,6 +107,10 @@
         outgoing = self.outgoing
         if self.ended or (outgoing is not None and outgoing.ended):
             return
+        if outgoing is None and last and len(data) <= PART_BYTES and self._may_jump:
+            self.end()
+            self.link.send(self._first(data, True))
+            return
         if outgoing is None:
             outgoing = self.outgoing = OutgoingBody(
                 self.number, self.call.urgent, self._first, WINDOW_BYTES, self.call.flow
@@ -116,6 +121,11 @@
             self.cancel = None
         self.link.writer.take(outgoing)
 
+    @property
+    def _may_jump(self) -> bool:
+        """Whether a short answer need not queue."""
+        return self.call.urgent or not self.link.writer.congested
+
     def add_credit(self, size: int) -> None:
         """Send more, since the opener has taken some."""
         outgoing = self.outgoing
@@ -140,8 +150,12 @@
         )
 
     def end(self) -> None:
-        """Forget the stream."""
+        """Forget the stream; leave no reference cycle to collect."""
         self.ended = True
+        self.cancel = None
+        outgoing, self.outgoing = self.outgoing, None
+        if outgoing is not None:
+            outgoing.on_done = None
         self.link.serving.pop(self.number, None)
         self.link.writer.drop(self.number)
 
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from briarslip.connection.backend_pool import BackendPool
+from briarslip.connection.deadline_wheel import DeadlineWheel
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.request.admission import Admission
@@ -38,7 +39,8 @@
         slots = announcement.endpoint.slots
         self.pool = BackendPool(reactor, announcement.address, slots)
         watched = watch(lambda: self.announcement.endpoint, self.pool)
-        self.admission = Admission(clock, slots, watched, reactor.callLater, excluded)
+        call_later = DeadlineWheel(reactor, clock).call_later
+        self.admission = Admission(clock, slots, watched, call_later, excluded)
 
 
 class LocalServers:
--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -201,9 +201,10 @@
         """Give the request up: the caller has gone."""
         if self.ended:
             return
+        attempt = self.attempt
         self._finish()
-        if self.attempt is not None:
-            self.attempt.cancel(Reason.CANCELLED)
+        if attempt is not None:
+            attempt.cancel(Reason.CANCELLED)
 
     def _time_out(self) -> None:
         self.timer = None
@@ -234,6 +235,8 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
+        # The attempt refers back here: leave no reference cycle to collect.
+        self.attempt = None
         self.forwarder.finished(self.call)
 
 
