Chaos: backend servers that lose or cut answers, and requests long enough to meet a fault

Cause: with claims or the rule against repeats taken out of a copy of the code, the trial still passed. Ruled out: the check itself (runs are counted from the servers' logs). Requests took 2 ms, so that almost none was in flight when a fault came, and no server lost an answer after running. Change: 40 ms a request, and two more faults.

--- a/bench/chaos/faults.py
+++ b/bench/chaos/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 import subprocess
 import sys
@@ -15,8 +16,8 @@
 
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from bench.chaos.tcp_relay import TcpRelay
     from standins.mesh import Mesh
@@ -26,6 +27,8 @@
 OUTAGE_SECONDS = 4.0
 CUT_SECONDS = 4.0
 HERD_SHARE = 1 / 3
+FAULTY_SHARE = 0.3
+FAULTY_SECONDS = 2.0
 BAD_ROUTE = "[route bad]\nservice = missing\npath_prefix = /bad\n"
 
 
@@ -44,11 +47,17 @@
     """Brings about one fault after the other."""
 
     def __init__(
-        self, mesh: Mesh, relays: dict[str, TcpRelay], rng: random.Random
+        self,
+        mesh: Mesh,
+        relays: dict[str, TcpRelay],
+        backends: Sequence[str],
+        seed: int,
     ) -> None:
         self.mesh = mesh
         self.relays = relays
-        self.rng = rng
+        self.backends = backends
+        self.seed = seed
+        self.rng = random.Random(seed)
         self.account = Account()
         self.amendments = 0
         self.actions: tuple[Callable[[], str], ...] = (
@@ -56,6 +65,8 @@
             self.kill_herd,
             self.freeze_daemon,
             self.freeze_backend,
+            self.lose_backend_answers,
+            self.cut_backend_answers,
             self.stop_daemon,
             self.platform_outage,
             self.cut_zone,
@@ -127,6 +138,22 @@
         time.sleep(FREEZE_SECONDS)
         self.mesh.signal(name, signal.SIGCONT)
 
+    def lose_backend_answers(self) -> str:
+        """Let the backend servers run requests and close without an answer."""
+        return self._backend_fault(close_after=FAULTY_SHARE)
+
+    def cut_backend_answers(self) -> str:
+        """Let the backend servers cut their answers short."""
+        return self._backend_fault(truncate=FAULTY_SHARE)
+
+    def _backend_fault(self, **shares: float) -> str:
+        for address in self.backends:
+            put_json(address, "/standin/faults", {"seed": self.seed, **shares})
+        time.sleep(FAULTY_SECONDS)
+        for address in self.backends:
+            put_json(address, "/standin/faults", {})
+        return f"backend servers with {shares}"
+
     def stop_daemon(self) -> str:
         """Stop a daemon gracefully and start it again."""
         number = self._daemon()
--- a/bench/chaos/trial.py
+++ b/bench/chaos/trial.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import signal
 import tempfile
 import time
@@ -35,6 +34,8 @@
 
 QUICK_SEED = 1
 QUICK_SECONDS = 5.0
+# Long enough that every fault meets requests in flight.
+SERVICE_TIME_MS = "40"
 CONVERGENCE_SECONDS = 19.0
 FINAL_AMENDMENT = "[service final]\n"
 ENDED_WELL = (0, -signal.SIGTERM)
@@ -49,11 +50,11 @@
     """Run one trial and return its figures."""
     with tempfile.TemporaryDirectory() as name, Mesh(Path(name)) as mesh:
         mesh.start_platform()
-        relays = _start(mesh, deployment)
+        relays, backends = _start(mesh, deployment)
         callers = start_callers(seed, deployment, [n.callers for n in mesh.nodes])
         observer = Observer([node.admin for node in mesh.nodes])
         observer.start()
-        account = Faults(mesh, relays, random.Random(seed)).run(seconds)
+        account = Faults(mesh, relays, backends, seed).run(seconds)
         convergence = _final_convergence(mesh)
         sent = stop_callers(callers)
         readings = observer.stop()
@@ -72,29 +73,33 @@
         return figures
 
 
-def _start(mesh: Mesh, deployment: Deployment) -> dict[str, TcpRelay]:
+def _start(mesh: Mesh, deployment: Deployment) -> tuple[dict[str, TcpRelay], list[str]]:
     port = int(mesh.platform.rpartition(":")[2])
     relays = {zone: TcpRelay((HOST, port)) for zone in deployment.zones}
     mesh.platform_routes = {zone: relay.address for zone, relay in relays.items()}
     places = [(z, s) for z in deployment.zones for s in deployment.services]
     mesh.add_nodes((zone for zone, _ in places), deployment.region)
     mesh.start_daemons()
-    for number, (_, service) in enumerate(places):
+    backends = [
         mesh.start_backend(
             number,
             service.name,
             "1",
             "--log-runs",
+            "--service-time-ms",
+            SERVICE_TIME_MS,
             "--slots",
             str(deployment.slots),
             "--connections",
             str(deployment.connections),
         )
+        for number, (_, service) in enumerate(places)
+    ]
     mesh.apply(deployment.records)
     mesh.wait_for_version(1)
     for service in deployment.services:
         wait_until(lambda path=f"/{service.name}/0": mesh.call(0, path).status == 200)  # type: ignore[misc]
-    return relays
+    return relays, backends
 
 
 def _final_convergence(mesh: Mesh) -> float:
