--- a/src/briarslip/console/commands/apply.py
+++ b/src/briarslip/console/commands/apply.py
@@ -4,8 +4,11 @@
 
 import uuid
 from typing import TYPE_CHECKING
+from typing import Annotated
 from typing import Any
+from typing import Optional
 
+import typer
 from result import Err
 
 from briarslip.console.options import FilesArgument  # noqa: TC001  # read by typer
@@ -29,9 +32,19 @@
     from briarslip.process.change_writer import WrittenChange
 
 
-def apply(files: FilesArgument, platform: PlatformOption) -> None:
+ReadAtOption = Annotated[
+    Optional[int],  # noqa: UP045  # read by typer
+    typer.Option(help="refuse if a record was written after this revision"),
+]
+
+
+def apply(
+    files: FilesArgument, platform: PlatformOption, read_at: ReadAtOption = None
+) -> None:
     """Write the records of INI files to the platform as one change."""
-    records = [RecordWrite(record.key, record.fields) for record in read_files(files)]
+    records = [
+        RecordWrite(record.key, record.fields, read_at) for record in read_files(files)
+    ]
     address = read_address(platform)
 
     async def work(reactor: Any) -> Result[WrittenChange, ChangeError]:
--- a/src/briarslip/console/commands/remove.py
+++ b/src/briarslip/console/commands/remove.py
@@ -52,7 +52,7 @@
             for item in found.ok_value.items:
                 key = parse_key(item.key)
                 if key is not None and _is_named(key, record):
-                    writes.append(RecordWrite(key, None, item.mod_revision))
+                    writes.append(RecordWrite(key, None, found.ok_value.revision))
         return await write_change(client, writes, lambda: uuid.uuid4().hex)
 
     report_change(run(work))
--- a/src/briarslip/process/admin.py
+++ b/src/briarslip/process/admin.py
@@ -32,6 +32,7 @@
             "peer": str(daemon.settings.listen.peers),
             "availability_zone": daemon.settings.daemon.availability_zone,
             "running_version": snapshot.version,
+            "minimum_version": daemon.distribution.state.minimum_version,
             "digest": snapshot.digest,
             "routes": [route.name for route in daemon.distribution.table.routes],
             "relay": daemon.distribution.relay.active,
--- a/src/briarslip/process/change_writer.py
+++ b/src/briarslip/process/change_writer.py
@@ -39,13 +39,13 @@
 class RecordWrite:
     """A record to be written; fields None removes it.
 
-    With ``expected_revision`` it is written only if that is still the key's
-    revision, 0 meaning that there is no such key.
+    ``read_at`` is the platform's revision at which its writer read it: it is
+    written only if nobody has written it since.
     """
 
     key: RecordKey
     fields: Mapping[str, str] | None
-    expected_revision: int | None = None
+    read_at: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +120,7 @@
         if isinstance(current, Err):
             return Err(WriteFailed(current.err_value.reason, ()))
         found = current.ok_value
-        if record.expected_revision not in {None, found.mod_revision if found else 0}:
+        if _is_moved(record, found):
             return Err(LostRace(record.key))
         plan = _plan(record, found, new_id())
         if not await _stands(platform, record, found):
@@ -132,6 +132,12 @@
     return result
 
 
+def _is_moved(record: RecordWrite, found: KeyValue | None) -> bool:
+    if record.read_at is None or found is None:
+        return False
+    return found.mod_revision > record.read_at
+
+
 def _plan(record: RecordWrite, found: KeyValue | None, nonce: str) -> _Planned:
     history: tuple[Write, ...] = ()
     if found is not None:
