--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -170,21 +170,22 @@
         self, prefix: str, start_revision: int, on_events: Any, on_closed: Any
     ) -> Any:
         """Watch a prefix; a cut closes the watch."""
-        watch = super().watch(prefix, start_revision, on_events, on_closed)
+        watch: Any = super().watch(prefix, start_revision, on_events, on_closed)
+        self.watches.append((watch, on_closed))
         if self.zone in self.fleet.platform_cuts:
-            watch.stop()
-            self._call_later(0, on_closed, WatchClosed("cut off"))
-        else:
-            self.watches.append((watch, on_closed))
+            self.close_watches(True)
         return watch
 
     def close_watches(self, tell: bool) -> None:
         """End every watch, by a cut or by the daemon's death."""
         watches, self.watches = self.watches, []
         for watch, on_closed in watches:
-            if tell and not watch._stopped:
-                self._call_later(0, on_closed, WatchClosed("cut off"))
-            watch.stop()
+            if watch.inner is not None:
+                watch.inner.stop()
+            if tell:
+                watch.schedule(on_closed, WatchClosed("cut off"))
+            else:
+                watch.stop()
 
 
 @dataclass
--- a/src/briarslip/process/dissemination.py
+++ b/src/briarslip/process/dissemination.py
@@ -5,6 +5,7 @@
 import math
 from dataclasses import dataclass
 from dataclasses import field
+from enum import IntEnum
 from typing import TYPE_CHECKING
 
 from briarslip.process.member import Status
@@ -47,58 +48,103 @@
         self.available -= size
 
 
+class Urgency(IntEnum):
+    """The order in which statements are passed on."""
+
+    DRAINING = 0
+    REFUTATION = 1
+    ORDINARY = 2
+
+
 @dataclass(slots=True)
 class Queued:
-    """A statement and how often it was sent."""
+    """A statement and how often it was sent or came back."""
 
     statement: Member
-    urgent: bool
-    transmissions: int = 0
+    urgency: Urgency
+    passes: int = 0
 
 
 @dataclass(slots=True)
 class Outbox:
-    """The newest statement about each member that is still to be passed on."""
+    """The newest statement about each member that is still to be passed on.
 
+    Statements of draining have a byte budget of their own, so that no flood
+    of others holds them up.
+    """
+
+    draining_budget: ByteBudget
+    budget: ByteBudget
     queued: dict[Address, Queued] = field(default_factory=dict)
     is_urgent: bool = False
 
-    def put(self, statement: Member, urgent: bool = False) -> None:
+    def put(self, statement: Member, refutes: bool = False) -> None:
         """Queue a statement in place of an older one about that member."""
-        urgent = urgent or is_urgent(statement)
-        self.queued[statement.address] = Queued(statement, urgent)
-        self.is_urgent = self.is_urgent or urgent
+        urgency = Urgency.REFUTATION if refutes else Urgency.ORDINARY
+        if is_draining(statement):
+            urgency = Urgency.DRAINING
+        self.queued[statement.address] = Queued(statement, urgency)
+        self.is_urgent = self.is_urgent or urgency is not Urgency.ORDINARY
         if len(self.queued) > MAX_QUEUED:
             del self.queued[max(self.queued, key=self._order)]
 
-    def pick(self, limit_bytes: float, members: int) -> tuple[Member, ...]:
-        """Return statements that fit, urgent and least sent ones first."""
-        limit = min(limit_bytes, STATEMENTS_BYTES)
+    def heard(self, statement: Member, members: int) -> None:
+        """Count a statement that came back: others pass it on as well.
+
+        Accusations and what answers them take their full course.
+        """
+        entry = self.queued.get(statement.address)
+        if entry is None or entry.urgency is not Urgency.ORDINARY:
+            return
+        if statement.status is Status.ALIVE and _is_same(entry.statement, statement):
+            self._count(entry, members)
+
+    def pick(self, members: int, implied: set[str]) -> tuple[Member, ...]:
+        """Return statements that fit, urgent and least passed ones first.
+
+        ``implied`` are names that need not be written.
+        """
+        limit = STATEMENTS_BYTES
         picked: list[Member] = []
-        names: set[str] = set()
-        most = max_transmissions(members)
+        names = set(implied)
         for address in sorted(self.queued, key=self._order):
             entry = self.queued[address]
-            limit -= estimated_bytes(entry.statement, names)
+            is_draining = entry.urgency is Urgency.DRAINING
+            budget = self.draining_budget if is_draining else self.budget
+            size = estimated_bytes(entry.statement, names)
+            if budget.available <= 0:
+                continue
+            limit -= size
             if limit < 0:
                 break
+            budget.spend(size)
             picked.append(entry.statement)
-            entry.transmissions += 1
-            if entry.transmissions >= most:
-                del self.queued[address]
+            self._count(entry, members)
         return tuple(picked)
 
-    def _order(self, address: Address) -> tuple[bool, int]:
+    def _count(self, entry: Queued, members: int) -> None:
+        entry.passes += 1
+        if entry.passes >= max_passes(members):
+            del self.queued[entry.statement.address]
+
+    def _order(self, address: Address) -> tuple[Urgency, int]:
         entry = self.queued[address]
-        return (not entry.urgent, entry.transmissions)
+        return (entry.urgency, entry.passes)
+
+
+def _is_same(statement: Member, other: Member) -> bool:
+    return (statement.incarnation, statement.status) == (
+        other.incarnation,
+        other.status,
+    )
 
 
-def max_transmissions(members: int) -> int:
-    """Return how often a statement is sent in a zone of some size."""
+def max_passes(members: int) -> int:
+    """Return how often a statement is passed on in a zone of some size."""
     return RETRANSMIT_FACTOR * math.ceil(math.log10(members + 1))
 
 
-def is_urgent(statement: Member) -> bool:
+def is_draining(statement: Member) -> bool:
     """Tell whether a statement takes work away from a server in service."""
     if statement.status is Status.ALIVE:
         return any(endpoint.draining for endpoint in statement.endpoints)
@@ -123,6 +169,6 @@
     "ByteBudget",
     "Outbox",
     "estimated_bytes",
-    "is_urgent",
-    "max_transmissions",
+    "is_draining",
+    "max_passes",
 ]
--- a/src/briarslip/process/failure_detector.py
+++ b/src/briarslip/process/failure_detector.py
@@ -116,11 +116,8 @@
     fanout = URGENT_FANOUT if outbox.is_urgent else PUSH_FANOUT
     outbox.is_urgent = False
     state.push_at = now + state.interval_seconds
-    return tuple(
-        compose(state, peer, Kind.PUSH, 0)
-        for peer in some_peers(state, fanout)
-        if outbox.queued
-    )
+    sends = (compose(state, p, Kind.PUSH, 0) for p in some_peers(state, fanout))
+    return tuple(send for send in sends if send.datagram.statements)
 
 
 __all__ = [
--- a/src/briarslip/process/membership_exchange.py
+++ b/src/briarslip/process/membership_exchange.py
@@ -66,7 +66,7 @@
     hear_version(state.table, sender, message.running_version, now)
     bootstrap.minimum_version = max(bootstrap.minimum_version, message.minimum_version)
     was_joined = bootstrap.joined
-    learn_all(state, message.statements, now, spread=was_joined)
+    learn_all(state, message.statements, now, passes_on=was_joined)
     hear_zone(state, sender, now)
     if message.busy:
         bootstrap.hints = message.peers
@@ -89,8 +89,7 @@
     if not bootstrap.joined:
         yield from _join(state, now)
     elif now >= bootstrap.sync_at:
-        wait = sync.SYNC_SECONDS * state.rng.uniform(0.8, 1.2)
-        bootstrap.sync_at = now + wait
+        bootstrap.sync_at = now + sync.next_wait(bootstrap, state.rng)
         yield from _compare_regularly(state, now)
     for zone, peer in zone_digest.zones_to_sync(state.links, now, state.rng):
         zones = (state.own.availability_zone, zone)
--- a/src/briarslip/process/membership_protocol.py
+++ b/src/briarslip/process/membership_protocol.py
@@ -36,6 +36,7 @@
 from briarslip.process.membership_state import learn_all
 from briarslip.process.membership_state import some_peers
 from briarslip.process.membership_state import spread
+from briarslip.process.membership_state import zone_size
 
 
 if TYPE_CHECKING:
@@ -49,7 +50,7 @@
 
 def tick(state: Protocol, now: float) -> tuple[Send, ...]:
     """Do what time asks for; return what to send."""
-    for budget in (state.datagram_budget, state.sync_budget):
+    for budget in state.budgets:
         budget.fill(now)
     if now - state.ticked_at > WAKE_SECONDS:
         _wake(state, now - state.ticked_at)
@@ -78,7 +79,7 @@
     """State what this daemon has now; return what to send at once."""
     is_new_version = running_version != state.own.running_version
     if announce(state.table, endpoints, running_version, status):
-        spread(state, state.own, urgent=True)
+        spread(state, state.own, refutes=True)
         return (*push(state, now), *zone_digest.flush(state.links, now))
     if not is_new_version:
         return ()
@@ -96,7 +97,9 @@
     known = state.table.members.get(sender)
     # Who is held to be dead accuses nobody until it has refuted that itself.
     is_trusted = known is None or known.status is not Status.DEAD
+    members = zone_size(state)
     for statement in datagram.statements:
+        state.outbox.heard(statement, members)
         if is_trusted or statement.address in (sender, state.own.address):
             learn(state, statement, now)
     if sender in state.suspicions.since:
@@ -129,7 +132,7 @@
     state.prober.errands.clear()
     state.suspicions.delay(paused_seconds)
     raise_incarnation(state.table, 0)
-    spread(state, state.own, urgent=True)
+    spread(state, state.own, refutes=True)
 
 
 __all__ = ["take_control", "take_datagram", "tick", "update"]
--- a/src/briarslip/process/membership_state.py
+++ b/src/briarslip/process/membership_state.py
@@ -9,7 +9,7 @@
 
 from briarslip.process.dissemination import ByteBudget
 from briarslip.process.dissemination import Outbox
-from briarslip.process.dissemination import estimated_bytes
+from briarslip.process.dissemination import is_draining
 from briarslip.process.member import Member
 from briarslip.process.member import Status
 from briarslip.process.membership import Membership
@@ -34,6 +34,8 @@
 
 
 MAX_SPREAD_STATEMENTS = 50
+DRAINING_BYTES_PER_SECOND = 512.0
+DRAINING_BURST_BYTES = 8_192.0
 DATAGRAM_BYTES_PER_SECOND = 1_024.0
 DATAGRAM_BURST_BYTES = 4_096.0
 SYNC_BYTES_PER_SECOND = 512.0
@@ -52,13 +54,13 @@
     prober: Prober = field(default_factory=Prober)
     health: LocalHealth = field(default_factory=LocalHealth)
     suspicions: Suspicions = field(default_factory=Suspicions)
-    outbox: Outbox = field(default_factory=Outbox)
-    links: ZoneLinks = field(default_factory=ZoneLinks)
-    datagram_budget: ByteBudget = field(
-        default_factory=lambda: ByteBudget(
-            DATAGRAM_BYTES_PER_SECOND, DATAGRAM_BURST_BYTES
+    outbox: Outbox = field(
+        default_factory=lambda: Outbox(
+            ByteBudget(DRAINING_BYTES_PER_SECOND, DRAINING_BURST_BYTES),
+            ByteBudget(DATAGRAM_BYTES_PER_SECOND, DATAGRAM_BURST_BYTES),
         )
     )
+    links: ZoneLinks = field(default_factory=ZoneLinks)
     sync_budget: ByteBudget = field(
         default_factory=lambda: ByteBudget(SYNC_BYTES_PER_SECOND, SYNC_BURST_BYTES)
     )
@@ -78,6 +80,11 @@
         """Build the state of a daemon that knows nobody yet."""
         return cls(Membership(member), Bootstrap(contacts), rng, interval_seconds, now)
 
+    @property
+    def budgets(self) -> tuple[ByteBudget, ...]:
+        """Every byte budget, which time has to fill."""
+        return (self.outbox.draining_budget, self.outbox.budget, self.sync_budget)
+
     @property
     def own(self) -> Member:
         """This daemon as it states itself."""
@@ -95,15 +102,18 @@
 
     A peer that is not held to be alive is told so first, to let it refute.
     """
-    zone_size = len(state.table.zone_members(state.own.availability_zone))
-    picked = state.outbox.pick(state.datagram_budget.available, zone_size)
-    names: set[str] = {state.own.availability_zone, state.own.region}
-    state.datagram_budget.spend(sum(estimated_bytes(s, names) for s in picked))
+    own = state.own
+    picked = state.outbox.pick(zone_size(state), {own.availability_zone, own.region})
     known = state.table.members.get(peer)
     if known is not None and known.status in (Status.SUSPECT, Status.DEAD):
         picked = (known, *picked)
-    version = state.own.running_version
-    return SendDatagram(peer, Datagram(kind, sequence, version, picked, target))
+    datagram = Datagram(kind, sequence, own.running_version, picked, target)
+    return SendDatagram(peer, datagram)
+
+
+def zone_size(state: Protocol) -> int:
+    """Return the number of live members of the own zone."""
+    return len(state.table.zone_members(state.own.availability_zone))
 
 
 def some_peers(
@@ -129,39 +139,41 @@
 
 
 def learn_all(
-    state: Protocol, statements: Iterable[Member], now: float, spread: bool = True
+    state: Protocol, statements: Iterable[Member], now: float, passes_on: bool = True
 ) -> None:
     """Take statements from a control message; many at once spread no further.
 
     What is not spread reaches the others by their own comparisons.
     """
-    before = dict(state.outbox.queued)
-    news = [s for s in statements if learn(state, s, now) is not None]
-    if not spread or len(news) > MAX_SPREAD_STATEMENTS:
-        own = state.outbox.queued.get(state.own.address)
-        state.outbox.queued = before
-        if own is not None:
-            state.outbox.queued[state.own.address] = own
+    learned = [learn(state, statement, now) for statement in statements]
+    news = [member for member in learned if member is not None]
+    if passes_on and len(news) <= MAX_SPREAD_STATEMENTS:
+        return
+    for member in news:
+        if not is_draining(member):
+            state.outbox.queued.pop(member.address, None)
 
 
 def take_statement(state: Protocol, statement: Member, now: float) -> Member | None:
     """Take a statement as it stands; return the member if it is news."""
     zone = statement.availability_zone
     state.table.zone_heard_at.setdefault(zone, now)
+    known = state.table.members.get(statement.address)
     changed = take(state.table, statement, now)
     if changed is None:
         return None
+    was_accused = known is not None and known.status in (Status.SUSPECT, Status.DEAD)
     if changed.status is Status.SUSPECT and zone == state.own.availability_zone:
         state.suspicions.begin(changed.address, now)
     else:
         state.suspicions.end(changed.address)
-    spread(state, changed)
+    spread(state, changed, was_accused and changed.status is Status.ALIVE)
     return changed
 
 
-def spread(state: Protocol, statement: Member, urgent: bool = False) -> None:
+def spread(state: Protocol, statement: Member, refutes: bool = False) -> None:
     """Queue a statement for the own zone, and for those carried to."""
-    state.outbox.put(statement, urgent)
+    state.outbox.put(statement, refutes)
     is_near = statement.availability_zone == state.own.availability_zone
     if is_near and statement.status is not Status.SUSPECT:
         state.links.put(statement)
@@ -170,7 +182,7 @@
 def _refute(state: Protocol, statement: Member) -> None:
     if is_refutable(state.table, statement):
         raise_incarnation(state.table, statement.incarnation)
-        spread(state, state.own, urgent=True)
+        spread(state, state.own, refutes=True)
 
 
 __all__ = [
@@ -181,4 +193,5 @@
     "some_peers",
     "spread",
     "take_statement",
+    "zone_size",
 ]
--- a/src/briarslip/process/membership_sync.py
+++ b/src/briarslip/process/membership_sync.py
@@ -26,6 +26,7 @@
     from briarslip.process.membership import Membership
 
 
+FIRST_SYNC_SECONDS = 2.0
 SYNC_SECONDS = 30.0
 FOLLOW_UP_SECONDS = 0.5
 HINTED_PEERS = 6
@@ -48,6 +49,7 @@
     attempts: int = 0
     retry_at: float = 0.0
     sync_at: float = 0.0
+    syncs: int = 0
     minimum_version: int = 0
     follow_up_peer: Address | None = None
     contacts_wanted: bool = True
@@ -59,6 +61,13 @@
     return rng.uniform(0.0, limit)
 
 
+def next_wait(bootstrap: Bootstrap, rng: random.Random) -> float:
+    """Return the time until the next comparison, short after the join."""
+    wait: float = min(SYNC_SECONDS, FIRST_SYNC_SECONDS * 2 ** min(bootstrap.syncs, 10))
+    bootstrap.syncs += 1
+    return wait * rng.uniform(0.8, 1.2)
+
+
 def join_targets(
     bootstrap: Bootstrap, table: Membership, rng: random.Random
 ) -> tuple[Address, ...]:
@@ -157,11 +166,11 @@
 
 __all__ = [
     "FOLLOW_UP_SECONDS",
-    "SYNC_SECONDS",
     "Bootstrap",
     "differing_zones",
     "join_targets",
     "missing_there",
+    "next_wait",
     "reply",
     "request",
     "retry_seconds",
--- a/src/briarslip/process/zone_digest.py
+++ b/src/briarslip/process/zone_digest.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.process.dissemination import estimated_bytes
-from briarslip.process.dissemination import is_urgent
+from briarslip.process.dissemination import is_draining
 from briarslip.process.membership import is_live
 from briarslip.process.membership_messages import SendControl
 from briarslip.process.membership_messages import Updates
@@ -66,7 +66,7 @@
         """Queue a statement about a member of the own zone."""
         for zone in self.peers:
             self.waiting.setdefault(zone, {})[statement.address] = statement
-        self.is_urgent = self.is_urgent or is_urgent(statement)
+        self.is_urgent = self.is_urgent or is_draining(statement)
 
 
 def refresh(links: ZoneLinks, table: Membership, now: float) -> None:
@@ -103,10 +103,10 @@
         batch = _take_batch(links.waiting.get(zone, {}))
         if batch and peers:
             # Urgent news take both ways, others the one of equal rank.
-            targets = peers if any(is_urgent(s) for s in batch) else peers[:1]
+            targets = peers if any(is_draining(s) for s in batch) else peers[:1]
             sends.extend(SendControl(peer, Updates(batch)) for peer in targets)
     links.is_urgent = any(
-        is_urgent(statement)
+        is_draining(statement)
         for waiting in links.waiting.values()
         for statement in waiting.values()
     )
@@ -117,7 +117,7 @@
     names: set[str] = set()
     size = 0
     batch: list[Member] = []
-    ordered = sorted(waiting.values(), key=lambda s: not is_urgent(s))
+    ordered = sorted(waiting.values(), key=lambda s: not is_draining(s))
     for statement in ordered:
         size += estimated_bytes(statement, names)
         if batch and size > FLUSH_BYTES:
--- /dev/null
+++ b/tests/process/test_membership_task.py
@@ -0,0 +1,378 @@
+"""Failures of membership, brought about in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from bench.fleet import DATAGRAM
+from bench.fleet import Fleet
+from briarslip.process.member import Status
+from tests.support.members import endpoint
+from tests.support.members import has_new_work
+from tests.support.members import holders
+from tests.support.members import is_alive_everywhere
+from tests.support.members import settled
+from tests.support.members import status_at
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from bench.fleet import FleetDaemon
+
+
+DRAINING_SECONDS = 3.0
+DEAD_SECONDS = 15.0
+REFUTE_SECONDS = 3.0
+MAX_DATAGRAM_BYTES = 1_200
+MAX_BYTES_PER_SECOND = 4_096.0
+ENDED = (Status.DEAD, Status.LEFT, None)
+
+
+class FleetTestCase(unittest.TestCase):
+    """Steps shared by the tests below."""
+
+    def assert_none_ended(
+        self, fleet: Fleet, daemons: Iterable[FleetDaemon], seconds: float
+    ) -> None:
+        """Let time pass; nobody may hold one of these daemons to have ended."""
+        chosen = tuple(daemons)
+        for _ in range(int(seconds / 0.25)):
+            fleet.run(0.25)
+            for daemon in chosen:
+                evicted_by = [str(h.address) for h in holders(fleet, daemon, *ENDED)]
+                self.assertEqual([], evicted_by, f"{daemon.address} was evicted")
+
+    def assert_within(
+        self, fleet: Fleet, seconds: float, condition: Callable[[], bool]
+    ) -> None:
+        """Let time pass until a condition holds, for some seconds at most."""
+        self.assertLessEqual(fleet.run_until(condition, seconds + 0.1), seconds)
+
+
+class DrainingTest(FleetTestCase):
+    """What leaves is known everywhere within 3 s."""
+
+    def test_draining_daemon_is_known_everywhere(self) -> None:
+        fleet = settled(("klang", "penang", "johor"), 8)
+        fleet.loss = 0.1
+        leaving = fleet.running[3]
+        leaving.drain()
+        self.assert_within(
+            fleet,
+            DRAINING_SECONDS,
+            lambda: len(holders(fleet, leaving, Status.LEFT)) == len(fleet.daemons) - 1,
+        )
+
+    def test_draining_server_gets_no_new_work_anywhere(self) -> None:
+        fleet = settled(("klang", "penang"), 8)
+        leaving = fleet.running[2]
+        leaving.announce((endpoint("service-2", draining=True), endpoint("other")))
+        self.assert_within(
+            fleet,
+            DRAINING_SECONDS,
+            lambda: (
+                not any(has_new_work(d, leaving, "service-2") for d in fleet.running)
+            ),
+        )
+        self.assertTrue(has_new_work(fleet.running[5], leaving, "other"))
+
+    def test_draining_overtakes_a_flood_of_other_statements(self) -> None:
+        fleet = settled(("klang", "penang"), 25)
+        for number, daemon in enumerate(fleet.running):
+            daemon.announce((endpoint(f"service-{number}", "2"),))
+        for daemon in fleet.running[30:40]:
+            fleet.kill(daemon)
+        leaving = fleet.running[3]
+        leaving.drain()
+        self.assert_within(
+            fleet, DRAINING_SECONDS, lambda: not holders(fleet, leaving, Status.ALIVE)
+        )
+
+
+class DeathTest(FleetTestCase):
+    """What dies is known within a bound, and forgotten later."""
+
+    def test_dead_daemon_is_known_everywhere(self) -> None:
+        fleet = settled(("klang", "penang"), 10)
+        dead = fleet.running[4]
+        fleet.kill(dead)
+        self.assert_within(
+            fleet,
+            DEAD_SECONDS,
+            lambda: len(holders(fleet, dead, Status.DEAD)) == len(fleet.daemons) - 1,
+        )
+
+    def test_dead_daemon_is_forgotten_but_not_its_version(self) -> None:
+        fleet = settled(("klang",), 5)
+        dead = fleet.running[4]
+        for daemon in fleet.running:
+            daemon.membership.update(daemon.endpoints, 7, False)
+        fleet.run(10.0)
+        fleet.kill(dead)
+        fleet.run(700.0)
+        self.assertEqual(4, len(holders(fleet, dead, None)))
+        heard = [d.membership.last_heard_version(dead.address) for d in fleet.running]
+        self.assertEqual([7] * 4, heard)
+
+    def test_replacement_is_told_the_version_of_its_address(self) -> None:
+        fleet = settled(("klang",), 6)
+        dead = fleet.running[4]
+        dead.membership.update(dead.endpoints, 9, False)
+        fleet.run(5.0)
+        fleet.kill(dead)
+        fleet.run(60.0)
+        fresh = fleet.restart(dead)
+        self.assert_within(fleet, 5.0, lambda: fresh.membership.minimum_version == 9)
+
+    def test_version_is_heard_from_every_probe(self) -> None:
+        fleet = settled(("klang",), 6)
+        behind = fleet.running[0]
+        heard: list[int] = []
+        behind.membership.on_version = lambda peer, version: heard.append(version)
+        fleet.running[5].membership.update((), 3, False)
+        self.assert_within(fleet, 5.0, lambda: 3 in heard)
+
+
+class PauseTest(FleetTestCase):
+    """A paused daemon refutes, and accuses nobody when it wakes."""
+
+    def test_short_pause_is_refuted_before_eviction(self) -> None:
+        fleet = settled(("klang",), 12)
+        paused = fleet.running[3]
+        fleet.pause(paused)
+        self.assert_within(
+            fleet, 4.0, lambda: bool(holders(fleet, paused, Status.SUSPECT))
+        )
+        fleet.resume(paused)
+        self.assert_none_ended(fleet, [paused], 10.0)
+        self.assertTrue(is_alive_everywhere(fleet, [paused]))
+
+    def test_long_pause_is_refuted_on_waking(self) -> None:
+        fleet = settled(("klang", "penang"), 8)
+        paused = fleet.running[3]
+        fleet.pause(paused)
+        fleet.run(60.0)
+        self.assertEqual(15, len(holders(fleet, paused, Status.DEAD)))
+        fleet.resume(paused)
+        self.assert_within(
+            fleet, REFUTE_SECONDS, lambda: is_alive_everywhere(fleet, [paused])
+        )
+
+    def test_waking_daemon_evicts_nobody(self) -> None:
+        fleet = settled(("klang",), 12)
+        paused = fleet.running[3]
+        fleet.pause(paused)
+        fleet.run(60.0)
+        fleet.resume(paused)
+        self.assert_none_ended(
+            fleet, [d for d in fleet.running if d is not paused], 20.0
+        )
+
+
+class PartialFailureTest(FleetTestCase):
+    """Half of a zone gone, bad links, and daemons that misjudge."""
+
+    def test_half_a_zone_gone_evicts_nobody_else(self) -> None:
+        for seed in (1, 2):
+            fleet = settled(("klang",), 24, seed)
+            gone, left = fleet.running[::2], fleet.running[1::2]
+            fleet.loss = 0.05
+            for daemon in gone:
+                fleet.kill(daemon)
+            self.assert_none_ended(fleet, left, 30.0)
+            unknown = [d for d in gone if len(holders(fleet, d, Status.DEAD)) < 12]
+            self.assertEqual([], unknown)
+
+    def test_most_of_a_zone_gone_is_known_in_bounded_time(self) -> None:
+        fleet = settled(("klang",), 12)
+        gone, left = fleet.running[:9], fleet.running[9:]
+        for daemon in gone:
+            fleet.kill(daemon)
+        self.assert_none_ended(fleet, left, 60.0)
+        self.assertEqual({3}, {len(d.membership.live) for d in left})
+
+    def test_links_broken_one_way_evict_nobody(self) -> None:
+        fleet = settled(("klang",), 12)
+        one, *others = fleet.running
+        fleet.blocked = {(other.address, one.address) for other in others[:4]}
+        self.assert_none_ended(fleet, fleet.running, 60.0)
+
+    def test_daemon_that_hears_nobody_evicts_no_one_elsewhere(self) -> None:
+        fleet = settled(("klang",), 12)
+        deaf, *others = fleet.running
+        fleet.blocked = {(other.address, deaf.address) for other in others}
+        for _ in range(240):
+            fleet.run(0.25)
+            for holder in others:
+                for other in others:
+                    self.assertNotIn(status_at(holder, other), ENDED)
+        fleet.heal()
+        self.assert_within(
+            fleet, 60.0, lambda: is_alive_everywhere(fleet, fleet.running)
+        )
+
+    def test_datagram_loss_evicts_nobody(self) -> None:
+        fleet = settled(("klang",), 16)
+        fleet.loss = 0.15
+        self.assert_none_ended(fleet, fleet.running, 90.0)
+
+
+class CutTest(FleetTestCase):
+    """A zone cut off keeps what it has and rejoins cleanly."""
+
+    def test_cut_zone_keeps_its_members_and_rejoins(self) -> None:
+        fleet = settled(("klang", "penang"), 8)
+        inside = [d for d in fleet.running if d.zone == "penang"]
+        fleet.cut_zone("penang", from_platform=True)
+        self.assert_none_ended(fleet, fleet.running, 30.0)
+        changed, dead = inside[2], inside[3]
+        changed.announce((endpoint("service-9", "2"),))
+        fleet.kill(dead)
+        fleet.run(300.0)
+        fleet.heal()
+        self.assert_within(
+            fleet,
+            30.0,
+            lambda: (
+                all(has_new_work(d, changed, "service-9") for d in fleet.running)
+                and not holders(fleet, dead, Status.ALIVE)
+            ),
+        )
+        self.assertTrue(is_alive_everywhere(fleet, fleet.running))
+
+    def test_zone_in_two_halves_comes_together_again(self) -> None:
+        fleet = settled(("klang",), 12)
+        one, other = fleet.running[::2], fleet.running[1::2]
+        pairs = {(a.address, b.address) for a in one for b in other}
+        fleet.blocked = pairs | {(b, a) for a, b in pairs}
+        fleet.run(60.0)
+        self.assertEqual({6}, {len(d.membership.live) for d in fleet.running})
+        fleet.heal()
+        self.assert_within(
+            fleet, 90.0, lambda: is_alive_everywhere(fleet, fleet.running)
+        )
+
+
+class ReplacementTest(FleetTestCase):
+    """A replacement at the same address is not taken for its predecessor."""
+
+    def test_replacement_with_its_clock_set_back_is_heard(self) -> None:
+        fleet = settled(("klang", "penang"), 6)
+        old = fleet.running[2]
+        fleet.kill(old)
+        fleet.run(2.0)
+        fleet.skews[old.address] = timedelta(hours=-5)
+        fresh = fleet.restart(old)
+        fresh.announce((endpoint("service-8"),))
+        self.assert_within(
+            fleet,
+            DEAD_SECONDS,
+            lambda: all(
+                has_new_work(d, fresh, "service-8")
+                and not has_new_work(d, fresh, "service-2")
+                for d in fleet.running
+            ),
+        )
+        self.assert_none_ended(fleet, [fresh], 20.0)
+
+    def test_replacement_loses_the_endpoints_of_its_predecessor(self) -> None:
+        fleet = settled(("klang",), 6)
+        fresh = fleet.restart(fleet.running[2])
+        self.assert_within(
+            fleet,
+            REFUTE_SECONDS,
+            lambda: not any(has_new_work(d, fresh, "service-2") for d in fleet.running),
+        )
+
+
+class BootstrapTest(FleetTestCase):
+    """First contact, and the return of a herd."""
+
+    def test_contacts_stand_in_for_seeds_that_are_gone(self) -> None:
+        fleet = settled(("klang",), 8)
+        fleet.run(150.0)
+        writes = fleet.platform.counts["txn"]
+        self.assertIsNotNone(fleet.platform.get("contacts/klang"))
+        fleet.run(600.0)
+        self.assertEqual(writes, fleet.platform.counts["txn"])
+        fleet.seeds = ()
+        fresh = fleet.restart(fleet.running[6])
+        self.assert_within(fleet, 10.0, lambda: len(fresh.membership.live) == 8)
+
+    def test_zones_without_common_seeds_meet_by_their_contacts(self) -> None:
+        fleet = Fleet()
+        fleet.add_zone("klang", 4)
+        fleet.seeds = ()
+        fleet.add_zone("penang", 4)
+        self.assert_within(
+            fleet, 300.0, lambda: is_alive_everywhere(fleet, fleet.running)
+        )
+
+    def test_joining_needs_no_platform(self) -> None:
+        fleet = settled(("klang",), 8)
+        fleet.platform.outage = "close"
+        fresh = fleet.restart(fleet.running[6])
+        self.assert_within(fleet, 10.0, lambda: len(fresh.membership.live) == 8)
+
+    def test_herd_comes_back_within_its_byte_limit(self) -> None:
+        fleet = settled(("klang", "penang"), 15)
+        herd = fleet.running[::3]
+        for daemon in herd:
+            fleet.kill(daemon)
+        fleet.run(30.0)
+        before = {a: t.total for a, t in fleet.traffic.items()}
+        for daemon in herd:
+            fleet.restart(daemon)
+        fleet.run(30.0)
+        self.assertTrue(is_alive_everywhere(fleet, fleet.running))
+        for address, traffic in fleet.traffic.items():
+            rate = (traffic.total - before[address]) / 30.0
+            self.assertLess(rate, MAX_BYTES_PER_SECOND, str(address))
+
+
+class TrafficTest(FleetTestCase):
+    """Bytes at rest and in a mass loss, and the size of datagrams."""
+
+    def test_bytes_at_rest_do_not_grow_with_the_zone(self) -> None:
+        rates = []
+        for size in (10, 40):
+            fleet = settled(("klang",), size)
+            fleet.run(60.0)
+            before = sum(t.total for t in fleet.traffic.values())
+            fleet.run(30.0)
+            total = sum(t.total for t in fleet.traffic.values()) - before
+            rates.append(total / 30.0 / size)
+            largest = max(t.largest_datagram for t in fleet.traffic.values())
+            self.assertLess(largest, MAX_DATAGRAM_BYTES)
+        self.assertLess(max(rates), MAX_BYTES_PER_SECOND / 4)
+        self.assertLess(rates[1], rates[0] * 1.25)
+
+    def test_mass_loss_keeps_the_byte_limit(self) -> None:
+        fleet = settled(("klang",), 40)
+        for daemon in fleet.running[::2]:
+            fleet.kill(daemon)
+        for _ in range(6):
+            before = {d.address: fleet.traffic[d.address].total for d in fleet.running}
+            fleet.run(10.0)
+            for address, total in before.items():
+                rate = (fleet.traffic[address].total - total) / 10.0
+                self.assertLess(rate, MAX_BYTES_PER_SECOND, str(address))
+        self.assertGreater(fleet.traffic[fleet.running[0].address].sent[DATAGRAM], 0)
+
+    def test_heartbeats_never_touch_the_platform(self) -> None:
+        fleet = settled(("klang",), 8)
+        fleet.run(20.0)
+        for daemon in fleet.daemons.values():
+            daemon.distribution.relay.set_active(False)
+            daemon.distribution.choose_relays = lambda draining: None  # type: ignore[method-assign]
+        before = fleet.platform.counts.copy()
+        fleet.run(100.0)
+        self.assertLessEqual((fleet.platform.counts - before).total(), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
