--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -250,12 +250,16 @@
         )
         self.distribution = DistributionTask(
             self.reactor,
+            self.clock,
+            self.rng,
             self.platform,
             self.address,
             self.zone,
             lambda: self.membership.live,
             self.send_control,
             self.version_active,
+            self.membership.last_heard_version,
+            lambda: self.membership.minimum_version,
         )
 
     def start(self) -> None:
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.connection.deadline_wheel import DeadlineWheel
 from briarslip.connection.frame import Hello
 from briarslip.connection.frame import Topic
 from briarslip.connection.local_http import JsonReply
@@ -16,6 +17,7 @@
 from briarslip.connection.peer_links import PeerLinks
 from briarslip.process.admin import admin_endpoints
 from briarslip.process.announcements import parse_announcement
+from briarslip.process.claims import PlatformClaims
 from briarslip.process.clock import SystemClock
 from briarslip.process.distribution_task import DistributionTask
 from briarslip.process.etcd_gateway import EtcdGatewayClient
@@ -25,6 +27,13 @@
 from briarslip.process.member import Member
 from briarslip.process.member import Status
 from briarslip.process.membership_task import MembershipTask
+from briarslip.process.rollout_report import RolloutReporter
+from briarslip.process.rollout_task import RolloutTask
+from briarslip.process.service_levels import ServiceLevels
+from briarslip.process.shutdown import Phase
+from briarslip.process.shutdown import Remaining
+from briarslip.process.shutdown import Shutdown
+from briarslip.request.claim import CLAIMS_SERVICE
 from briarslip.request.forwarder import Forwarder
 from briarslip.request.forwarder import Surroundings
 from briarslip.request.outcome import Failure
@@ -46,9 +55,6 @@
 
 
 HOUSEKEEPING_SECONDS = 0.5
-DRAIN_NOTICE_SECONDS = 1.0
-DRAIN_POLL_SECONDS = 0.05
-MAX_DRAIN_SECONDS = 60.0
 
 
 class Daemon:
@@ -60,7 +66,9 @@
         self.settings = settings
         self.reactor = reactor
         self.clock = clock
-        self.draining = False
+        self.shutdown = Shutdown(
+            reactor, clock, self.largest_timeout, self.remaining, self.enter_phase
+        )
         own_address = settings.listen.peers
         zone = settings.daemon.availability_zone
         platform = settings.platform
@@ -72,9 +80,22 @@
             clock,
             settings.limits.announcement_lease.total_seconds(),
             self.update_membership,
+            self.excluded,
+            lambda own, backend: self.rollouts.collector.watch(own, backend),
+        )
+        self.claims = PlatformClaims(
+            self.platform,
+            clock,
+            rng,
+            reactor.callLater,
+            own_address,
+            lambda peer, call, sink: self.links.dispatch_to(peer, call, sink),
         )
         hello = Hello(str(own_address), zone)
-        self.links = PeerLinks(reactor, clock, hello, self.serve, self.take_control)
+        self.deadlines = DeadlineWheel(reactor, clock)
+        self.links = PeerLinks(
+            reactor, clock, hello, self.serve, self.take_control, rng
+        )
         self.membership = MembershipTask(
             reactor,
             clock,
@@ -88,20 +109,48 @@
         )
         self.distribution = DistributionTask(
             reactor,
+            clock,
+            rng,
             self.platform,
             own_address,
             zone,
             lambda: self.membership.live,
             self.links.send_control,
             self.update_membership,
+            self.membership.last_heard_version,
+            lambda: self.membership.minimum_version,
         )
+        self.rollouts = RolloutTask(
+            reactor,
+            clock,
+            rng,
+            self._self_member(),
+            lambda: self.distribution.table,
+            lambda: self.membership.live,
+            self.links.send_control,
+        )
+        self.rollout_reporter = RolloutReporter(
+            reactor,
+            self.platform,
+            rng,
+            self.rollouts,
+            lambda: self.distribution.snapshot.version,
+        )
+        self.service_levels = ServiceLevels(clock)
         self.forwarder = Forwarder(clock, rng, self._surroundings())
+        limits = settings.limits
+        self.callers = CallerHttpFactory(reactor, self.forwarder, limits.max_body_bytes)
 
     @classmethod
     def from_settings(cls, settings: Settings, reactor: Any) -> Daemon:
         """Build a daemon on the system's clock and random source."""
         return cls(settings, reactor, SystemClock(), random.Random())
 
+    @property
+    def draining(self) -> bool:
+        """Whether a stop has begun."""
+        return self.shutdown.draining
+
     def _self_member(self) -> Member:
         return Member(
             address=self.settings.listen.peers,
@@ -123,18 +172,18 @@
             remote=self.links.dispatch_to,
             version_for=self.version_for,
             record=self.record,
+            excluded=self.excluded,
+            call_later=self.deadlines.call_later,
+            focus=self.rollouts.focus,
+            claims=self.claims,
         )
 
     def start(self) -> None:
         """Listen and begin the periodic work."""
         listen = self.settings.listen
-        limits = self.settings.limits
         self.membership.start()
         self._listen(listen.peers, self.links.server_factory())
-        self._listen(
-            listen.callers,
-            CallerHttpFactory(self.reactor, self.forwarder, limits.max_body_bytes),
-        )
+        self.caller_port = self._listen(listen.callers, self.callers)
         self._listen(
             listen.announcements,
             LocalHttpFactory(
@@ -145,6 +194,8 @@
             listen.admin, LocalHttpFactory(self.reactor, admin_endpoints(self))
         )
         emit(Event.DAEMON_STARTED, peer=listen.peers, callers=listen.callers)
+        self.rollouts.start()
+        self.rollout_reporter.start()
         self.keep_house()
 
     def _listen(self, address: Address, factory: Any) -> Any:
@@ -163,19 +214,26 @@
 
     def serve(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
         """Serve a call that came over a peer link."""
+        if call.service == CLAIMS_SERVICE:
+            return self.claims.serve(call, sink)
         admission = self.servers.admission(call.service, call.service_version)
-        if admission is None or self.draining:
-            reason = Reason.DRAINING if self.draining else Reason.NO_SERVER
+        if admission is None or self.shutdown.refusing:
+            reason = Reason.DRAINING if self.shutdown.refusing else Reason.NO_SERVER
             sink.failed(Failure(Outcome.NOT_RUN, reason), None)
             return lambda: None
         return admission(call, sink)
 
     def version_for(self, route: Route) -> str:
         """Return the service version a call of this route must go to, if any."""
-        return ""
+        return self.rollouts.version_for(route)
+
+    def excluded(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that must get no work."""
+        return self.rollouts.excluded(service)
 
     def record(self, sample: Sample) -> None:
         """Take what a finished attempt tells about its server."""
+        self.service_levels.record(sample, self.distribution.table.objectives)
 
     def take_control(self, sender: Address, frame: ControlFrame) -> None:
         """Act on a control message of a peer."""
@@ -183,6 +241,8 @@
             self.distribution.take_message(sender, frame.payload)
         elif frame.topic is Topic.MEMBERSHIP:
             self.membership.take_message(sender, frame.payload)
+        elif frame.topic is Topic.EVIDENCE:
+            self.rollouts.take_message(sender, frame.payload)
 
     def take_announcement(self, body: bytes) -> JsonReply:
         """Take what a backend server beside this daemon says of itself."""
@@ -193,21 +253,32 @@
         return JsonReply(200, {"taken": True})
 
     def drain(self) -> None:
-        """Stop gracefully: no new work, then exit when none is in flight."""
-        if self.draining:
-            return
-        self.draining = True
-        emit(Event.DAEMON_DRAINING)
-        self.update_membership()
-        deadline = self.clock.monotonic() + MAX_DRAIN_SECONDS
-        self.reactor.callLater(DRAIN_NOTICE_SECONDS, self._stop_when_idle, deadline)
-
-    def _stop_when_idle(self, deadline: float) -> None:
-        if not self.servers.in_flight or self.clock.monotonic() > deadline:
-            emit(Event.DAEMON_STOPPED)
-            self.reactor.stop()
-            return
-        self.reactor.callLater(DRAIN_POLL_SECONDS, self._stop_when_idle, deadline)
+        """Stop gracefully."""
+        self.shutdown.begin()
+
+    def largest_timeout(self) -> float:
+        """Return the longest that a call may take, in seconds."""
+        timeouts = [route.timeout for route in self.distribution.table.routes]
+        default = self.settings.limits.default_timeout
+        return max([default, *timeouts]).total_seconds()
+
+    def remaining(self) -> Remaining:
+        """Count what a stop has to wait for."""
+        in_flight = self.callers.in_flight + self.links.serving + self.servers.in_flight
+        connections = len(self.callers.connections) + len(self.links.served)
+        return Remaining(in_flight, connections)
+
+    def enter_phase(self, phase: Phase) -> None:
+        """Do what a phase of the stop begins with."""
+        match phase:
+            case Phase.NOTICE:
+                self.update_membership()
+            case Phase.FINISHING:
+                self.caller_port.stopListening()
+                self.callers.drain()
+                self.links.drain()
+            case Phase.STOPPED:
+                self.reactor.stop()
 
 
 __all__ = ["Daemon"]
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from briarslip.request.flow import Flow
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,7 +23,9 @@
 
     ``headers`` holds header lines in HTTP wire form, each ended by CRLF,
     without hop-by-hop headers. ``deadline`` is a reading of the local
-    monotonic clock in seconds.
+    monotonic clock in seconds. ``service_version`` is that of the chosen
+    server, so that no other version runs the call. ``flow`` tells the source of
+    the answer when to wait for its reader.
     """
 
     method: str
@@ -34,6 +39,25 @@
     idempotent: bool
     depth: int
     deadline: float
+    flow: Flow = field(default_factory=Flow, compare=False)
+
+    def sent_as(self, service_version: str, headers: bytes) -> Call:
+        """Return the call as it goes to a server, with further header lines."""
+        # dataclasses.replace takes five times as long.
+        return Call(
+            self.method,
+            self.target,
+            self.headers + headers,
+            self.body,
+            self.service,
+            service_version,
+            self.route,
+            self.urgent,
+            self.idempotent,
+            self.depth,
+            self.deadline,
+            self.flow,
+        )
 
 
 @dataclass(frozen=True, slots=True)
