Failure tests of membership in virtual time; suspects are asked before they are declared dead

Now accusations and their answers take their full course, and whoever holds a suspect asks it itself twice before it declares it dead.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,10 +20,12 @@
 
 from result import Err
 from twisted.internet.base import DelayedCall
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as TwistedClock
 
 from briarslip.address import Address
 from briarslip.connection.frame import Topic
+from briarslip.process.change_writer import write_change
 from briarslip.process.distribution_task import DistributionTask
 from briarslip.process.member import Member
 from briarslip.process.member import Status
@@ -38,6 +40,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from briarslip.process.change_writer import RecordWrite
     from briarslip.process.member import Endpoint
 
 
@@ -207,6 +210,12 @@
         """The bytes of both directions."""
         return self.sent.total() + self.received.total()
 
+    @property
+    def membership(self) -> int:
+        """The bytes of both directions that membership has spent."""
+        kinds = (DATAGRAM, Topic.MEMBERSHIP.name)
+        return sum(self.sent[kind] + self.received[kind] for kind in kinds)
+
 
 class FleetDaemon:
     """The control tasks of one daemon."""
@@ -315,6 +324,7 @@
         self.traffic: dict[Address, Traffic] = {}
         self.seeds: tuple[Address, ...] = ()
         self.skews: dict[Address, timedelta] = {}
+        self.changes = count(1)
         self.loss = 0.0
         self.platform_cuts: set[str] = set()
         self.zone_cuts: set[frozenset[str]] = set()
@@ -347,6 +357,14 @@
                 self.clock.callLater(self.rng.random(), daemon.start)
         return added
 
+    def apply(self, *writes: RecordWrite) -> None:
+        """Write a change as operators do; no daemon has seen it yet."""
+        client = LocalPlatformClient(self.platform, self.clock.callLater)
+        work = write_change(client, writes, lambda: f"{next(self.changes):032x}")
+        done: list[Any] = []
+        Deferred.fromCoroutine(work).addBoth(done.append)
+        done[0].unwrap()
+
     def run(self, seconds: float) -> None:
         """Let virtual time pass."""
         self.clock.advance(seconds)
--- a/src/briarslip/process/failure_detector.py
+++ b/src/briarslip/process/failure_detector.py
@@ -69,7 +69,9 @@
 
 
 def end_suspicions(state: Protocol, now: float) -> Iterator[Send]:
-    """Declare the suspects dead that had their time to refute."""
+    """Ask suspects; declare those dead that had their time to refute."""
+    for address in state.suspicions.to_ask(now):
+        yield compose(state, address, Kind.PROBE, 0)
     for address in state.suspicions.overdue(state.health, now):
         state.suspicions.end(address)
         known = state.table.members.get(address)
@@ -103,8 +105,7 @@
     probe = state.prober.probes.pop(sequence, None)
     if probe is not None:
         state.health.record(True, now)
-        if probe.target in state.suspicions.since:
-            state.suspicions.since[probe.target] = now
+        state.suspicions.heard(probe.target, now)
     return ()
 
 
--- a/src/briarslip/process/membership_protocol.py
+++ b/src/briarslip/process/membership_protocol.py
@@ -102,9 +102,7 @@
         state.outbox.heard(statement, members)
         if is_trusted or statement.address in (sender, state.own.address):
             learn(state, statement, now)
-    if sender in state.suspicions.since:
-        # It is alive, so it may have more time to refute.
-        state.suspicions.since[sender] = now
+    state.suspicions.heard(sender, now)
     sends = answer_datagram(state, sender, datagram, now)
     if known is None and sender not in state.table.members:
         return (*sends, *compare(state, sender, now))
--- a/src/briarslip/process/suspicion.py
+++ b/src/briarslip/process/suspicion.py
@@ -19,6 +19,8 @@
 SUSPECT_SECONDS = 4.0
 WINDOW_PROBES = 8
 DOUBT_FAILURES = 5
+FIRST_QUESTION_SECONDS = 2.0
+QUESTION_SECONDS = 1.0
 HOLD_SECONDS = 5.0
 ISOLATED_HOLD_SECONDS = 30.0
 HEARING_SECONDS = 2.0
@@ -64,9 +66,10 @@
 
 @dataclass(slots=True)
 class Suspicions:
-    """Since when members are suspect."""
+    """Since when members are suspect, and when each was asked itself."""
 
     since: dict[Address, float] = field(default_factory=dict)
+    asked_at: dict[Address, float] = field(default_factory=dict)
 
     def begin(self, address: Address, now: float) -> None:
         """Start the time that a suspect has to refute."""
@@ -75,11 +78,31 @@
     def end(self, address: Address) -> None:
         """Drop a suspicion."""
         self.since.pop(address, None)
+        self.asked_at.pop(address, None)
+
+    def heard(self, address: Address, now: float) -> None:
+        """Give a suspect that is alive its whole time again to refute."""
+        if address in self.since:
+            self.since[address] = now
 
     def delay(self, seconds: float) -> None:
         """Leave out a time in which this daemon could hear no refutation."""
         self.since = {address: at + seconds for address, at in self.since.items()}
 
+    def to_ask(self, now: float) -> tuple[Address, ...]:
+        """Return the suspects that are to be asked now.
+
+        Whoever declares a member dead has so tried to reach it itself.
+        """
+        due = [
+            address
+            for address, at in self.since.items()
+            if now - at >= FIRST_QUESTION_SECONDS
+            and now - self.asked_at.get(address, 0.0) >= QUESTION_SECONDS
+        ]
+        self.asked_at.update(dict.fromkeys(due, now))
+        return tuple(due)
+
     def overdue(self, health: LocalHealth, now: float) -> tuple[Address, ...]:
         """Return the suspects that had their time."""
         limit = SUSPECT_SECONDS * health.slowdown
--- a/tests/support/members.py
+++ b/tests/support/members.py
@@ -7,6 +7,7 @@
 from bench.fleet import Fleet
 from briarslip.process.member import Endpoint
 from briarslip.process.member import Status
+from tests.support.records import service
 
 
 if TYPE_CHECKING:
@@ -61,6 +62,7 @@
     fleet = Fleet(seed)
     for zone in zones:
         fleet.add_zone(zone, size)
+    fleet.apply(service("service-0"))
     fleet.run(1.5)
     for number, daemon in enumerate(fleet.daemons.values()):
         daemon.announce((endpoint(f"service-{number % 4}"),))
