Announcements: another version or size at an address is another server

Causes: a server that announced itself again at its address with other slots kept the admission of the old size, and one whose lease lapsed dropped its calls from the count that a graceful stop waits for; unknown fields passed silently; JSON nested too deep raised RecursionError; any number of servers and any length of names were taken, more than a datagram carries.

Change: such a server is replaced, the old one's calls end and are counted; at most 6 servers beside a daemon and 63 characters a name; findings on unknown fields. Failure tests, and one mesh of real processes with SIGSTOP, SIGCONT, SIGKILL and SIGTERM.

--- a/src/briarslip/process/announcements.py
+++ b/src/briarslip/process/announcements.py
@@ -22,6 +22,7 @@
 
 SOURCE = "announcement"
 MAX_COUNT = 65535
+MAX_NAME_LENGTH = 63
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +39,7 @@
     """Read an announcement's JSON; the error holds all findings."""
     try:
         document = json.loads(body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err((Finding(SOURCE, 0, "", "", f"is not JSON: {error}"),))
     if not isinstance(document, dict):
         return Err((Finding(SOURCE, 0, "", "", "is not a JSON object"),))
@@ -54,15 +55,33 @@
             findings.append(Finding(SOURCE, 0, "", spec.name, result.err_value))
         else:
             values[spec.name] = result.ok_value
+    known = {spec.name for spec in ANNOUNCEMENT_FIELDS}
+    findings.extend(
+        Finding(SOURCE, 0, "", name, "unknown field")
+        for name in document.keys() - known
+    )
     if findings:
         return Err(tuple(findings))
     address = values.pop("address")
     return Ok(Announcement(Endpoint(**values), address))
 
 
+def too_many_servers(limit: int) -> Finding:
+    """Return the finding on one server more than a daemon keeps."""
+    reason = f"this daemon has {limit} backend servers already"
+    return Finding(SOURCE, 0, "", "address", reason)
+
+
+def _short_name(value: str) -> Result[str, str]:
+    """Read a name that members can be told of in one datagram."""
+    if len(value) > MAX_NAME_LENGTH:
+        return Err(f"is longer than {MAX_NAME_LENGTH} characters")
+    return fields.name(value)
+
+
 ANNOUNCEMENT_FIELDS = (
-    fields.FieldSpec("service", fields.name),
-    fields.FieldSpec("version", fields.name),
+    fields.FieldSpec("service", _short_name),
+    fields.FieldSpec("version", _short_name),
     fields.FieldSpec("address", fields.address),
     fields.FieldSpec("slots", fields.integer(1, MAX_COUNT)),
     fields.FieldSpec("connections", fields.integer(1, MAX_COUNT)),
@@ -70,4 +89,4 @@
 )
 
 
-__all__ = ["Announcement", "parse_announcement"]
+__all__ = ["Announcement", "parse_announcement", "too_many_servers"]
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -17,12 +17,14 @@
 from briarslip.connection.peer_links import PeerLinks
 from briarslip.process.admin import admin_endpoints
 from briarslip.process.announcements import parse_announcement
+from briarslip.process.announcements import too_many_servers
 from briarslip.process.claims import PlatformClaims
 from briarslip.process.clock import SystemClock
 from briarslip.process.distribution_task import DistributionTask
 from briarslip.process.etcd_gateway import EtcdGatewayClient
 from briarslip.process.events import Event
 from briarslip.process.events import emit
+from briarslip.process.local_servers import MAX_SERVERS
 from briarslip.process.local_servers import LocalServers
 from briarslip.process.member import Member
 from briarslip.process.member import Status
@@ -249,7 +251,9 @@
         parsed = parse_announcement(body)
         if isinstance(parsed, Err):
             return JsonReply(400, {"findings": [str(f) for f in parsed.err_value]})
-        self.servers.take(parsed.ok_value)
+        if not self.servers.take(parsed.ok_value):
+            finding = too_many_servers(MAX_SERVERS)
+            return JsonReply(400, {"findings": [str(finding)]})
         return JsonReply(200, {"taken": True})
 
     def drain(self) -> None:
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -21,6 +21,9 @@
     from briarslip.request.call import Dispatch
 
 
+MAX_SERVERS = 6
+
+
 class LocalServer:
     """One backend server with its connections and its admission."""
 
@@ -60,6 +63,7 @@
         self.excluded = excluded
         self.watch = watch
         self.servers: dict[Address, LocalServer] = {}
+        self.retired: list[LocalServer] = []
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
@@ -68,39 +72,55 @@
 
     @property
     def in_flight(self) -> int:
-        """The calls at all servers."""
-        return sum(server.admission.in_flight for server in self.servers.values())
+        """The calls at all servers, those that were replaced included."""
+        servers = (*self.servers.values(), *self.retired)
+        return sum(server.admission.in_flight for server in servers)
 
-    def take(self, announcement: Announcement) -> None:
-        """Take or renew a server's announcement."""
-        now = self.clock.monotonic()
+    def take(self, announcement: Announcement) -> bool:
+        """Take or renew a server's announcement; False if there are too many."""
         server = self.servers.get(announcement.address)
-        if server is None:
-            server = LocalServer(
-                announcement,
-                now,
-                self.reactor,
-                self.clock,
-                self.excluded,
-                self.watch,
-            )
-            self.servers[announcement.address] = server
-            emit(Event.SERVER_ANNOUNCED, server=announcement.address)
-            self.on_change()
-        server.heard = now
-        if server.announcement != announcement:
+        if server is None and len(self.servers) >= MAX_SERVERS:
+            return False
+        if server is None or _is_another(server.announcement, announcement):
+            self._replace(announcement)
+        else:
+            server.heard = self.clock.monotonic()
+            is_changed = server.announcement != announcement
             server.announcement = announcement
-            self.on_change()
+            if is_changed:
+                self.on_change()
+        return True
 
     def expire(self) -> None:
         """Forget the servers whose lease has lapsed."""
         now = self.clock.monotonic()
         for address, server in list(self.servers.items()):
             if now - server.heard > self.lease_seconds:
-                del self.servers[address]
-                server.pool.close()
+                self._retire(address)
                 emit(Event.SERVER_EXPIRED, server=address)
                 self.on_change()
+        self.retired = [s for s in self.retired if s.admission.in_flight]
+
+    def _replace(self, announcement: Announcement) -> None:
+        """Take a server that is new, or another one at a known address."""
+        self._retire(announcement.address)
+        self.servers[announcement.address] = LocalServer(
+            announcement,
+            self.clock.monotonic(),
+            self.reactor,
+            self.clock,
+            self.excluded,
+            self.watch,
+        )
+        emit(Event.SERVER_ANNOUNCED, server=announcement.address)
+        self.on_change()
+
+    def _retire(self, address: Address) -> None:
+        """Let a server's calls end and give it no new ones."""
+        server = self.servers.pop(address, None)
+        if server is not None:
+            server.pool.close()
+            self.retired.append(server)
 
     def admission(self, service: str, version: str) -> Admission | None:
         """Return the admission of a server; ``version`` empty admits all."""
@@ -115,4 +135,14 @@
         return None
 
 
-__all__ = ["LocalServer", "LocalServers"]
+def _is_another(known: Announcement, given: Announcement) -> bool:
+    """Tell whether a server has another version or size than the one known."""
+    before, now = known.endpoint, given.endpoint
+    return (before.service, before.version, before.slots) != (
+        now.service,
+        now.version,
+        now.slots,
+    )
+
+
+__all__ = ["MAX_SERVERS", "LocalServer", "LocalServers"]
--- /dev/null
+++ b/tests/process/test_local_servers.py
@@ -0,0 +1,101 @@
+"""Backend servers that announce themselves, renew, change and stop."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from bench.fleet import FleetClock
+from bench.fleet import HeapClock
+from briarslip.address import Address
+from briarslip.process.announcements import Announcement
+from briarslip.process.local_servers import MAX_SERVERS
+from briarslip.process.local_servers import LocalServers
+from tests.support.members import endpoint
+
+
+LEASE_SECONDS = 5.0
+
+
+def announcement(port: int = 9000, version: str = "1") -> Announcement:
+    """Return an announcement of a server on some port."""
+    return Announcement(endpoint("holds", version), Address("127.0.0.1", port))
+
+
+class LocalServersTest(unittest.TestCase):
+    """The lease, changes at one address, and the number of servers."""
+
+    def setUp(self) -> None:
+        self.time = HeapClock()
+        self.changes: list[tuple[str, ...]] = []
+        self.servers = LocalServers(
+            self.time,
+            FleetClock(self.time),
+            LEASE_SECONDS,
+            self.note_change,
+            lambda service: frozenset(),
+            lambda own, dispatch: dispatch,
+        )
+
+    def note_change(self) -> None:
+        """Note what members would be told."""
+        self.changes.append(tuple(e.version for e in self.servers.endpoints))
+
+    def test_lease_lapses_unless_renewed(self) -> None:
+        self.servers.take(announcement())
+        self.time.advance(4.0)
+        self.servers.take(announcement())
+        self.time.advance(4.0)
+        self.servers.expire()
+        self.assertEqual(1, len(self.servers.endpoints))
+        self.time.advance(2.0)
+        self.servers.expire()
+        self.assertEqual((), self.servers.endpoints)
+        self.assertEqual([("1",), ()], self.changes)
+
+    def test_other_version_at_the_address_is_another_server(self) -> None:
+        self.servers.take(announcement())
+        old = self.servers.admission("holds", "1")
+        assert old is not None
+        old.in_flight = 1
+        self.servers.take(announcement(version="2"))
+        self.assertIsNone(self.servers.admission("holds", "1"))
+        new = self.servers.admission("holds", "2")
+        self.assertIsNot(old, new)
+        self.assertEqual([("1",), ("2",)], self.changes)
+        self.assertEqual(1, self.servers.in_flight)
+        old.in_flight = 0
+        self.servers.expire()
+        self.assertEqual([], self.servers.retired)
+
+    def test_other_slots_are_admitted_from_then_on(self) -> None:
+        self.servers.take(announcement())
+        fewer = replace(announcement().endpoint, slots=3)
+        self.servers.take(Announcement(fewer, announcement().address))
+        admission = self.servers.admission("holds", "1")
+        assert admission is not None
+        self.assertEqual(3, admission.slots)
+
+    def test_draining_server_is_told_at_once_and_admits_nothing(self) -> None:
+        self.servers.take(announcement())
+        leaving = replace(announcement().endpoint, draining=True)
+        self.servers.take(Announcement(leaving, announcement().address))
+        self.assertIsNone(self.servers.admission("holds", "1"))
+        self.assertEqual(2, len(self.changes))
+
+    def test_calls_of_a_lapsed_server_still_count(self) -> None:
+        self.servers.take(announcement())
+        admission = self.servers.admission("holds", "1")
+        assert admission is not None
+        admission.in_flight = 2
+        self.time.advance(LEASE_SECONDS + 1.0)
+        self.servers.expire()
+        self.assertEqual(2, self.servers.in_flight)
+
+    def test_servers_beyond_the_limit_are_refused(self) -> None:
+        taken = [self.servers.take(announcement(9000 + n)) for n in range(8)]
+        self.assertEqual([True] * MAX_SERVERS + [False] * 2, taken)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/process/test_membership_mesh.py
@@ -0,0 +1,74 @@
+"""Membership among real processes: killed, stopped, gone on and drained."""
+
+from __future__ import annotations
+
+import signal
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from standins.mesh import Mesh
+from standins.mesh import get_json
+from standins.mesh import wait_until
+
+
+DEAD_SECONDS = 15.0
+REFUTE_SECONDS = 5.0
+DRAINING_SECONDS = 3.0
+
+
+class MeshTest(unittest.TestCase):
+    """One mesh that goes through every failure in turn."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.mesh = Mesh(Path(directory.name))
+        self.addCleanup(self.mesh.stop_all)
+
+    def statuses(self, number: int, holders: set[int]) -> set[str]:
+        """Return how daemons hold one of them."""
+        peer = self.mesh.nodes[number].peers
+        found = set()
+        for holder in holders - {number}:
+            members = get_json(self.mesh.nodes[holder].admin, "/v1/members")
+            held = [m["status"] for m in members if m["peer"] == peer]
+            found.add(held[0] if held else "unknown")
+        return found
+
+    def wait_for(self, number: int, status: str, holders: set[int]) -> float:
+        """Wait until daemons hold one of them to have a status."""
+        return wait_until(lambda: self.statuses(number, holders) == {status})
+
+    def test_kill_stop_and_drain(self) -> None:
+        mesh = self.mesh
+        mesh.start_platform()
+        mesh.add_nodes(("klang", "klang", "klang", "klang", "penang", "penang"))
+        mesh.start_daemons()
+        mesh.start_backend(3, "holds")
+        everyone = set(range(6))
+        for number in everyone:
+            self.wait_for(number, "alive", everyone)
+
+        mesh.signal("daemon-1", signal.SIGSTOP)
+        mesh.kill("daemon-2")
+        running = everyone - {1, 2}
+        self.assertLess(self.wait_for(1, "dead", running), DEAD_SECONDS)
+        self.assertLess(self.wait_for(2, "dead", running), DEAD_SECONDS)
+        mesh.signal("daemon-1", signal.SIGCONT)
+        running = everyone - {2}
+        self.assertLess(self.wait_for(1, "alive", running), REFUTE_SECONDS)
+        for number in running:
+            self.assertEqual({"alive"}, self.statuses(number, running))
+        mesh.start_daemon(2)
+        self.wait_for(2, "alive", running)
+
+        mesh.signal("daemon-3", signal.SIGTERM)
+        began = time.monotonic()
+        self.wait_for(3, "left", everyone - {3})
+        self.assertLess(time.monotonic() - began, DRAINING_SECONDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
