--- a/src/briarslip/process/membership_state.py
+++ b/src/briarslip/process/membership_state.py
@@ -13,6 +13,7 @@
 from briarslip.process.member import Member
 from briarslip.process.member import Status
 from briarslip.process.membership import Membership
+from briarslip.process.membership import is_live
 from briarslip.process.membership import is_refutable
 from briarslip.process.membership import raise_incarnation
 from briarslip.process.membership import take
@@ -64,6 +65,7 @@
     sync_budget: ByteBudget = field(
         default_factory=lambda: ByteBudget(SYNC_BYTES_PER_SECOND, SYNC_BURST_BYTES)
     )
+    ended: list[Member] = field(default_factory=list)
     probe_at: float = 0.0
     push_at: float = 0.0
     forget_at: float = 0.0
@@ -167,6 +169,8 @@
         state.suspicions.begin(changed.address, now)
     else:
         state.suspicions.end(changed.address)
+    if known is not None and not is_live(changed) and zone == state.table.zone:
+        state.ended.append(changed)
     spread(state, changed, was_accused and changed.status is Status.ALIVE)
     return changed
 
--- a/src/briarslip/process/membership_task.py
+++ b/src/briarslip/process/membership_task.py
@@ -81,6 +81,7 @@
         self.place = (self_member.availability_zone, self_member.region)
         self.datagrams = MembershipDatagrams(self.take_datagram)
         self.is_reading_contacts = False
+        self.is_doubtful = False
 
     @property
     def live(self) -> tuple[Member, ...]:
@@ -162,9 +163,22 @@
         self._send_all(protocol.tick(self.state, self.clock.monotonic()))
         if self.state.bootstrap.contacts_wanted and not self.is_reading_contacts:
             self._start_reading(self._read_contacts())
+        self._report()
         delay = self.tick_seconds * self.rng.uniform(0.9, 1.1)
         self.reactor.callLater(delay, self._tick)
 
+    def _report(self) -> None:
+        """Log what has become of members, and of this daemon's judgement."""
+        ended, self.state.ended = self.state.ended, []
+        for member in ended:
+            is_dead = member.status is Status.DEAD
+            event = Event.MEMBER_DEAD if is_dead else Event.MEMBER_LEFT
+            emit(event, member=member.address)
+        is_doubtful = self.state.health.doubtful_since is not None
+        if is_doubtful != self.is_doubtful:
+            self.is_doubtful = is_doubtful
+            emit(Event.PROBES_FAIL if is_doubtful else Event.PROBES_SUCCEED)
+
     def _start_reading(self, reading: Any) -> None:
         self.is_reading_contacts = True
         Deferred.fromCoroutine(reading).addBoth(self._reading_ended)
