--- a/bench/membership.py
+++ b/bench/membership.py
@@ -183,6 +183,34 @@
     ]
 
 
+def herd_return(zones: int, size: int) -> list[Figure]:
+    """Measure the return of a third of the daemons, killed 30 s before."""
+    fleet = acquainted(zones, size)
+    herd = fleet.running[::3]
+    for daemon in herd:
+        fleet.kill(daemon)
+    fleet.run(30.0)
+    calls = fleet.platform.counts.total()
+    back = [fleet.restart(daemon) for daemon in herd]
+    whole = zones * size
+    known_after, worst = float("inf"), 0.0
+    for window in range(1, MASS_WINDOWS + 1):
+        before = {a: t.membership for a, t in fleet.traffic.items()}
+        fleet.run(WINDOW_SECONDS)
+        spent = (fleet.traffic[a].membership - total for a, total in before.items())
+        worst = max(worst, max(spent) / WINDOW_SECONDS)
+        if all(len(d.membership.live) == whole for d in fleet.running):
+            known_after = min(known_after, window * WINDOW_SECONDS)
+    reads = (fleet.platform.counts.total() - calls) / len(back)
+    label = f"a third of {zones} x {size} back"
+    return [
+        Figure(f"worst bytes, {label}", worst, "B/s", MAX_BYTES_PER_SECOND),
+        Figure(f"known to all, {label}", known_after, "s", MAX_MASS_SECONDS),
+        Figure(f"platform calls, {label}", reads, "per daemon back"),
+        Figure(f"false evictions, {label}", false_evictions(fleet), "", 0),
+    ]
+
+
 def memory_per_member() -> float:
     """Return the bytes that a member of another zone takes in the table."""
     members = tuple(
@@ -246,6 +274,8 @@
         figures += single_events(count, size)
     for size, lost in ((24, 12),) if quick else ((100, 50), (250, 200)):
         figures += mass_loss(size, lost)
+    for count, size in ((2, 9),) if quick else ((2, 50), (1, 150)):
+        figures += herd_return(count, size)
     return figures + memory_figures()
 
 
