--- a/tests/process/test_failure_detector.py
+++ b/tests/process/test_failure_detector.py
@@ -16,6 +16,7 @@
 from briarslip.process.membership_messages import Kind
 from briarslip.process.membership_messages import SendControl
 from briarslip.process.membership_messages import SendDatagram
+from briarslip.process.membership_messages import Updates
 from briarslip.process.membership_state import Protocol
 from tests.support.members import endpoint
 
@@ -171,7 +172,8 @@
         links.flushed_at = links.refreshed_at = self.now
         self.hear(3, replace(member(3), status=Status.LEFT))
         sends = self.run_for(TICK_SECONDS)
-        self.assertTrue(any(isinstance(s, SendControl) for s in sends))
+        control = [s.message for s in sends if isinstance(s, SendControl)]
+        self.assertTrue(any(isinstance(message, Updates) for message in control))
         pushed = [s for s in sends if isinstance(s, SendDatagram)]
         self.assertGreaterEqual(len(pushed), 4)
 
--- /dev/null
+++ b/tests/process/test_membership.py
@@ -0,0 +1,78 @@
+"""The table of members: what is taken over, kept and forgotten."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+from briarslip.address import Address
+from briarslip.process.member import Member
+from briarslip.process.member import Status
+from briarslip.process.membership import FORGET_SECONDS
+from briarslip.process.membership import FORGET_ZONE_SECONDS
+from briarslip.process.membership import KEEP_VERSION_SECONDS
+from briarslip.process.membership import Membership
+from briarslip.process.membership import checksum
+from briarslip.process.membership import forget
+from briarslip.process.membership import take
+from tests.support.members import endpoint
+
+
+def member(number: int, zone: str = "klang") -> Member:
+    """Return a live member."""
+    address = Address(f"10.0.{len(zone)}.{number}", 7000)
+    return Member(address, zone, "x", 5, Status.ALIVE, 3, (endpoint("holds"),))
+
+
+class TableTest(unittest.TestCase):
+    """Order of statements, checksums, and bounds in time."""
+
+    def setUp(self) -> None:
+        self.table = Membership(member(1))
+
+    def test_crossed_and_repeated_statements_end_the_same(self) -> None:
+        alive, raised = member(2), replace(member(2), incarnation=6)
+        suspect = replace(alive, status=Status.SUSPECT)
+        dead = replace(alive, status=Status.DEAD)
+        for order in ((alive, suspect, dead, raised), (raised, dead, suspect, alive)):
+            table = Membership(member(1))
+            for statement in (*order, *order):
+                take(table, statement, 0.0)
+            self.assertEqual(raised, table.members[alive.address])
+
+    def test_dead_member_is_not_brought_back_by_an_old_statement(self) -> None:
+        take(self.table, replace(member(2), status=Status.DEAD, endpoints=()), 0.0)
+        self.assertIsNone(take(self.table, member(2), 1.0))
+        self.assertEqual(1, len(self.table.live))
+
+    def test_dead_member_and_its_version_are_kept_for_a_time(self) -> None:
+        take(self.table, member(2), 0.0)
+        take(self.table, replace(member(2), status=Status.DEAD), 0.0)
+        forget(self.table, FORGET_SECONDS + 1.0)
+        self.assertEqual({}, self.table.members)
+        self.assertEqual(3, self.table.last_heard_version(member(2).address))
+        forget(self.table, KEEP_VERSION_SECONDS + FORGET_SECONDS)
+        self.assertEqual(0, self.table.last_heard_version(member(2).address))
+
+    def test_zone_without_contact_is_forgotten(self) -> None:
+        take(self.table, member(2), 0.0)
+        take(self.table, member(1, "penang"), 0.0)
+        self.table.zone_heard_at = {"klang": 0.0, "penang": 0.0}
+        forget(self.table, FORGET_ZONE_SECONDS - 1.0)
+        self.assertEqual(1, len(self.table.zone_members("penang")))
+        forget(self.table, FORGET_ZONE_SECONDS + 1.0)
+        self.assertEqual((), self.table.zone_members("penang"))
+        self.assertEqual(2, len(self.table.live))
+
+    def test_checksum_tells_the_live_and_their_incarnations(self) -> None:
+        other = Membership(member(2))
+        take(self.table, member(2), 0.0)
+        self.assertNotEqual(checksum(self.table, "klang"), checksum(other, "klang"))
+        take(other, member(1), 0.0)
+        self.assertEqual(checksum(self.table, "klang"), checksum(other, "klang"))
+        take(other, replace(member(1), incarnation=6), 0.0)
+        self.assertNotEqual(checksum(self.table, "klang"), checksum(other, "klang"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/process/test_membership_task.py
+++ b/tests/process/test_membership_task.py
@@ -260,6 +260,15 @@
         )
         self.assertTrue(is_alive_everywhere(fleet, fleet.running))
 
+    def test_every_daemon_knows_how_fresh_other_zones_are(self) -> None:
+        fleet = settled(("klang", "penang"), 8)
+        fleet.run(300.0)
+        for daemon in fleet.running:
+            table = daemon.membership.state.table
+            (other,) = {"klang", "penang"} - {daemon.zone}
+            age = fleet.clock.seconds() - table.zone_heard_at[other]
+            self.assertLess(age, 200.0, str(daemon.address))
+
     def test_zone_in_two_halves_comes_together_again(self) -> None:
         fleet = settled(("klang",), 12)
         one, other = fleet.running[::2], fleet.running[1::2]
