--- a/src/briarslip/process/membership_protocol.py
+++ b/src/briarslip/process/membership_protocol.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.process import zone_digest
+from briarslip.process.dissemination import is_draining
 from briarslip.process.failure_detector import answer_datagram
 from briarslip.process.failure_detector import end_probes
 from briarslip.process.failure_detector import end_suspicions
@@ -28,6 +29,7 @@
 from briarslip.process.membership_messages import ControlMessage
 from briarslip.process.membership_messages import Datagram
 from briarslip.process.membership_messages import Send
+from briarslip.process.membership_messages import SendControl
 from briarslip.process.membership_messages import SyncReply
 from briarslip.process.membership_messages import SyncRequest
 from briarslip.process.membership_messages import Updates
@@ -36,6 +38,7 @@
 from briarslip.process.membership_state import learn_all
 from briarslip.process.membership_state import some_peers
 from briarslip.process.membership_state import spread
+from briarslip.process.membership_state import zone_size
 
 
 if TYPE_CHECKING:
@@ -49,7 +52,7 @@
 
 def tick(state: Protocol, now: float) -> tuple[Send, ...]:
     """Do what time asks for; return what to send."""
-    for budget in (state.datagram_budget, state.sync_budget):
+    for budget in state.budgets:
         budget.fill(now)
     if now - state.ticked_at > WAKE_SECONDS:
         _wake(state, now - state.ticked_at)
@@ -78,8 +81,9 @@
     """State what this daemon has now; return what to send at once."""
     is_new_version = running_version != state.own.running_version
     if announce(state.table, endpoints, running_version, status):
-        spread(state, state.own, urgent=True)
-        return (*push(state, now), *zone_digest.flush(state.links, now))
+        spread(state, state.own, refutes=True)
+        told = _tell_zones(state) if is_draining(state.own) else ()
+        return (*told, *push(state, now), *zone_digest.flush(state.links, now))
     if not is_new_version:
         return ()
     # Every probe carries the version, so whoever is behind pulls.
@@ -87,6 +91,14 @@
     return tuple(probe(state, peer, now) for peer in peers)
 
 
+def _tell_zones(state: Protocol) -> tuple[Send, ...]:
+    """Tell one member of each other zone, since carriers may just have died."""
+    zones = (z for z in state.table.zones if z != state.table.zone)
+    near = (state.table.zone_members(zone) for zone in zones)
+    chosen = (state.rng.choice(members) for members in near if members)
+    return tuple(SendControl(m.address, Updates((state.own,))) for m in chosen)
+
+
 def take_datagram(
     state: Protocol, sender: Address, datagram: Datagram, now: float
 ) -> tuple[Send, ...]:
@@ -96,12 +108,12 @@
     known = state.table.members.get(sender)
     # Who is held to be dead accuses nobody until it has refuted that itself.
     is_trusted = known is None or known.status is not Status.DEAD
+    members = zone_size(state)
     for statement in datagram.statements:
+        state.outbox.heard(statement, members)
         if is_trusted or statement.address in (sender, state.own.address):
             learn(state, statement, now)
-    if sender in state.suspicions.since:
-        # It is alive, so it may have more time to refute.
-        state.suspicions.since[sender] = now
+    state.suspicions.heard(sender, now)
     sends = answer_datagram(state, sender, datagram, now)
     if known is None and sender not in state.table.members:
         return (*sends, *compare(state, sender, now))
@@ -129,7 +141,7 @@
     state.prober.errands.clear()
     state.suspicions.delay(paused_seconds)
     raise_incarnation(state.table, 0)
-    spread(state, state.own, urgent=True)
+    spread(state, state.own, refutes=True)
 
 
 __all__ = ["take_control", "take_datagram", "tick", "update"]
