--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ("latency", "requests")
+BENCHES: tuple[str, ...] = ("membership", "requests", "latency", "rollouts")
 
 
 def main() -> int:
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -27,6 +27,9 @@
 from briarslip.process.member import Member
 from briarslip.process.member import Status
 from briarslip.process.membership_task import MembershipTask
+from briarslip.process.rollout_report import RolloutReporter
+from briarslip.process.rollout_task import RolloutTask
+from briarslip.process.service_levels import ServiceLevels
 from briarslip.process.shutdown import Phase
 from briarslip.process.shutdown import Remaining
 from briarslip.process.shutdown import Shutdown
@@ -78,6 +81,7 @@
             settings.limits.announcement_lease.total_seconds(),
             self.update_membership,
             self.excluded,
+            lambda own, backend: self.rollouts.collector.watch(own, backend),
         )
         self.claims = PlatformClaims(
             self.platform,
@@ -100,16 +104,39 @@
             settings.membership.seeds,
             settings.membership.heartbeat_interval.total_seconds(),
             lambda peer, version: self.distribution.heard_version(peer, version),
+            self.platform,
+            self.links.send_control,
         )
         self.distribution = DistributionTask(
             reactor,
+            clock,
+            rng,
             self.platform,
             own_address,
             zone,
             lambda: self.membership.live,
             self.links.send_control,
             self.update_membership,
+            self.membership.last_heard_version,
+            lambda: self.membership.minimum_version,
+        )
+        self.rollouts = RolloutTask(
+            reactor,
+            clock,
+            rng,
+            self._self_member(),
+            lambda: self.distribution.table,
+            lambda: self.membership.live,
+            self.links.send_control,
+        )
+        self.rollout_reporter = RolloutReporter(
+            reactor,
+            self.platform,
+            rng,
+            self.rollouts,
+            lambda: self.distribution.snapshot.version,
         )
+        self.service_levels = ServiceLevels(clock)
         self.forwarder = Forwarder(clock, rng, self._surroundings())
         limits = settings.limits
         self.callers = CallerHttpFactory(reactor, self.forwarder, limits.max_body_bytes)
@@ -147,6 +174,7 @@
             record=self.record,
             excluded=self.excluded,
             call_later=self.deadlines.call_later,
+            focus=self.rollouts.focus,
             claims=self.claims,
         )
 
@@ -166,6 +194,8 @@
             listen.admin, LocalHttpFactory(self.reactor, admin_endpoints(self))
         )
         emit(Event.DAEMON_STARTED, peer=listen.peers, callers=listen.callers)
+        self.rollouts.start()
+        self.rollout_reporter.start()
         self.keep_house()
 
     def _listen(self, address: Address, factory: Any) -> Any:
@@ -195,19 +225,24 @@
 
     def version_for(self, route: Route) -> str:
         """Return the service version a call of this route must go to, if any."""
-        return ""
+        return self.rollouts.version_for(route)
 
     def excluded(self, service: str) -> frozenset[str]:
         """Return the versions of a service that must get no work."""
-        return frozenset()
+        return self.rollouts.excluded(service)
 
     def record(self, sample: Sample) -> None:
         """Take what a finished attempt tells about its server."""
+        self.service_levels.record(sample, self.distribution.table.objectives)
 
     def take_control(self, sender: Address, frame: ControlFrame) -> None:
         """Act on a control message of a peer."""
         if frame.topic is Topic.CONFIGURATION:
             self.distribution.take_message(sender, frame.payload)
+        elif frame.topic is Topic.MEMBERSHIP:
+            self.membership.take_message(sender, frame.payload)
+        elif frame.topic is Topic.EVIDENCE:
+            self.rollouts.take_message(sender, frame.payload)
 
     def take_announcement(self, body: bytes) -> JsonReply:
         """Take what a backend server beside this daemon says of itself."""
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -42,9 +42,20 @@
     VERSION_REFUSED = (302, Level.ERROR, "configuration version was refused")
     RELAY_STARTED = (303, Level.INFO, "acting as a relay")
     RELAY_STOPPED = (304, Level.INFO, "no longer acting as a relay")
+    HEAD_REFUSED = (305, Level.ERROR, "published version can't be read")
+    HEAD_BEHIND = (306, Level.ERROR, "platform's head is older than what runs")
+    PUBLISH_FAILED = (307, Level.WARNING, "publishing failed and is repeated")
+    RECORD_KEPT = (308, Level.WARNING, "record of an unknown schema keeps its form")
+    STEP_REFUSED = (309, Level.INFO, "version from a peer can't be taken")
+    RECORD_UNREADABLE = (310, Level.ERROR, "record on the platform can't be read")
     MESSAGE_REFUSED = (401, Level.WARNING, "message was refused")
     CLAIMS_UNAVAILABLE = (451, Level.WARNING, "claims can't be made")
     CLAIM_LEFT = (452, Level.WARNING, "a claim of a request not run was left standing")
+    ROLLOUT_ROLLED_BACK = (501, Level.ERROR, "rollout is rolled back")
+    ROLLOUT_STATE = (502, Level.INFO, "rollout is in another state")
+    ROLLOUT_REPORTED = (503, Level.INFO, "rollout's state is on the platform")
+    ROLLOUTS_SYNCED = (504, Level.INFO, "decisions on rollouts are known")
+    ROLLOUT_HELD = (505, Level.WARNING, "rollout is held by its evidence")
     PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
     LINK_STALLED = (701, Level.WARNING, "peer link went silent and is replaced")
 
@@ -89,10 +100,16 @@
 
 
 def _format_text(record: logbook.LogRecord, handler: logbook.Handler) -> str:
-    fields = " ".join(f"{k}={v}" for k, v in record.extra.get("fields", {}).items())
+    given = record.extra.get("fields", {})
+    fields = " ".join(f"{name}={_on_one_line(given[name])}" for name in given)
     number = record.extra.get("event", 0)
     time = record.time.isoformat(timespec="milliseconds")
     return f"{time} {record.level_name:<7} {number} {record.message} {fields}".rstrip()
 
 
+def _on_one_line(value: Any) -> str:
+    text = str(value)
+    return text if text.isprintable() and " " not in text else json.dumps(text)
+
+
 __all__ = ["Event", "Level", "emit", "handler_from_settings", "install_log"]
