--- /dev/null
+++ b/tests/request/test_propagation.py
@@ -0,0 +1,43 @@
+"""Tests of the headers that carry a call's context."""
+
+from __future__ import annotations
+
+import unittest
+
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from briarslip.request.propagation import read_context
+from tests.request.support import Bench
+from tests.request.support import member
+
+
+class ContextTest(unittest.TestCase):
+    """What is read from a request and what a server gets."""
+
+    def test_old_context_is_taken_out_and_the_rest_is_kept(self) -> None:
+        context = read_context(
+            b"A: 1\r\nbriarslip-depth: 3\r\nIDEMPOTENCY-KEY:  k \r\n"
+            b"Briarslip-Deadline-Ms: 5\r\nBriarslip-Retried: 1\r\n"
+            b"X-Briarslip-Depth: 9\r\n"
+        )
+        kept = b"A: 1\r\nX-Briarslip-Depth: 9\r\nIdempotency-Key: k\r\n"
+        self.assertEqual((context.headers, context.key), (kept, b"k"))
+        self.assertEqual((context.retried, context.bulk), (True, False))
+
+    def test_call_nested_in_a_bulk_call_is_bulk(self) -> None:
+        bench = Bench(member(1))
+        bench.request(headers=b"Briarslip-Priority: bulk\r\n", depth=1)
+        bench.request(headers=b"Briarslip-Priority: urgent\r\n", depth=1)
+        self.assertEqual([s.call.urgent for s in bench.sent], [False, True])
+        lines = b"Briarslip-Depth: 2\r\nBriarslip-Priority: bulk\r\n"
+        self.assertEqual(bench.sent[0].call.headers, lines)
+
+    def test_key_that_is_too_long_is_refused(self) -> None:
+        bench = Bench(member(1))
+        sink, _ = bench.request(headers=b"Idempotency-Key: %s\r\n" % (b"k" * 256))
+        self.assertEqual(sink.failure, Failure(Outcome.NOT_RUN, Reason.BAD_REQUEST))
+
+
+if __name__ == "__main__":
+    unittest.main()
