--- a/bench/requests.py
+++ b/bench/requests.py
@@ -16,6 +16,7 @@
 from bench.figure import Figure
 from bench.request_model import SLOTS
 from bench.request_model import Model
+from bench.request_model import Tally
 from bench.request_model import route
 from briarslip.address import Address
 from briarslip.request.call import Load
@@ -52,6 +53,9 @@
     "cold": {"slowness": 10.0, "warms_by": 1.0},
     "failing": {"failing": True},
 }
+DAEMONS = 200
+UNEQUAL = (1.0, 1.0, 1.0, 2.0, 2.0, 1.0, 4.0, 1.0)
+LEARNING_SECONDS = 6.0
 NAMES = {True: "thin", False: "policy"}
 
 
@@ -65,6 +69,8 @@
         figures += urgency(thin, 2 * seconds)
         figures += amplification(thin, 1000 if quick else 5000)
         figures += shares(thin, 5 * seconds)
+        if not quick:
+            figures += many_daemons(thin, seconds)
     return figures + cost(2000 if quick else 20000)
 
 
@@ -186,6 +192,27 @@
     return figures
 
 
+def many_daemons(thin: bool, seconds: float) -> list[Figure]:
+    """Return p99 where each of 200 daemons sees few of the answers.
+
+    The servers differ in speed by up to 4 times.
+    """
+    figures = []
+    for load in (0.6, 0.85):
+        model = Model((route("r", True, 1.0),), SEED, thin, forwarders=DAEMONS)
+        for slowness in UNEQUAL:
+            model.add_server({"r": MEAN_SECONDS}, slowness=slowness)
+        capacity = sum(SLOTS / MEAN_SECONDS / slowness for slowness in UNEQUAL)
+        model.offer("r", load * capacity, LEARNING_SECONDS + seconds)
+        model.time.advance(LEARNING_SECONDS)
+        model.tallies["r"] = Tally()
+        model.time.run()
+        p99 = model.tallies["r"].percentile(0.99) / MEAN_SECONDS
+        name = f"{NAMES[thin]}: p99 of {DAEMONS} daemons, unequal servers at {load}"
+        figures.append(Figure(name, p99, "mean service times"))
+    return figures
+
+
 def cost(calls: int) -> list[Figure]:
     """Return the processor time of the whole request layer per call."""
     model = Model((route("r", True, 5.0),), SEED, thin=False, forwarders=1)
--- a/tests/request/test_choice.py
+++ b/tests/request/test_choice.py
@@ -5,9 +5,11 @@
 import random
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
+from briarslip.request.directory import REFRESH_SECONDS
 from briarslip.request.ejection import MAX_EJECTED_SHARE
 from briarslip.request.ejection import take_failure
 from briarslip.request.ejection import take_success
@@ -151,6 +153,16 @@
             servers = Servers(bench, {0: 0.01, 1: 0.01})
             self.assertGreater(servers.shares(100)[0], 0.3)
 
+    def test_server_that_says_it_drains_gets_nothing_half_a_second_later(self) -> None:
+        bench = Bench(member(0), member(1))
+        servers = Servers(bench, dict.fromkeys(range(2), 0.01))
+        servers.shares(100)
+        first = bench.members[0]
+        endpoint = replace(first.endpoints[0], draining=True)
+        bench.members = (replace(first, endpoints=(endpoint,)), bench.members[1])
+        bench.time.advance(REFRESH_SECONDS)
+        self.assertEqual(servers.shares(100), {1: 1.0})
+
     def test_draining_server_gets_no_further_call(self) -> None:
         bench = Bench(member(0), member(1))
         failure = Failure(Outcome.NOT_RUN, Reason.DRAINING)
