--- a/src/briarslip/console/application.py
+++ b/src/briarslip/console/application.py
@@ -5,11 +5,13 @@
 import typer
 
 from briarslip.console.commands.apply import apply
+from briarslip.console.commands.change import change
 from briarslip.console.commands.check import check
 from briarslip.console.commands.get import get
 from briarslip.console.commands.list import list_records
 from briarslip.console.commands.members import members
 from briarslip.console.commands.remove import remove
+from briarslip.console.commands.rollouts import rollouts
 from briarslip.console.commands.status import status
 
 
@@ -19,7 +21,7 @@
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
-for command in (check, apply, get, members, remove, status):
+for command in (check, apply, change, get, members, remove, rollouts, status):
     application.command()(command)
 application.command("list")(list_records)
 
--- a/src/briarslip/console/change.py
+++ b/src/briarslip/console/change.py
@@ -32,6 +32,7 @@
 
     from briarslip.process.change_writer import ChangeError
     from briarslip.process.change_writer import RecordWrite
+    from briarslip.process.change_writer import WriteFailed
     from briarslip.process.change_writer import WrittenChange
     from briarslip.process.platform import PlatformClient
 
@@ -96,10 +97,26 @@
 
 def _fail_write(error: ChangeError) -> NoReturn:
     if isinstance(error, LostRace):
-        fail(EXIT_LOST_RACE, f"another operator wrote {error.key} first")
-    doubt = ", ".join(str(key) for key in error.in_doubt)
-    suffix = f"; may have been written: {doubt}" if doubt else ""
-    fail(EXIT_NO_ANSWER, f"the platform failed: {error.reason}{suffix}")
+        fail(EXIT_LOST_RACE, _lost_race(error))
+    fail(EXIT_NO_ANSWER, f"the platform failed: {_write_failed(error)}")
+
+
+def _lost_race(error: LostRace) -> str:
+    text = f"another operator wrote {error.key} first; nothing of this is in force"
+    if error.left:
+        left = ", ".join(str(key) for key in error.left)
+        text = f"{text}; without effect, but still there: {left}"
+    return text
+
+
+def _write_failed(error: WriteFailed) -> str:
+    if not error.in_doubt:
+        return f"{error.reason}; nothing was written"
+    keys = ", ".join(str(key) for key in error.in_doubt)
+    return (
+        f"{error.reason}; may be written: {keys}; nothing of it is in force"
+        f" unless 'briarslip change {error.change}' says so"
+    )
 
 
 __all__ = ["write_and_report"]
