A server that can't be connected to is left out at once

Change: one failed connect ejects for 1 s, doubling; half of the servers at most. test_server_that_can_not_be_reached_is_left_out_at_once failed first: 5 calls went there, now 1.

--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -8,6 +8,7 @@
 from briarslip.request.ejection import take_failure
 from briarslip.request.ejection import take_lost_link
 from briarslip.request.ejection import take_success
+from briarslip.request.ejection import take_unreachable
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -154,6 +155,8 @@
             # Full is no fault: a report of full slots keeps calls away.
             server.reported = max(server.reported, 2 * server.slots)
             server.reported_at = now
+        elif reason is Reason.CONNECT_FAILED:
+            take_unreachable(server, now, self.forwarder.rng)
         elif self.link_lost:
             take_lost_link(server, now, self.forwarder.rng)
         elif failed:
--- a/src/briarslip/request/ejection.py
+++ b/src/briarslip/request/ejection.py
@@ -47,6 +47,12 @@
         _eject(server, now, rng)
 
 
+def take_unreachable(server: Server, now: float, rng: random.Random) -> None:
+    """Eject a server that no connection can be made to, without further proof."""
+    if server.ejected_until <= now:
+        _eject(server, now, rng)
+
+
 def take_lost_link(server: Server, now: float, rng: random.Random) -> None:
     """Count the loss of a link once, however many calls were on it.
 
@@ -95,4 +101,5 @@
     "take_failure",
     "take_lost_link",
     "take_success",
+    "take_unreachable",
 ]
--- a/tests/request/test_choice.py
+++ b/tests/request/test_choice.py
@@ -114,6 +114,25 @@
         servers.shares(100)
         self.assertGreater(servers.shares(1000)[2], 0.15)
 
+    def test_server_that_can_not_be_reached_is_left_out_at_once(self) -> None:
+        for load in (None, Load(0, 10)):
+            bench = Bench(*map(member, range(4)))
+            failure = Failure(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+
+            def react(
+                sent: Sent, failure: Failure = failure, load: Load | None = load
+            ) -> None:
+                if sent.address == address(0):
+                    sent.sink.failed(failure, load)
+                else:
+                    sent.answer()
+
+            bench.react = react
+            for _ in range(70):
+                bench.request("POST")
+                bench.time.advance(0.01)
+            self.assertEqual(Counter(s.address for s in bench.sent)[address(0)], 1)
+
     def test_server_that_fails_most_calls_is_ejected(self) -> None:
         bench = Bench(*map(member, range(2)))
         bench.request("POST")
