Rollout latency tests: turns among the new servers, a group test, no fault by one slow machine

Change: the control of the slow tests is each old server's own earlier level; all new servers together are compared with all old ones, measured afresh; one slow server is no fault where there are two; the small share goes round the new servers.

--- a/bench/rollout_outcomes.py
+++ b/bench/rollout_outcomes.py
@@ -97,20 +97,20 @@
         ends = self.onset + (SHARED_LENGTH * self.cell.window if shared else math.inf)
         return self.cell.kind is not FaultKind.NONE and self.onset <= at < ends
 
-    def shows(self, at: float, share: float, focused: int) -> bool:
+    def shows(self, at: float, share: float, focused: tuple[int, ...]) -> bool:
         """Whether calls of the new version meet the fault."""
-        rate = self.cell.rate * share / max(1, focused)
+        rate = self.cell.rate * share / max(1, len(focused))
         return share > 0 and any(
             self._faulty(NEW, route, rate, at) for route, _, _ in ROUTES
         )
 
     def draw(
-        self, at: float, seconds: float, share: float, focused: int
+        self, at: float, seconds: float, share: float, focused: tuple[int, ...]
     ) -> tuple[list[Increment], int]:
         """Return the increments of all servers and the calls a fault spoiled."""
         increments: list[Increment] = []
         spoiled = 0
-        new = self.servers[NEW][:focused]
+        new = [self.servers[NEW][number] for number in focused]
         for version, part, servers in (
             (OLD, 1 - share, self.servers[OLD]),
             (NEW, share, new),
--- a/bench/rollout_trial.py
+++ b/bench/rollout_trial.py
@@ -37,6 +37,7 @@
 FINE_SECONDS = 20.0
 SPREAD_SECONDS = 0.5
 SHOWN_CALLS = 10
+ALL_SERVERS = tuple(range(SERVERS))
 HOLD_SECONDS = 5.0
 STEPS = ((0.0, 0.01), (0.2, 0.05), (0.4, 0.25), (0.6, 0.5), (0.8, 1.0))
 FIXED_EXCESS_FAILURES = 0.05
@@ -77,21 +78,22 @@
             for version in (OLD, NEW)
         }
 
-    def share(self, at: float) -> tuple[float, int]:
-        """Return the new version's share and how many servers carry it."""
+    def share(self, at: float) -> tuple[float, tuple[int, ...]]:
+        """Return the new version's share and which servers carry it."""
         now = BEGIN + timedelta(seconds=at)
         plan = traffic_plan("s", (self.rollout,), self.servers, self.decisions, now)
         if plan is None:
-            return 0.0, SERVERS
+            return 0.0, ALL_SERVERS
         focused = plan.focus.get(NEW, tuple(self.servers[NEW]))
-        return dict(plan.shares).get(NEW, 0.0), len(focused)
+        carrying = tuple(address.port for address in focused)
+        return dict(plan.shares).get(NEW, 0.0), carrying
 
     def observe(
         self, at: float, seconds: float, increments: Sequence[Increment]
     ) -> bool:
         """Take a step's evidence; return whether the rollout is rolled back."""
         steps = max(1, round(seconds / SLICE_SECONDS))
-        conclusion = self.analyzer.observe(increments, steps)
+        conclusion = self.analyzer.observe(increments, steps, SERVERS)
         now = BEGIN + timedelta(seconds=at + seconds)
         if conclusion.fault is not None:
             self.decisions.decide(
@@ -118,10 +120,10 @@
         self.counts = {OLD: [0, 0, 0.0], NEW: [0, 0, 0.0]}
         self.checked = 0.0
 
-    def share(self, at: float) -> tuple[float, int]:
+    def share(self, at: float) -> tuple[float, tuple[int, ...]]:
         """Return the share of the step that a time lies in."""
         shares = [share for begin, share in STEPS if begin * self.window <= at]
-        return shares[-1], SERVERS
+        return shares[-1], ALL_SERVERS
 
     def observe(
         self, at: float, seconds: float, increments: Sequence[Increment]
--- a/src/briarslip/process/rollout_analysis.py
+++ b/src/briarslip/process/rollout_analysis.py
@@ -87,13 +87,18 @@
             if service == report.service:
                 self.watches[rollout_id].book.merge(report)
 
-    def conclude(self, rollout_id: RolloutId, time_slice: int) -> Conclusion:
-        """Return what the evidence up to a time slice says."""
+    def conclude(
+        self, rollout_id: RolloutId, time_slice: int, servers: int
+    ) -> Conclusion:
+        """Return what the evidence up to a time slice says.
+
+        ``servers`` is how many servers the version has.
+        """
         watch = self.watches[rollout_id]
         before = time_slice - 1 if watch.time_slice is None else watch.time_slice
         watch.time_slice = time_slice
         steps = max(1, time_slice - before)
-        return watch.analyzer.observe(watch.book.take_increments(), steps)
+        return watch.analyzer.observe(watch.book.take_increments(), steps, servers)
 
 
 __all__ = ["RolloutAnalysis", "analyzers", "counterparts"]
--- a/src/briarslip/process/rollout_state.py
+++ b/src/briarslip/process/rollout_state.py
@@ -132,7 +132,7 @@
         later = next(r for r in current if r.version == rollout.version)
         reason = f"rollout {later.name} to the same version has a later deadline"
         rollout_id = RolloutId.from_rollout(rollout)
-        return RolloutStatus(rollout, rollout_id, State.SUPERSEDED, 0.0, reason)
+        return RolloutStatus(rollout, rollout_id, State.SUPERSEDED, 0.0, 0.0, reason)
 
     def _finish(self, known: RolloutStatus) -> RolloutStatus:
         """Keep the first terminal state; only a roll back replaces it."""
@@ -173,6 +173,11 @@
             if known.state in ANALYZED and self.has_other_servers(known.rollout)
         )
 
+    def server_count(self, rollout: Rollout) -> int:
+        """Return how many servers of a rollout's version take work."""
+        servers = _servers(self.members(), rollout.service)
+        return len(servers.get(rollout.version, ()))
+
     @property
     def zones_not_heard(self) -> tuple[str, ...]:
         """The zones that had members once and have none now."""
--- a/src/briarslip/process/rollout_task.py
+++ b/src/briarslip/process/rollout_task.py
@@ -163,7 +163,8 @@
         self.analysis.follow(watched)
         time_slice = time_slice_of(self.clock.now().timestamp())
         for status in watched:
-            conclusion = self.analysis.conclude(status.id, time_slice)
+            servers = self.board.server_count(status.rollout)
+            conclusion = self.analysis.conclude(status.id, time_slice, servers)
             if conclusion.fault is not None:
                 self._decide(
                     Decision(
--- a/src/briarslip/version/rollout.py
+++ b/src/briarslip/version/rollout.py
@@ -47,12 +47,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutStatus:
-    """A rollout's state, the share it gets now, and why it is so."""
+    """A rollout's state, the share it gets now, and why it is so.
+
+    ``progress`` is 0 at its start and 1 at its deadline.
+    """
 
     rollout: Rollout
     id: RolloutId
     state: State
     share: float
+    progress: float
     reason: str
 
 
@@ -96,7 +100,9 @@
     """Return the state of an effective rollout."""
     rollout_id = RolloutId.from_rollout(rollout)
     state, share, reason = _state(rollout, rollout_id, servers, decisions, now)
-    return RolloutStatus(rollout, rollout_id, state, share, reason)
+    started = decisions.started.get(rollout_id, now)
+    done = progress(rollout, started, now)
+    return RolloutStatus(rollout, rollout_id, state, share, done, reason)
 
 
 def _state(
@@ -187,11 +193,14 @@
         version = rollout.version
         if version in excluded or not servers.get(version):
             continue
-        share = status(rollout, servers, decisions, now).share if shares else 1.0
+        found = status(rollout, servers, decisions, now)
+        share = found.share if shares else 1.0
         shares = {known: part * (1 - share) for known, part in shares.items()}
         shares[version] = share
         if share < 1.0:
-            focused[version] = focus(servers[version], others, share, rollout.name)
+            focused[version] = focus(
+                servers[version], others, share, found.progress, rollout.name
+            )
     listed = tuple((version, part) for version, part in shares.items() if part > 0)
     return TrafficPlan(listed, excluded, focused)
 
--- a/src/briarslip/version/traffic_share.py
+++ b/src/briarslip/version/traffic_share.py
@@ -22,6 +22,7 @@
 SMALL_SHARE_REACHED = 0.25
 RAMP_BEGINS = 0.5
 RAMP_ENDS = 0.85
+TURNS = 64
 DONE_AT = 0.93
 MIN_SPAN_SECONDS = 20.0
 ROUNDING = 1e-9
@@ -72,15 +73,19 @@
 
 
 def focus(
-    servers: Iterable[Address], others: int, share: float, salt: str
+    servers: Iterable[Address], others: int, share: float, done: float, salt: str
 ) -> tuple[Address, ...]:
     """Return the new servers that carry the share, as few as can.
 
     ``others`` counts the servers of the old version: each chosen server then
-    carries at most about what one of these carried before.
+    carries at most about what one of these carried before. While the share
+    is small they take turns, so that all of them are seen before the ramp.
     """
-    count = max(1, math.ceil(share * max(1, others) - ROUNDING))
-    return ranked(servers, salt)[:count]
+    order = ranked(servers, salt)
+    if 0 <= done < RAMP_BEGINS:
+        turn = int(done / RAMP_BEGINS * TURNS) % max(1, len(order))
+        order = order[turn:] + order[:turn]
+    return order[: max(1, math.ceil(share * max(1, others) - ROUNDING))]
 
 
 __all__ = ["DONE_AT", "HELD_SHARE", "focus", "progress", "traffic_share"]
