--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ("rollouts",)
+BENCHES: tuple[str, ...] = ("rollouts", "rollout_control")
 
 
 def main() -> int:
--- a/src/briarslip/process/rollout_analysis.py
+++ b/src/briarslip/process/rollout_analysis.py
@@ -6,7 +6,6 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from briarslip.rendezvous import ranked
 from briarslip.version.analyzer import Analyzer
 from briarslip.version.evidence import SLICE_SECONDS
 from briarslip.version.evidence import EvidenceBook
@@ -15,44 +14,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from briarslip.address import Address
-    from briarslip.process.member import Member
     from briarslip.version.analyzer import Conclusion
     from briarslip.version.decision import RolloutId
     from briarslip.version.evidence import Report
     from briarslip.version.rollout import RolloutStatus
 
 
-ANALYZERS_PER_ZONE = 2
-
-
-def analyzers(
-    members: Iterable[Member], availability_zone: str, service: str
-) -> tuple[Address, ...]:
-    """Return a zone's analyzers of a service, first rank first.
-
-    Should two daemons see other members, more of them analyze, at no harm.
-    """
-    near = (m.address for m in members if m.availability_zone == availability_zone)
-    return ranked(near, f"analyzer {service}")[:ANALYZERS_PER_ZONE]
-
-
-def counterparts(
-    members: tuple[Member, ...], availability_zone: str, service: str, own: Address
-) -> tuple[Address, ...]:
-    """Return the analyzers in other zones that this one sends evidence to.
-
-    Each rank sends to the same rank, so that two paths lead to every zone.
-    """
-    near = analyzers(members, availability_zone, service)
-    if own not in near:
-        return ()
-    rank = near.index(own)
-    others = sorted({m.availability_zone for m in members} - {availability_zone})
-    far = (analyzers(members, zone, service) for zone in others)
-    return tuple(chosen[min(rank, len(chosen) - 1)] for chosen in far if chosen)
-
-
 @dataclass(slots=True)
 class Watch:
     """The evidence on one rollout and its analyzer."""
@@ -101,4 +68,4 @@
         return watch.analyzer.observe(watch.book.take_increments(), steps, servers)
 
 
-__all__ = ["RolloutAnalysis", "analyzers", "counterparts"]
+__all__ = ["RolloutAnalysis"]
--- a/src/briarslip/process/rollout_spread.py
+++ b/src/briarslip/process/rollout_spread.py
@@ -6,42 +6,19 @@
 from datetime import datetime
 from typing import TYPE_CHECKING
 
-from briarslip.rendezvous import ranked
 from briarslip.version.evidence_codec import RolloutState
 
 
 if TYPE_CHECKING:
-    from briarslip.address import Address
-    from briarslip.process.member import Member
     from briarslip.version.decision import Decision
     from briarslip.version.decision import Decisions
     from briarslip.version.decision import RolloutId
 
 
-NEAR_NEIGHBORS = 4
-FAR_NEIGHBORS = 4
 DIGEST_PEERS = 2
 LATEST = datetime.max.replace(tzinfo=UTC)
 
 
-def neighbors(
-    members: tuple[Member, ...], own: Address, availability_zone: str
-) -> tuple[Address, ...]:
-    """Return the peers that this daemon passes news on to, always the same.
-
-    Every daemon has others, so news reach all in a few steps; a fixed choice
-    keeps the number of links small. Some are in other zones.
-    """
-    near: list[Address] = []
-    far: list[Address] = []
-    for member in members:
-        if member.address != own:
-            here = member.availability_zone == availability_zone
-            (near if here else far).append(member.address)
-    salt = f"news {own}"
-    return ranked(near, salt)[:NEAR_NEIGHBORS] + ranked(far, salt)[:FAR_NEIGHBORS]
-
-
 def whole_state(decisions: Decisions) -> RolloutState:
     """Return all that is known."""
     return RolloutState(
@@ -91,7 +68,6 @@
     "DIGEST_PEERS",
     "lacks",
     "merge_state",
-    "neighbors",
     "news",
     "whole_state",
 ]
--- a/src/briarslip/process/rollout_state.py
+++ b/src/briarslip/process/rollout_state.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from datetime import datetime
 
     from briarslip.address import Address
@@ -57,6 +58,7 @@
         self.decisions = Decisions()
         self.plans: dict[str, TrafficPlan] = {}
         self.statuses: tuple[RolloutStatus, ...] = ()
+        self.servers: dict[str, Servers] = {}
         self.zones_heard: dict[str, datetime] = {}
         self.previous: dict[str, Rollout] = {}
         self.finished: dict[RolloutId, State] = {}
@@ -70,7 +72,8 @@
         rollouts = tuple(self.table().rollouts.values())
         services = {rollout.service for rollout in rollouts}
         services |= {d.service for d in self.decisions.rolled_back.values()}
-        servers = {service: _servers(members, service) for service in services}
+        servers = _servers(members, services)
+        self.servers = servers
         started = self._start(rollouts, servers, now)
         plans: dict[str, TrafficPlan] = {}
         for service in services:
@@ -161,7 +164,7 @@
         """Whether a version that may get work stands beside the rollout's."""
         plan = self.plans.get(rollout.service)
         excluded = frozenset() if plan is None else plan.excluded
-        servers = _servers(self.members(), rollout.service)
+        servers = self.servers.get(rollout.service, {})
         return bool(servers.keys() - excluded - {rollout.version})
 
     @property
@@ -175,7 +178,7 @@
 
     def server_count(self, rollout: Rollout) -> int:
         """Return how many servers of a rollout's version take work."""
-        servers = _servers(self.members(), rollout.service)
+        servers = self.servers.get(rollout.service, {})
         return len(servers.get(rollout.version, ()))
 
     @property
@@ -190,14 +193,20 @@
         return now + timedelta(seconds=seconds)
 
 
-def _servers(members: tuple[Member, ...], service: str) -> Servers:
-    """Return the daemons whose servers of a service take work, by version."""
-    found: dict[str, set[Address]] = {}
+def _servers(
+    members: tuple[Member, ...], services: Collection[str]
+) -> dict[str, Servers]:
+    """Return the daemons whose servers take work, by service and version."""
+    found: dict[str, dict[str, set[Address]]] = {name: {} for name in services}
     for member in members:
         for endpoint in member.endpoints:
-            if endpoint.service == service and not endpoint.draining:
-                found.setdefault(endpoint.version, set()).add(member.address)
-    return {version: frozenset(addresses) for version, addresses in found.items()}
+            versions = found.get(endpoint.service)
+            if versions is not None and not endpoint.draining:
+                versions.setdefault(endpoint.version, set()).add(member.address)
+    return {
+        service: {version: frozenset(where) for version, where in versions.items()}
+        for service, versions in found.items()
+    }
 
 
 __all__ = ["RolloutBoard"]
--- a/src/briarslip/process/rollout_task.py
+++ b/src/briarslip/process/rollout_task.py
@@ -12,12 +12,10 @@
 from briarslip.process.events import emit
 from briarslip.process.evidence_collector import EvidenceCollector
 from briarslip.process.rollout_analysis import RolloutAnalysis
-from briarslip.process.rollout_analysis import analyzers
-from briarslip.process.rollout_analysis import counterparts
+from briarslip.process.rollout_peers import RolloutPeers
 from briarslip.process.rollout_spread import DIGEST_PEERS
 from briarslip.process.rollout_spread import lacks
 from briarslip.process.rollout_spread import merge_state
-from briarslip.process.rollout_spread import neighbors
 from briarslip.process.rollout_spread import news
 from briarslip.process.rollout_spread import whole_state
 from briarslip.process.rollout_state import RolloutBoard
@@ -77,6 +75,7 @@
         self.availability_zone = own.availability_zone
         self.members = members
         self.send = send
+        self.peers = RolloutPeers(own.address, own.availability_zone, members)
         self.board = RolloutBoard(clock, table, members)
         self.collector = EvidenceCollector(
             clock, str(own.address), own.availability_zone, own.incarnation
@@ -111,13 +110,13 @@
 
     def analyzes(self, service: str) -> bool:
         """Whether this daemon is one of its zone's analyzers of a service."""
-        chosen = analyzers(self.members(), self.availability_zone, service)
-        return self.own_address in chosen
+        return self.own_address in self.peers.analyzers(service)
 
     def _end_slice(self) -> None:
         self.slices += 1
         later = self.reactor.callLater
         later(SLICE_SECONDS - self._into_slice(), self._end_slice)
+        self.peers.refresh()
         started = self.board.refresh()
         if started:
             self._pass_on(news(started=started))
@@ -133,8 +132,7 @@
     def _send_evidence(self) -> None:
         self.collector.follow(s.rollout.service for s in self.board.analyzed)
         for report in self.collector.reports():
-            chosen = analyzers(self.members(), self.availability_zone, report.service)
-            for analyzer in chosen:
+            for analyzer in self.peers.analyzers(report.service):
                 if analyzer == self.own_address:
                     self._take_report(report)
                 else:
@@ -143,12 +141,9 @@
     def _forward(self) -> None:
         """Pass the own zone's evidence on to the analyzers of other zones."""
         fresh, self.fresh = self.fresh, {}
-        members = self.members()
         bundles: dict[Address, list[Report]] = {}
         for report in fresh.values():
-            for peer in counterparts(
-                members, self.availability_zone, report.service, self.own_address
-            ):
+            for peer in self.peers.counterparts(report.service):
                 bundles.setdefault(peer, []).append(report)
         for peer, reports in bundles.items():
             self._send(peer, Reports(tuple(reports)))
@@ -245,18 +240,15 @@
 
     def _pass_on(self, state: RolloutState) -> None:
         payload = encode_message(state)
-        for peer in self._neighbors():
+        for peer in self.peers.neighbors:
             self.send(peer, Topic.EVIDENCE, payload)
 
     def _send_digest(self) -> None:
-        peers = self._neighbors()
+        peers = self.peers.neighbors
         chosen = self.rng.sample(peers, min(DIGEST_PEERS, len(peers)))
         for peer in chosen:
             self._send(peer, StateDigest(self.board.decisions.digest))
 
-    def _neighbors(self) -> tuple[Address, ...]:
-        return neighbors(self.members(), self.own_address, self.availability_zone)
-
     def _send(self, peer: Address, message: EvidenceMessage) -> None:
         self.send(peer, Topic.EVIDENCE, encode_message(message))
 
--- a/tests/support/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -31,7 +31,6 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from briarslip.connection.frame import Topic
 
 
 LINK_SECONDS = 0.002
@@ -80,6 +79,10 @@
     reporter: RolloutReporter
 
 
+def _never(_member: Member, _version: str) -> float:
+    return 0.0
+
+
 class Fleet:
     """Daemons, each beside one server: ``zones`` and ``versions`` by daemon."""
 
@@ -91,7 +94,7 @@
         self.platform = PlatformStandIn(TwistedClock())
         self.cut: set[frozenset[str]] = set()
         self.sent_bytes: dict[Address, int] = {}
-        self.failing: Callable[[Member, str], float] = lambda member, version: 0.0
+        self.failing: Callable[[Member, str], float] = _never
         self.nodes: list[Node] = []
         for number, (zone, version) in enumerate(zip(zones, versions, strict=True)):
             self.nodes.append(self._node(number, zone, version))
@@ -118,7 +121,7 @@
                 self.configuration_version, {}, (ROUTE,), self.rollouts, {}
             ),
             lambda: self.members_of(member),
-            lambda peer, topic, payload: self._send(member, peer, topic, payload),
+            lambda peer, _topic, payload: self._send(member, peer, payload),
         )
         platform = LocalPlatformClient(self.platform, self.time.call_later)
         reporter = RolloutReporter(
@@ -149,9 +152,7 @@
         """Cut pairs of zones, such as "ab", and restore all others."""
         self.cut = {frozenset(pair) for pair in pairs}
 
-    def _send(
-        self, member: Member, peer: Address, topic: Topic, payload: bytes
-    ) -> None:
+    def _send(self, member: Member, peer: Address, payload: bytes) -> None:
         sender = member.address
         self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + len(payload)
         self.time.call_later(LINK_SECONDS, self._deliver, member, peer, payload)
@@ -241,7 +242,7 @@
 def fails(versions: Iterable[str], share: float) -> Callable[[Member, str], float]:
     """Return a fault: these versions fail a share of their calls."""
     chosen = frozenset(versions)
-    return lambda member, version: share if version in chosen else 0.0
+    return lambda _member, version: share if version in chosen else 0.0
 
 
 __all__ = ["Fleet", "Node", "fails", "share_at"]
--- a/tests/process/test_rollout_task.py
+++ b/tests/process/test_rollout_task.py
@@ -8,10 +8,10 @@
 
 from briarslip.version.decision import RolloutId
 from briarslip.version.rollout import State
-from tests.support.rollout_fleet import ROUTE
-from tests.support.rollout_fleet import Fleet
-from tests.support.rollout_fleet import fails
-from tests.support.rollout_fleet import share_at
+from standins.rollout_fleet import ROUTE
+from standins.rollout_fleet import Fleet
+from standins.rollout_fleet import fails
+from standins.rollout_fleet import share_at
 
 
 WINDOW = 60.0
