--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,18 @@
 import sys
 
 
-BENCHES: tuple[str, ...] = ("rollouts", "rollout_control")
+BENCHES: tuple[str, ...] = (
+    "membership",
+    "convergence",
+    "reconnect",
+    "publish",
+    "mesh_convergence",
+    "requests",
+    "latency",
+    "rollouts",
+    "rollout_control",
+    "chaos",
+)
 
 
 def main() -> int:
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.connection.deadline_wheel import DeadlineWheel
 from briarslip.connection.frame import Hello
 from briarslip.connection.frame import Topic
 from briarslip.connection.local_http import JsonReply
@@ -29,6 +30,10 @@
 from briarslip.process.rollout_report import RolloutReporter
 from briarslip.process.rollout_task import RolloutTask
 from briarslip.process.service_levels import ServiceLevels
+from briarslip.process.shutdown import Phase
+from briarslip.process.shutdown import Remaining
+from briarslip.process.shutdown import Shutdown
+from briarslip.request.claim import CLAIMS_SERVICE
 from briarslip.request.forwarder import Forwarder
 from briarslip.request.forwarder import Surroundings
 from briarslip.request.outcome import Failure
@@ -50,9 +55,6 @@
 
 
 HOUSEKEEPING_SECONDS = 0.5
-DRAIN_NOTICE_SECONDS = 1.0
-DRAIN_POLL_SECONDS = 0.05
-MAX_DRAIN_SECONDS = 60.0
 
 
 class Daemon:
@@ -64,7 +66,9 @@
         self.settings = settings
         self.reactor = reactor
         self.clock = clock
-        self.draining = False
+        self.shutdown = Shutdown(
+            reactor, clock, self.largest_timeout, self.remaining, self.enter_phase
+        )
         own_address = settings.listen.peers
         zone = settings.daemon.availability_zone
         platform = settings.platform
@@ -79,9 +83,19 @@
             self.excluded,
             lambda own, backend: self.rollouts.collector.watch(own, backend),
         )
-        self.claims = PlatformClaims(self.platform, clock, rng, reactor.callLater)
+        self.claims = PlatformClaims(
+            self.platform,
+            clock,
+            rng,
+            reactor.callLater,
+            own_address,
+            lambda peer, call, sink: self.links.dispatch_to(peer, call, sink),
+        )
         hello = Hello(str(own_address), zone)
-        self.links = PeerLinks(reactor, clock, hello, self.serve, self.take_control)
+        self.deadlines = DeadlineWheel(reactor, clock)
+        self.links = PeerLinks(
+            reactor, clock, hello, self.serve, self.take_control, rng
+        )
         self.membership = MembershipTask(
             reactor,
             clock,
@@ -90,15 +104,21 @@
             settings.membership.seeds,
             settings.membership.heartbeat_interval.total_seconds(),
             lambda peer, version: self.distribution.heard_version(peer, version),
+            self.platform,
+            self.links.send_control,
         )
         self.distribution = DistributionTask(
             reactor,
+            clock,
+            rng,
             self.platform,
             own_address,
             zone,
             lambda: self.membership.live,
             self.links.send_control,
             self.update_membership,
+            self.membership.last_heard_version,
+            lambda: self.membership.minimum_version,
         )
         self.rollouts = RolloutTask(
             reactor,
@@ -118,12 +138,19 @@
         )
         self.service_levels = ServiceLevels(clock)
         self.forwarder = Forwarder(clock, rng, self._surroundings())
+        limits = settings.limits
+        self.callers = CallerHttpFactory(reactor, self.forwarder, limits.max_body_bytes)
 
     @classmethod
     def from_settings(cls, settings: Settings, reactor: Any) -> Daemon:
         """Build a daemon on the system's clock and random source."""
         return cls(settings, reactor, SystemClock(), random.Random())
 
+    @property
+    def draining(self) -> bool:
+        """Whether a stop has begun."""
+        return self.shutdown.draining
+
     def _self_member(self) -> Member:
         return Member(
             address=self.settings.listen.peers,
@@ -146,21 +173,17 @@
             version_for=self.version_for,
             record=self.record,
             excluded=self.excluded,
+            call_later=self.deadlines.call_later,
             focus=self.rollouts.focus,
-            call_later=self.reactor.callLater,
             claims=self.claims,
         )
 
     def start(self) -> None:
         """Listen and begin the periodic work."""
         listen = self.settings.listen
-        limits = self.settings.limits
         self.membership.start()
         self._listen(listen.peers, self.links.server_factory())
-        self._listen(
-            listen.callers,
-            CallerHttpFactory(self.reactor, self.forwarder, limits.max_body_bytes),
-        )
+        self.caller_port = self._listen(listen.callers, self.callers)
         self._listen(
             listen.announcements,
             LocalHttpFactory(
@@ -191,9 +214,11 @@
 
     def serve(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
         """Serve a call that came over a peer link."""
+        if call.service == CLAIMS_SERVICE:
+            return self.claims.serve(call, sink)
         admission = self.servers.admission(call.service, call.service_version)
-        if admission is None or self.draining:
-            reason = Reason.DRAINING if self.draining else Reason.NO_SERVER
+        if admission is None or self.shutdown.refusing:
+            reason = Reason.DRAINING if self.shutdown.refusing else Reason.NO_SERVER
             sink.failed(Failure(Outcome.NOT_RUN, reason), None)
             return lambda: None
         return admission(call, sink)
@@ -214,6 +239,8 @@
         """Act on a control message of a peer."""
         if frame.topic is Topic.CONFIGURATION:
             self.distribution.take_message(sender, frame.payload)
+        elif frame.topic is Topic.MEMBERSHIP:
+            self.membership.take_message(sender, frame.payload)
         elif frame.topic is Topic.EVIDENCE:
             self.rollouts.take_message(sender, frame.payload)
 
@@ -226,21 +253,32 @@
         return JsonReply(200, {"taken": True})
 
     def drain(self) -> None:
-        """Stop gracefully: no new work, then exit when none is in flight."""
-        if self.draining:
-            return
-        self.draining = True
-        emit(Event.DAEMON_DRAINING)
-        self.update_membership()
-        deadline = self.clock.monotonic() + MAX_DRAIN_SECONDS
-        self.reactor.callLater(DRAIN_NOTICE_SECONDS, self._stop_when_idle, deadline)
-
-    def _stop_when_idle(self, deadline: float) -> None:
-        if not self.servers.in_flight or self.clock.monotonic() > deadline:
-            emit(Event.DAEMON_STOPPED)
-            self.reactor.stop()
-            return
-        self.reactor.callLater(DRAIN_POLL_SECONDS, self._stop_when_idle, deadline)
+        """Stop gracefully."""
+        self.shutdown.begin()
+
+    def largest_timeout(self) -> float:
+        """Return the longest that a call may take, in seconds."""
+        timeouts = [route.timeout for route in self.distribution.table.routes]
+        default = self.settings.limits.default_timeout
+        return max([default, *timeouts]).total_seconds()
+
+    def remaining(self) -> Remaining:
+        """Count what a stop has to wait for."""
+        in_flight = self.callers.in_flight + self.links.serving + self.servers.in_flight
+        connections = len(self.callers.connections) + len(self.links.served)
+        return Remaining(in_flight, connections)
+
+    def enter_phase(self, phase: Phase) -> None:
+        """Do what a phase of the stop begins with."""
+        match phase:
+            case Phase.NOTICE:
+                self.update_membership()
+            case Phase.FINISHING:
+                self.caller_port.stopListening()
+                self.callers.drain()
+                self.links.drain()
+            case Phase.STOPPED:
+                self.reactor.stop()
 
 
 __all__ = ["Daemon"]
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from briarslip.request.call import Call
 from briarslip.request.claim import MAX_KEY_BYTES
 from briarslip.request.directory import Directory
 from briarslip.request.exchange import Exchange
+from briarslip.request.flow import Flow
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -44,6 +46,7 @@
     body: bytes
     depth: int
     timeout: float | None
+    flow: Flow = field(default_factory=Flow, compare=False)
 
 
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
@@ -70,14 +73,14 @@
         table = self.surroundings.table()
         if not table.version:
             return _refuse(sink, Reason.NO_CONFIGURATION)
-        route = table.match(request.target)
+        route = table.match(request.target, request.method)
         if route is None:
             return _refuse(sink, Reason.NO_ROUTE)
         context = read_context(request.headers)
         if len(context.key) > MAX_KEY_BYTES:
             return _refuse(sink, Reason.BAD_REQUEST)
         call = self._call(request, route, context)
-        if not self.outstanding.enter(call.service, call.urgent):
+        if not self.outstanding.pool(call.urgent).enter(call.service):
             return _refuse(sink, Reason.TOO_MANY_OUTSTANDING)
         exchange = Exchange(self, call, context.retried, sink)
         exchange.start(context.key, route.claims)
@@ -99,6 +102,7 @@
             idempotent=route.idempotent or request.method in IDEMPOTENT_METHODS,
             depth=request.depth + 1,
             deadline=self.clock.monotonic() + timeout,
+            flow=request.flow,
         )
 
     def servers(self, call: Call, tried: Set[Server] = frozenset()) -> list[Server]:
@@ -127,7 +131,7 @@
 
     def finished(self, call: Call) -> None:
         """Count a request out."""
-        self.outstanding.leave(call.service, call.urgent)
+        self.outstanding.pool(call.urgent).leave(call.service)
 
 
 def _nothing() -> None:
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -32,7 +32,6 @@
     from collections.abc import Iterable
 
 
-
 LINK_SECONDS = 0.002
 PAUSE_STEP_SECONDS = 0.5
 CALLS_PER_STEP = 12
--- a/tests/version/__init__.py
+++ b/tests/version/__init__.py
@@ -1,3 +1,3 @@
-"""Tests of what lives for a version."""
+"""Tests of what lives for one configuration version."""
 
 from __future__ import annotations
