--- a/src/briarslip/burn/measurement.py
+++ b/src/briarslip/burn/measurement.py
@@ -57,12 +57,14 @@
     """All figures, and what is missing from them.
 
     ``silent`` names the daemons that did not answer, ``replaced`` those that
-    started within a window, whose predecessors' counts are lost.
+    started within a window: what an instance before them counted is lost.
+    ``oldest_seconds`` is how far back any daemon's counts go.
     """
 
     levels: tuple[LevelFigures, ...]
     answered: int
     silent: tuple[str, ...]
+    oldest_seconds: float
     replaced: tuple[tuple[str, float], ...]
     slot_seconds: int
 
@@ -90,6 +92,7 @@
         levels=tuple(_figures(key, groups[key]) for key in sorted(groups)),
         answered=len(answers),
         silent=tuple(silent),
+        oldest_seconds=max((a["uptime_seconds"] for a in answers), default=0.0),
         replaced=tuple(sorted(young)),
         slot_seconds=answers[0]["slot_seconds"]["fine"] if answers else 0,
     )
--- a/src/briarslip/burn/table.py
+++ b/src/briarslip/burn/table.py
@@ -46,7 +46,13 @@
     for peer, uptime in report.replaced:
         yield (
             f"daemon {peer} started {span(uptime)} ago:"
-            " counts of an instance before it are lost"
+            " what an instance before it counted is lost"
+        )
+    longest = max((w.seconds for x in report.levels for w in x.windows), default=0)
+    if report.answered and report.oldest_seconds < longest:
+        yield (
+            f"counts go back {span(report.oldest_seconds)}:"
+            " longer windows hold no more calls than that"
         )
     if not report.answered:
         yield "no daemon answered"
