--- a/src/briarslip/process/rollout_state.py
+++ b/src/briarslip/process/rollout_state.py
@@ -107,7 +107,7 @@
             rollout_id = RolloutId.from_rollout(rollout)
             known = rollout_id in self.decisions.started
             there = bool(servers[rollout.service].get(rollout.version))
-            if self.decisions.synced and there and not known:
+            if self.decisions.ready and there and not known:
                 started.append((rollout_id, self._first_start(rollout, now)))
                 self.decisions.start(*started[-1])
             self.previous[rollout.name] = rollout
--- a/src/briarslip/process/rollout_task.py
+++ b/src/briarslip/process/rollout_task.py
@@ -48,6 +48,8 @@
 CONCLUDE_SECONDS = 0.25
 DIGEST_SLICES = 2
 HOLD_SECONDS = 5.0
+PAUSE_SECONDS = 3.0
+STALE_SECONDS = 3.0
 
 
 class RolloutTask:
@@ -83,6 +85,8 @@
         self.analysis = RolloutAnalysis()
         self.fresh: dict[tuple[str, str], Report] = {}
         self.slices = 0
+        self.last_slice = clock.monotonic()
+        self.stale_until = self.last_slice
 
     @property
     def statuses(self) -> tuple[RolloutStatus, ...]:
@@ -114,6 +118,7 @@
 
     def _end_slice(self) -> None:
         self.slices += 1
+        self._notice_pause()
         later = self.reactor.callLater
         later(SLICE_SECONDS - self._into_slice(), self._end_slice)
         self.peers.refresh()
@@ -126,6 +131,15 @@
         if self.slices % DIGEST_SLICES == 0:
             self._send_digest()
 
+    def _notice_pause(self) -> None:
+        """Move nothing for a while after a pause: ask what was decided first."""
+        now = self.clock.monotonic()
+        if now - self.last_slice > PAUSE_SECONDS:
+            self.stale_until = now + STALE_SECONDS
+            self._send_digest()
+        self.last_slice = now
+        self.board.decisions.stale = now < self.stale_until
+
     def _into_slice(self) -> float:
         return self.clock.now().timestamp() % SLICE_SECONDS
 
--- a/src/briarslip/version/decision.py
+++ b/src/briarslip/version/decision.py
@@ -79,13 +79,20 @@
 
     ``started`` is the earliest time at which any daemon saw a rollout and
     servers of its version together. ``synced`` is false until the state of a
-    peer or of the platform is merged; until then nothing may be moved.
+    peer or of the platform is merged; until then nothing may be moved, nor
+    while ``stale``, after a pause in which decisions may have been missed.
     """
 
     rolled_back: dict[RolloutId, Decision] = field(default_factory=dict)
     started: dict[RolloutId, datetime] = field(default_factory=dict)
     held_until: dict[RolloutId, datetime] = field(default_factory=dict)
     synced: bool = False
+    stale: bool = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether traffic may be moved by what is known."""
+        return self.synced and not self.stale
 
     def decide(self, decision: Decision) -> bool:
         """Take a decision; return whether the rollout had none before."""
--- a/src/briarslip/version/rollout.py
+++ b/src/briarslip/version/rollout.py
@@ -117,7 +117,7 @@
         fault = decision.fault
         reason = f"route {fault.route}: {fault.figure} {fault.new_value}"
         return State.ROLLED_BACK, 0.0, f"{reason} against {fault.old_value}"
-    if not decisions.synced:
+    if not decisions.ready:
         return State.SYNCING, 0.0, "no peer has told the decisions yet"
     started = decisions.started.get(rollout_id)
     if started is None or not servers.get(rollout.version):
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -43,12 +43,14 @@
 class Reactor:
     """The part of a reactor that the tasks use, for one process.
 
-    Timers of a paused process run once it goes on; a dead one has none.
+    Timers of a paused process run once it goes on; a dead one has none. Its
+    messages wait or, when its links were given up, are lost.
     """
 
     def __init__(self, time: VirtualTime) -> None:
         self.time = time
         self.paused = False
+        self.keeps_messages = True
         self.dead = False
 
     def callLater(
@@ -159,9 +161,10 @@
     def _deliver(self, member: Member, peer: Address, payload: bytes) -> None:
         for node in self.nodes:
             if node.member.address == peer and self._reaches(member, node.member):
-                node.reactor.callLater(
-                    0, node.task.take_message, member.address, payload
-                )
+                if node.reactor.paused and not node.reactor.keeps_messages:
+                    continue
+                take = node.task.take_message
+                node.reactor.callLater(0, take, member.address, payload)
 
     def add_rollout(
         self, window: float, name: str = "r", version: str = "2"
--- a/tests/process/test_rollout_task.py
+++ b/tests/process/test_rollout_task.py
@@ -117,6 +117,7 @@
         self.daemons.advance(5)
         self.paused = self.daemons.nodes[4]
         self.paused.reactor.paused = True
+        self.paused.reactor.keeps_messages = False
         self.daemons.failing = fails("2", 1.0)
         others = [n for n in self.daemons.nodes if n is not self.paused]
         self.daemons.seconds_until(
@@ -135,6 +136,17 @@
         self.daemons.advance(NONE_WITHIN_SECONDS)
         self.assert_none(60)
 
+    def test_daemon_that_wakes_without_its_messages_waits_for_them(self) -> None:
+        self.daemons.advance(40)
+        before = share_at(self.paused, "2")
+        # The first slice after the pause is none that sends a digest anyway.
+        self.paused.task.slices = 0
+        self.paused.reactor.paused = False
+        for _ in range(100):
+            self.daemons.advance(0.01)
+            self.assertLessEqual(share_at(self.paused, "2"), before)
+        self.assert_none(30)
+
     def test_restarted_daemons_give_no_share_before_they_know(self) -> None:
         self.daemons.platform.outage = "close"
         self.paused.reactor.paused = False
