--- /dev/null
+++ b/tests/console/test_rollouts.py
@@ -0,0 +1,82 @@
+"""``briarslip rollouts``: what operators are told."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from briarslip.console.commands.rollouts import describe
+from briarslip.console.commands.rollouts import read_platform
+from briarslip.version.rollout_document import ROLLOUT_STATUS_PREFIX
+from standins.local_platform import LocalPlatformClient
+from standins.platform import PlatformStandIn
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+
+DOCUMENT = {
+    "rollout": "a",
+    "digest": "0",
+    "service": "holds",
+    "version": "2",
+    "deadline": "2026-01-01T00:00:00+00:00",
+    "state": "rolled_back",
+    "reason": "route holds: failure_share 0.5 against 0.01",
+    "since": "2025-12-31T23:00:00.000+00:00",
+    "after": "done",
+    "after_since": "2025-12-31T22:00:00.000+00:00",
+    "started_ms": 0,
+    "configuration_version": 3,
+    "zones_not_heard": ["penang"],
+}
+
+
+class RolloutsTest(unittest.TestCase):
+    """The platform's word, or that there is none."""
+
+    def setUp(self) -> None:
+        clock = Clock()
+        self.platform = PlatformStandIn(clock)
+        self.client = LocalPlatformClient(self.platform, clock.callLater)
+
+    def read(self) -> Result[list[dict[str, Any]], str]:
+        found: list[Any] = []
+        Deferred.fromCoroutine(read_platform(self.client)).addBoth(found.append)
+        result: Result[list[dict[str, Any]], str] = found[0]
+        return result
+
+    def put(self, key: str, body: Any) -> None:
+        self.platform.swap(key, json.dumps(body).encode(), 0, 0)
+
+    def test_every_record_has_a_line(self) -> None:
+        self.put(f"{ROLLOUT_STATUS_PREFIX}a", DOCUMENT)
+        self.put(f"{ROLLOUT_STATUS_PREFIX}broken", {"rollout": "broken"})
+        self.put("records/rollout/a/1", {"fields": {}})
+        self.put("records/rollout/b/1", {"fields": {}})
+        self.put("records/rollout/gone/1", {"fields": None})
+        lines = [describe(document) for document in self.read().unwrap()]
+        self.assertEqual(len(lines), 2)
+        for part in (
+            "rolled_back",
+            "holds 2",
+            "after done since 2025-12-31T22:00",
+            "route holds: failure_share 0.5 against 0.01",
+            "not heard from: penang",
+        ):
+            self.assertIn(part, lines[0])
+        self.assertIn("no daemon has reported it", lines[1])
+
+    def test_platform_outage_is_said(self) -> None:
+        self.platform.outage = "close"
+        self.assertIn("does not answer", self.read().unwrap_err())
+
+
+if __name__ == "__main__":
+    unittest.main()
