--- a/bench/rollout_trial.py
+++ b/bench/rollout_trial.py
@@ -23,6 +23,7 @@
 from briarslip.version.rollout import State
 from briarslip.version.rollout import status
 from briarslip.version.rollout import traffic_plan
+from briarslip.version.traffic_share import hold_length
 
 
 if TYPE_CHECKING:
@@ -38,7 +39,6 @@
 SPREAD_SECONDS = 0.5
 SHOWN_CALLS = 10
 ALL_SERVERS = tuple(range(SERVERS))
-HOLD_SECONDS = 5.0
 STEPS = ((0.0, 0.01), (0.2, 0.05), (0.4, 0.25), (0.6, 0.5), (0.8, 1.0))
 FIXED_EXCESS_FAILURES = 0.05
 FIXED_SLOWNESS = 1.5
@@ -101,7 +101,7 @@
             )
             return True
         if conclusion.suspicious:
-            self.decisions.hold(self.id, now + timedelta(seconds=HOLD_SECONDS))
+            self.decisions.hold(self.id, now + hold_length(self.rollout))
         return False
 
     def done(self, at: float) -> bool:
--- a/bench/rollouts.py
+++ b/bench/rollouts.py
@@ -152,11 +152,12 @@
     """Print the whole matrix and the cells that fall short."""
     parser = argparse.ArgumentParser(prog="bench.rollouts", description=__doc__)
     parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--policy", choices=POLICIES, help="only this one")
     options = parser.parse_args()
     cells = [
         Cell(*parts) for parts in itertools.product(FaultKind, RATES, WINDOWS, SPREADS)
     ]
-    for policy in POLICIES:
+    for policy in [options.policy] if options.policy else POLICIES:
         with ProcessPoolExecutor(WORKERS) as pool:
             count = len(cells)
             results = list(
--- a/src/briarslip/process/admin.py
+++ b/src/briarslip/process/admin.py
@@ -69,7 +69,7 @@
                 **rollout_document(
                     status,
                     board.decisions,
-                    daemon.clock.now(),
+                    board.since[status.id, status.state],
                     daemon.distribution.snapshot.version,
                     board.zones_not_heard,
                 ),
--- a/src/briarslip/process/rollout_report.py
+++ b/src/briarslip/process/rollout_report.py
@@ -104,7 +104,7 @@
         mine = rollout_document(
             status,
             board.decisions,
-            self.task.clock.now(),
+            board.since.get((status.id, status.state), self.task.clock.now()),
             self.configuration_version(),
             board.zones_not_heard,
         )
--- a/src/briarslip/process/rollout_state.py
+++ b/src/briarslip/process/rollout_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from briarslip.process.events import Event
@@ -62,6 +61,7 @@
         self.zones_heard: dict[str, datetime] = {}
         self.previous: dict[str, Rollout] = {}
         self.finished: dict[RolloutId, State] = {}
+        self.since: dict[tuple[RolloutId, State], datetime] = {}
 
     def refresh(self) -> tuple[tuple[RolloutId, datetime], ...]:
         """Work out plans and states anew; return the rollouts that started."""
@@ -151,6 +151,11 @@
     def _take_statuses(self, statuses: tuple[RolloutStatus, ...]) -> None:
         before = {known.id: known.state for known in self.statuses}
         self.statuses = statuses
+        now = self.clock.now()
+        self.since = {
+            (known.id, known.state): self.since.get((known.id, known.state), now)
+            for known in statuses
+        }
         for known in statuses:
             if before.get(known.id) is not known.state:
                 emit(
@@ -187,11 +192,6 @@
         live = {member.availability_zone for member in self.members()}
         return tuple(sorted(self.zones_heard.keys() - live))
 
-    @staticmethod
-    def hold_end(now: datetime, seconds: float) -> datetime:
-        """Return when a hold of some seconds ends."""
-        return now + timedelta(seconds=seconds)
-
 
 def _servers(
     members: tuple[Member, ...], services: Collection[str]
--- a/src/briarslip/process/rollout_task.py
+++ b/src/briarslip/process/rollout_task.py
@@ -28,6 +28,7 @@
 from briarslip.version.evidence_codec import decode_message
 from briarslip.version.evidence_codec import encode_message
 from briarslip.version.rollout import State
+from briarslip.version.traffic_share import hold_length
 
 
 if TYPE_CHECKING:
@@ -47,7 +48,6 @@
 FORWARD_SECONDS = 0.1
 CONCLUDE_SECONDS = 0.25
 DIGEST_SLICES = 2
-HOLD_SECONDS = 5.0
 PAUSE_SECONDS = 3.0
 STALE_SECONDS = 3.0
 
@@ -194,10 +194,11 @@
 
     def _hold(self, status: RolloutStatus) -> None:
         now = self.clock.now()
+        length = hold_length(status.rollout)
         until = self.board.decisions.held_until.get(status.id)
-        if until is not None and (until - now).total_seconds() > HOLD_SECONDS / 2:
+        if until is not None and until - now > length / 2:
             return
-        held = (status.id, self.board.hold_end(now, HOLD_SECONDS))
+        held = (status.id, now + length)
         emit(Event.ROLLOUT_HELD, rollout=status.rollout.name, share=status.share)
         self._merge(news(held_until=(held,)))
 
--- a/src/briarslip/version/rollout_document.py
+++ b/src/briarslip/version/rollout_document.py
@@ -48,11 +48,11 @@
 def rollout_document(
     status: RolloutStatus,
     decisions: Decisions,
-    now: datetime,
+    since: datetime,
     configuration_version: int,
     zones_not_heard: Iterable[str],
 ) -> Document:
-    """Return what a daemon has to report of a rollout."""
+    """Return what a daemon has to report of a rollout in a state ``since`` then."""
     rollout = status.rollout
     started = decisions.started.get(status.id)
     document: Document = {
@@ -63,7 +63,7 @@
         "deadline": rollout.deadline.isoformat(),
         "state": status.state.value,
         "reason": status.reason,
-        "since": now.isoformat(timespec="milliseconds"),
+        "since": since.isoformat(timespec="milliseconds"),
         "started_ms": to_milliseconds(started) if started else 0,
         "configuration_version": configuration_version,
         "zones_not_heard": list(zones_not_heard),
--- a/src/briarslip/version/traffic_share.py
+++ b/src/briarslip/version/traffic_share.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from briarslip.rendezvous import ranked
@@ -19,6 +20,9 @@
 FIRST_SHARE = 0.01
 CONTROL_SHARE = 0.02
 HELD_SHARE = 0.5
+HOLD_WINDOW_SHARE = 0.02
+MIN_HOLD_SECONDS = 1.0
+MAX_HOLD_SECONDS = 5.0
 SMALL_SHARE_REACHED = 0.25
 RAMP_BEGINS = 0.5
 RAMP_ENDS = 0.85
@@ -51,6 +55,17 @@
     return min(share, HELD_SHARE) if held else share
 
 
+def hold_length(rollout: Rollout) -> timedelta:
+    """Return how long one suspicion holds a rollout.
+
+    It is a small part of the window, so that a shared cause shortly before
+    the deadline does not make a good version late.
+    """
+    seconds = HOLD_WINDOW_SHARE * rollout.window.total_seconds()
+    bounded = min(MAX_HOLD_SECONDS, max(MIN_HOLD_SECONDS, seconds))
+    return timedelta(seconds=bounded)
+
+
 def _planned_share(small: float, done: float) -> float:
     if done < 0 or small <= 0:
         return 0.0 if done < RAMP_BEGINS else _ramp(FIRST_SHARE, done)
@@ -88,4 +103,4 @@
     return order[: max(1, math.ceil(share * max(1, others) - ROUNDING))]
 
 
-__all__ = ["DONE_AT", "HELD_SHARE", "focus", "progress", "traffic_share"]
+__all__ = ["DONE_AT", "HELD_SHARE", "focus", "hold_length", "progress", "traffic_share"]
