--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
     "links",
     "latency",
     "rollouts",
+    "rollout_control",
     "chaos",
 )
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,10 +20,12 @@
 
 from result import Err
 from twisted.internet.base import DelayedCall
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock as TwistedClock
 
 from briarslip.address import Address
 from briarslip.connection.frame import Topic
+from briarslip.process.change_writer import write_change
 from briarslip.process.distribution_task import DistributionTask
 from briarslip.process.member import Member
 from briarslip.process.member import Status
@@ -38,6 +40,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from briarslip.process.change_writer import RecordWrite
     from briarslip.process.member import Endpoint
 
 
@@ -170,21 +173,22 @@
         self, prefix: str, start_revision: int, on_events: Any, on_closed: Any
     ) -> Any:
         """Watch a prefix; a cut closes the watch."""
-        watch = super().watch(prefix, start_revision, on_events, on_closed)
+        watch: Any = super().watch(prefix, start_revision, on_events, on_closed)
+        self.watches.append((watch, on_closed))
         if self.zone in self.fleet.platform_cuts:
-            watch.stop()
-            self._call_later(0, on_closed, WatchClosed("cut off"))
-        else:
-            self.watches.append((watch, on_closed))
+            self.close_watches(True)
         return watch
 
     def close_watches(self, tell: bool) -> None:
         """End every watch, by a cut or by the daemon's death."""
         watches, self.watches = self.watches, []
         for watch, on_closed in watches:
-            if tell and not watch._stopped:
-                self._call_later(0, on_closed, WatchClosed("cut off"))
-            watch.stop()
+            if watch.inner is not None:
+                watch.inner.stop()
+            if tell:
+                watch.schedule(on_closed, WatchClosed("cut off"))
+            else:
+                watch.stop()
 
 
 @dataclass
@@ -206,6 +210,12 @@
         """The bytes of both directions."""
         return self.sent.total() + self.received.total()
 
+    @property
+    def membership(self) -> int:
+        """The bytes of both directions that membership has spent."""
+        kinds = (DATAGRAM, Topic.MEMBERSHIP.name)
+        return sum(self.sent[kind] + self.received[kind] for kind in kinds)
+
 
 class FleetDaemon:
     """The control tasks of one daemon."""
@@ -314,6 +324,7 @@
         self.traffic: dict[Address, Traffic] = {}
         self.seeds: tuple[Address, ...] = ()
         self.skews: dict[Address, timedelta] = {}
+        self.changes = count(1)
         self.loss = 0.0
         self.platform_cuts: set[str] = set()
         self.zone_cuts: set[frozenset[str]] = set()
@@ -346,6 +357,14 @@
                 self.clock.callLater(self.rng.random(), daemon.start)
         return added
 
+    def apply(self, *writes: RecordWrite) -> None:
+        """Write a change as operators do; no daemon has seen it yet."""
+        client = LocalPlatformClient(self.platform, self.clock.callLater)
+        work = write_change(client, writes, lambda: f"{next(self.changes):032x}")
+        done: list[Any] = []
+        Deferred.fromCoroutine(work).addBoth(done.append)
+        done[0].unwrap()
+
     def run(self, seconds: float) -> None:
         """Let virtual time pass."""
         self.clock.advance(seconds)
--- a/src/briarslip/console/commands/apply.py
+++ b/src/briarslip/console/commands/apply.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Annotated
+from typing import Optional
+
+import typer
 
 from briarslip.console.change import write_and_report
 from briarslip.console.options import FilesArgument  # noqa: TC001  # read by typer
@@ -16,11 +20,22 @@
     from briarslip.process.platform import PlatformClient
 
 
+ReadAtOption = Annotated[
+    Optional[int],  # noqa: UP045  # read by typer
+    typer.Option(help="refuse if a record was written after this revision"),
+]
+
+
 def apply(
-    files: FilesArgument, platform: PlatformOption, wait_s: WaitOption = 0.0
+    files: FilesArgument,
+    platform: PlatformOption,
+    wait_s: WaitOption = 0.0,
+    read_at: ReadAtOption = None,
 ) -> None:
     """Write the records of INI files to the platform as one change."""
-    records = [RecordWrite(record.key, record.fields) for record in read_files(files)]
+    records = [
+        RecordWrite(record.key, record.fields, read_at) for record in read_files(files)
+    ]
 
     async def plan(_: PlatformClient) -> list[RecordWrite]:
         return records
--- a/src/briarslip/process/failure_detector.py
+++ b/src/briarslip/process/failure_detector.py
@@ -69,7 +69,11 @@
 
 
 def end_suspicions(state: Protocol, now: float) -> Iterator[Send]:
-    """Declare the suspects dead that had their time to refute."""
+    """Ask suspects; declare those dead that had their time to refute."""
+    for address in state.suspicions.to_ask(now):
+        yield compose(state, address, Kind.PROBE, 0)
+    if not state.health.may_accuse(now):
+        return
     for address in state.suspicions.overdue(state.health, now):
         state.suspicions.end(address)
         known = state.table.members.get(address)
@@ -103,8 +107,7 @@
     probe = state.prober.probes.pop(sequence, None)
     if probe is not None:
         state.health.record(True, now)
-        if probe.target in state.suspicions.since:
-            state.suspicions.since[probe.target] = now
+        state.suspicions.heard(probe.target, now)
     return ()
 
 
@@ -116,11 +119,8 @@
     fanout = URGENT_FANOUT if outbox.is_urgent else PUSH_FANOUT
     outbox.is_urgent = False
     state.push_at = now + state.interval_seconds
-    return tuple(
-        compose(state, peer, Kind.PUSH, 0)
-        for peer in some_peers(state, fanout)
-        if outbox.queued
-    )
+    sends = (compose(state, p, Kind.PUSH, 0) for p in some_peers(state, fanout))
+    return tuple(send for send in sends if send.datagram.statements)
 
 
 __all__ = [
--- a/src/briarslip/process/relay.py
+++ b/src/briarslip/process/relay.py
@@ -204,7 +204,7 @@
         found = await self.platform.get(MARKER_KEY)
         if isinstance(found, Err) or found.ok_value is None:
             return
-        if found.ok_value.value != self.marker:
+        if found.ok_value.value != self.marker or self.statuses.is_waiting:
             self.marker = found.ok_value.value
             self._publish_by_rank()
 
