The daemon ends well when stopped before it listens, and says plainly that it can't listen

Cause: a chaos trial counted a planned stop with status -15: SIGTERM came 0.3 s after the start, before the handler stood, which was set only after the imports. A taken address left a traceback and a process that served nothing. Ruled out: the phases of the stop. Change: the handler stands first; a socket that can't be opened ends the process with status 1 and one line. Before: test_stop_before_it_listens_is_a_good_end failed (-15 != 0) and test_address_in_use_is_one_clear_line timed out after 30 s; after: both pass within 0.7 s. The trial also waits for a daemon before it stops it.

Also: the platform client and its stand-in are split by what their parts do, and the two modules on back-off are one.

--- a/bench/chaos/faults.py
+++ b/bench/chaos/faults.py
@@ -158,6 +158,7 @@
         """Stop a daemon gracefully and start it again."""
         number = self._daemon()
         callers = self.mesh.nodes[number].callers
+        self.mesh.wait_for_daemon(number)
         began = time.monotonic()
         status = self.mesh.stop(f"daemon-{number}")
         stop = (callers, began, time.monotonic(), status)
--- a/bench/chaos/trial.py
+++ b/bench/chaos/trial.py
@@ -98,7 +98,7 @@
     mesh.apply(deployment.records)
     mesh.wait_for_version(1)
     for service in deployment.services:
-        wait_until(lambda path=f"/{service.name}/0": mesh.call(0, path).status == 200)  # type: ignore[misc]
+        mesh.wait_for_answer(0, f"/{service.name}/0")
     return relays, backends
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -33,7 +33,7 @@
 from briarslip.process.platform import PlatformError
 from briarslip.process.platform import WatchClosed
 from standins.local_platform import LocalPlatformClient
-from standins.platform import PlatformStandIn
+from standins.platform_store import PlatformStandIn
 
 
 if TYPE_CHECKING:
--- a/bench/reconnect.py
+++ b/bench/reconnect.py
@@ -22,7 +22,7 @@
 from briarslip.version import distribution
 from briarslip.version import puller
 from standins.local_platform import LocalPlatformClient
-from standins.platform import PlatformStandIn
+from standins.platform_store import PlatformStandIn
 
 
 if TYPE_CHECKING:
--- a/src/briarslip/backoff.py
+++ b/src/briarslip/backoff.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 
@@ -9,6 +10,10 @@
     import random
 
 
+FIRST_SECONDS = 0.1
+MAX_SECONDS = 5.0
+
+
 def full_jitter(rng: random.Random, attempt: int, base: float, cap: float) -> float:
     """Return the seconds before retry ``attempt``, counted from 0.
 
@@ -17,4 +22,19 @@
     return rng.uniform(0, min(cap, base * 2.0 ** min(attempt, 32)))
 
 
-__all__ = ["full_jitter"]
+@dataclass(frozen=True, slots=True)
+class Backoff:
+    """Failures in a row, and when the next try is due on the monotonic clock."""
+
+    failures: int
+    due: float
+
+
+def after_failure(last: Backoff | None, now: float, rng: random.Random) -> Backoff:
+    """Return the pause after one more failed connect."""
+    failures = 1 if last is None else last.failures + 1
+    wait = full_jitter(rng, failures - 1, FIRST_SECONDS, MAX_SECONDS)
+    return Backoff(failures, now + wait)
+
+
+__all__ = ["FIRST_SECONDS", "MAX_SECONDS", "Backoff", "after_failure", "full_jitter"]
--- a/src/briarslip/connection/peer_links.py
+++ b/src/briarslip/connection/peer_links.py
@@ -7,8 +7,8 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import ServerFactory
 
-from briarslip.connection.backoff import Backoff
-from briarslip.connection.backoff import after_failure
+from briarslip.backoff import Backoff
+from briarslip.backoff import after_failure
 from briarslip.connection.frame import ControlFrame
 from briarslip.connection.heartbeat import CHECK_SECONDS
 from briarslip.connection.heartbeat import QUIET_SECONDS
--- a/src/briarslip/console/daemon.py
+++ b/src/briarslip/console/daemon.py
@@ -8,6 +8,7 @@
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import NoReturn
 
 from result import Err
 
@@ -19,11 +20,15 @@
     from collections.abc import Sequence
 
 
+EXIT_CANNOT_LISTEN = 1
 EXIT_BAD_SETTINGS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the daemon until it is told to stop; return the exit status."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, _stop_before_start)
     options = _parser().parse_args(arguments)
     path = Path(options.settings)
     try:
@@ -52,19 +57,36 @@
 
 def _run(settings: Settings) -> int:
     from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
 
     from briarslip.process.daemon import Daemon
     from briarslip.process.events import install_log
 
     install_log(settings.log)
     daemon = Daemon.from_settings(settings, reactor)
-    reactor.callWhenRunning(daemon.start)
+    failures: list[CannotListenError] = []
+
+    def start() -> None:
+        try:
+            daemon.start()
+        except CannotListenError as error:
+            failures.append(error)
+            reactor.stop()
+
+    reactor.callWhenRunning(start)
     # What has been imported stays, so no collection needs to walk through it.
     reactor.callWhenRunning(gc.freeze)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         signal.signal(number, lambda *_: reactor.callFromThread(daemon.drain))
     reactor.run(installSignalHandlers=False)
-    return 0
+    for failure in failures:
+        print(f"briarslipd: {failure}", file=sys.stderr)
+    return EXIT_CANNOT_LISTEN if failures else 0
+
+
+def _stop_before_start(*_: object) -> NoReturn:
+    """End at once: nothing has been taken on yet."""
+    raise SystemExit(0)
 
 
 if __name__ == "__main__":
--- a/src/briarslip/process/etcd_gateway.py
+++ b/src/briarslip/process/etcd_gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import json
 import math
 from dataclasses import dataclass
@@ -23,6 +22,13 @@
 from twisted.web import client
 from twisted.web.http_headers import Headers
 
+from briarslip.process.etcd_messages import encode
+from briarslip.process.etcd_messages import prefix_range
+from briarslip.process.etcd_messages import range_reply
+from briarslip.process.etcd_messages import swap_reply
+from briarslip.process.etcd_messages import time_left
+from briarslip.process.etcd_watch import GatewayWatch
+from briarslip.process.etcd_watch import close_transport
 from briarslip.process.platform import KeyValue
 from briarslip.process.platform import PlatformError
 from briarslip.process.platform import RangeReply
@@ -34,7 +40,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.base import DelayedCall
     from twisted.python.failure import Failure
 
     from briarslip.process.platform import Watch
@@ -47,7 +52,6 @@
 
 DEFAULT_TIMEOUT = timedelta(seconds=2)
 DEFAULT_SILENCE = timedelta(seconds=5)
-MAX_WATCH_LINE_BYTES = 8 * 1024 * 1024
 # Below 1, so that a failed connect is told apart from a lost answer.
 CONNECT_SHARE = 0.5
 GRPC_NOT_FOUND = 5
@@ -75,63 +79,6 @@
     body: bytes
 
 
-def encode(raw: bytes) -> str:
-    """Return bytes as the gateway's JSON carries them."""
-    return base64.b64encode(raw).decode("ascii")
-
-
-def decode(text: str) -> bytes:
-    """Return the bytes that the gateway's JSON carries."""
-    return base64.b64decode(text, validate=True)
-
-
-def prefix_range(prefix: str) -> tuple[bytes, bytes]:
-    """Return the first key and the end (exclusive) of a prefix's range."""
-    raw = prefix.encode()
-    if not raw:
-        return b"\0", b"\0"
-    # No byte of UTF-8 is 0xff, so the last byte can always be raised.
-    return raw, raw[:-1] + bytes([raw[-1] + 1])
-
-
-def _key_value(item: dict[str, Any]) -> KeyValue:
-    return KeyValue(
-        key=decode(item["key"]).decode(),
-        value=decode(item.get("value", "")),
-        mod_revision=int(item["mod_revision"]),
-        lease_id=int(item.get("lease", 0)),
-    )
-
-
-def _range_reply(reply: dict[str, Any]) -> RangeReply:
-    items = tuple(_key_value(item) for item in reply.get("kvs", ()))
-    return RangeReply(items, int(reply["header"]["revision"]))
-
-
-def _swap_reply(reply: dict[str, Any]) -> SwapReply:
-    revision = int(reply["header"]["revision"])
-    if reply.get("succeeded", False):
-        return SwapReply(swapped=True, revision=revision)
-    items = reply["responses"][0]["response_range"].get("kvs", ())
-    current = _key_value(items[0]) if items else None
-    return SwapReply(swapped=False, revision=revision, current=current)
-
-
-def _time_left(reply: dict[str, Any]) -> timedelta | None:
-    seconds = int(reply["result"].get("TTL", 0))
-    return timedelta(seconds=seconds) if seconds > 0 else None
-
-
-def _watch_event(event: dict[str, Any]) -> WatchEvent:
-    item = event["kv"]
-    deleted = event.get("type") == "DELETE"
-    return WatchEvent(
-        key=decode(item["key"]).decode(),
-        value=None if deleted else decode(item.get("value", "")),
-        mod_revision=int(item["mod_revision"]),
-    )
-
-
 def _is_lapsed(answer: _Answer) -> bool:
     if answer.status != HTTPStatus.NOT_FOUND:
         return False
@@ -165,124 +112,28 @@
     """Gathers one answer; to cancel ``finished`` closes the connection."""
 
     def __init__(self) -> None:
-        self._received = bytearray()
-        self.finished: Deferred[bytes] = Deferred(lambda _: _close(self.transport))
+        self.received = bytearray()
+        self.finished: Deferred[bytes] = Deferred(
+            lambda _: close_transport(self.transport)
+        )
+
+    def _cancel(self, _: object) -> None:
+        close_transport(self.transport)
 
     def dataReceived(self, data: bytes) -> None:
         """Keep what came."""
-        self._received += data
+        self.received += data
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Tell that the answer is whole or broken off."""
         if self.finished.called:
             return
         if isinstance(reason.value, (_http.ResponseDone, _http.PotentialDataLoss)):
-            self.finished.callback(bytes(self._received))
+            self.finished.callback(bytes(self.received))
         else:
             self.finished.errback(reason)
 
 
-def _close(transport: Any) -> None:
-    if transport is not None:
-        transport.loseConnection()
-
-
-class _GatewayWatch(Protocol):
-    """One long answer of the gateway, read line by line."""
-
-    def __init__(
-        self,
-        reactor: Any,
-        silence: timedelta,
-        on_events: Callable[[tuple[WatchEvent, ...]], None],
-        on_closed: Callable[[WatchClosed], None],
-    ) -> None:
-        self._reactor = reactor
-        self._silence = silence
-        self._on_events = on_events
-        self._on_closed = on_closed
-        self._buffer = bytearray()
-        self._pending: Deferred[Any] | None = None
-        self._ended = False
-        self._timer: DelayedCall = reactor.callLater(
-            silence.total_seconds(), self._end, "no line within the silence allowed"
-        )
-
-    def start(self, pending: Deferred[Any]) -> None:
-        """Take over the request that opens the watch."""
-        self._pending = pending
-        pending.addCallbacks(self._opened, self._failed)
-
-    def stop(self) -> None:
-        """Stop the watch; no callback runs afterwards."""
-        if self._ended:
-            return
-        self._ended = True
-        self._buffer.clear()
-        if self._timer.active():
-            self._timer.cancel()
-        if self.transport is not None:
-            _close(self.transport)
-        elif self._pending is not None:
-            self._pending.cancel()
-
-    def dataReceived(self, data: bytes) -> None:
-        """Take the complete lines out of what came."""
-        if self._ended:
-            return
-        self._buffer += data
-        *lines, rest = self._buffer.split(b"\n")
-        self._buffer = rest
-        if lines:
-            self._timer.reset(self._silence.total_seconds())
-        for line in lines:
-            if line.strip() and not self._ended:
-                self._take_line(line)
-        if len(self._buffer) > MAX_WATCH_LINE_BYTES:
-            self._end("a line is too long")
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Tell that the connection is gone."""
-        self._end(f"connection lost: {reason.getErrorMessage()}")
-
-    def _opened(self, response: Any) -> None:
-        if not self._ended and response.code != HTTPStatus.OK:
-            response.deliverBody(self)
-            self._end(f"HTTP status {response.code}")
-            return
-        response.deliverBody(self)
-        if self._ended:
-            _close(self.transport)
-
-    def _failed(self, failure: Failure) -> None:
-        self._end(failure.getErrorMessage())
-
-    def _take_line(self, line: bytes | bytearray) -> None:
-        try:
-            message = json.loads(line)
-            if "error" in message:
-                self._end(f"watch refused: {message['error']}")
-                return
-            result = message["result"]
-            compact_revision = int(result.get("compact_revision", 0))
-            canceled = result.get("canceled", False)
-            events = tuple(_watch_event(event) for event in result.get("events", ()))
-        except (KeyError, TypeError, ValueError, AttributeError) as problem:
-            self._end(f"malformed line: {_describe(problem)}")
-            return
-        if canceled or compact_revision:
-            reason = result.get("cancel_reason", "") or "canceled by the service"
-            self._end(reason, compacted=compact_revision > 0)
-        elif events:
-            self._on_events(events)
-
-    def _end(self, reason: str, *, compacted: bool = False) -> None:
-        if self._ended:
-            return
-        self.stop()
-        self._on_closed(WatchClosed(reason, compacted))
-
-
 class EtcdGatewayClient:
     """A platform client that speaks to one etcd gateway.
 
@@ -298,12 +149,12 @@
         timeout: timedelta,
         silence: timedelta,
     ) -> None:
-        self._reactor = reactor
-        self._agent = agent
-        self._watch_agent = watch_agent
-        self._base_url = base_url
-        self._timeout = timeout
-        self._silence = silence
+        self.reactor = reactor
+        self.agent = agent
+        self.watch_agent = watch_agent
+        self.base_url = base_url
+        self.timeout = timeout
+        self.silence = silence
 
     @classmethod
     def from_address(
@@ -332,14 +183,14 @@
     async def get(self, key: str) -> Result[KeyValue | None, PlatformError]:
         """Read one key."""
         message = {"key": encode(key.encode())}
-        reply = await self._call("kv/range", message, _range_reply, is_write=False)
+        reply = await self._call("kv/range", message, range_reply, is_write=False)
         return reply.map(lambda found: found.items[0] if found.items else None)
 
     async def range(self, prefix: str) -> Result[RangeReply, PlatformError]:
         """Read every key under a prefix, in key order."""
         start, end = prefix_range(prefix)
         message = {"key": encode(start), "range_end": encode(end)}
-        return await self._call("kv/range", message, _range_reply, is_write=False)
+        return await self._call("kv/range", message, range_reply, is_write=False)
 
     async def swap(
         self,
@@ -365,7 +216,7 @@
             "success": [success],
             "failure": [{"request_range": {"key": name}}],
         }
-        return await self._call("kv/txn", message, _swap_reply, is_write=True)
+        return await self._call("kv/txn", message, swap_reply, is_write=True)
 
     async def grant_lease(self, ttl: timedelta) -> Result[int, PlatformError]:
         """Grant a lease, in whole seconds rounded up, and return its id."""
@@ -382,7 +233,7 @@
     ) -> Result[timedelta | None, PlatformError]:
         """Renew a lease; return what is left of it, None if it has lapsed."""
         message = {"ID": str(lease_id)}
-        return await self._call("lease/keepalive", message, _time_left, is_write=True)
+        return await self._call("lease/keepalive", message, time_left, is_write=True)
 
     async def revoke_lease(self, lease_id: int) -> Result[None, PlatformError]:
         """Revoke a lease; one that has lapsed already counts as revoked."""
@@ -410,13 +261,13 @@
             "start_revision": str(start_revision),
             "progress_notify": True,
         }
-        watch = _GatewayWatch(self._reactor, self._silence, on_events, on_closed)
+        watch = GatewayWatch(self.reactor, self.silence, on_events, on_closed)
         url = self._url("watch")
-        watch.start(_send(self._watch_agent, url, {"create_request": create}))
+        watch.start(_send(self.watch_agent, url, {"create_request": create}))
         return watch
 
     def _url(self, path: str) -> bytes:
-        return f"{self._base_url}/v3/{path}".encode()
+        return f"{self.base_url}/v3/{path}".encode()
 
     async def _call(
         self,
@@ -442,7 +293,7 @@
         self, path: str, message: dict[str, Any], *, is_write: bool
     ) -> Result[_Answer, PlatformError]:
         exchange = Deferred.fromCoroutine(self._fetch(path, message))
-        exchange.addTimeout(self._timeout.total_seconds(), self._reactor)
+        exchange.addTimeout(self.timeout.total_seconds(), self.reactor)
         try:
             return Ok(await exchange)
         except error.ConnectError as problem:
@@ -452,7 +303,7 @@
             return Err(PlatformError(_describe(problem), is_write))
 
     async def _fetch(self, path: str, message: dict[str, Any]) -> _Answer:
-        response = await _send(self._agent, self._url(path), message)
+        response = await _send(self.agent, self._url(path), message)
         body = _Body()
         response.deliverBody(body)
         return _Answer(response.code, await body.finished)
@@ -462,7 +313,4 @@
     "DEFAULT_SILENCE",
     "DEFAULT_TIMEOUT",
     "EtcdGatewayClient",
-    "decode",
-    "encode",
-    "prefix_range",
 ]
--- a/standins/local_platform.py
+++ b/standins/local_platform.py
@@ -13,23 +13,23 @@
 from twisted.internet.defer import Deferred
 
 from briarslip.process.etcd_gateway import DEFAULT_TIMEOUT
-from briarslip.process.etcd_gateway import prefix_range
+from briarslip.process.etcd_messages import prefix_range
 from briarslip.process.platform import KeyValue
 from briarslip.process.platform import PlatformError
 from briarslip.process.platform import RangeReply
 from briarslip.process.platform import SwapReply
 from briarslip.process.platform import WatchClosed
 from briarslip.process.platform import WatchEvent
-from standins.platform import WRITE_KINDS
-from standins.platform import LeaseNotFoundError
+from standins.platform_store import WRITE_KINDS
+from standins.platform_store import LeaseNotFoundError
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from briarslip.process.platform import Watch
-    from standins.platform import PlatformStandIn
-    from standins.platform import StandInWatch
+    from standins.platform_store import PlatformStandIn
+    from standins.platform_store import StandInWatch
 
 
 T = TypeVar("T")
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -166,8 +166,16 @@
         """Start every daemon and wait until all answer."""
         for number in range(len(self.nodes)):
             self.start_daemon(number, extra)
-        for node in self.nodes:
-            wait_until(lambda node=node: _answers(node.admin, "/v1/status"))  # type: ignore[misc]
+        for number in range(len(self.nodes)):
+            self.wait_for_daemon(number)
+
+    def wait_for_daemon(self, number: int) -> None:
+        """Wait until a daemon answers on its admin address."""
+        wait_until(lambda: _answers(self.nodes[number].admin, "/v1/status"))
+
+    def wait_for_answer(self, number: int, path: str) -> None:
+        """Wait until a request through a daemon is answered with success."""
+        wait_until(lambda: self.call(number, path).status == 200)
 
     def start_backend(
         self, number: int, service: str, version: str = "1", *options: str
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -23,7 +23,7 @@
 from briarslip.version.rollout_document import decode_document
 from briarslip.version.routing_table import RoutingTable
 from standins.local_platform import LocalPlatformClient
-from standins.platform import PlatformStandIn
+from standins.platform_store import PlatformStandIn
 from standins.virtual_time import VirtualTime
 
 
--- a/tests/connection/test_peer_links.py
+++ b/tests/connection/test_peer_links.py
@@ -11,9 +11,9 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from briarslip.address import Address
-from briarslip.connection.backoff import FIRST_SECONDS
-from briarslip.connection.backoff import MAX_SECONDS
-from briarslip.connection.backoff import after_failure
+from briarslip.backoff import FIRST_SECONDS
+from briarslip.backoff import MAX_SECONDS
+from briarslip.backoff import after_failure
 from briarslip.connection.frame import Hello
 from briarslip.connection.frame import Topic
 from briarslip.connection.heartbeat import MAX_SILENCE_SECONDS
--- /dev/null
+++ b/tests/console/test_daemon.py
@@ -0,0 +1,80 @@
+"""The daemon program: its settings, its sockets and an early stop."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from standins.mesh import SETTINGS
+from standins.mesh import free_address
+
+
+SECONDS = 30
+
+
+def settings(**changes: str) -> str:
+    """Return good settings with some values changed."""
+    addresses = ("callers", "peers", "admin", "announcements", "platform")
+    values = {name: free_address() for name in addresses}
+    values |= {"zone": "klang", "region": "peninsula", "seeds": ""} | changes
+    return SETTINGS.format(**values)
+
+
+class DaemonProgramTest(unittest.TestCase):
+    """The program as a process."""
+
+    def setUp(self) -> None:
+        self.directory = tempfile.TemporaryDirectory()
+        self.addCleanup(self.directory.cleanup)
+        self.path = Path(self.directory.name) / "daemon.ini"
+
+    def start(self, *options: str) -> subprocess.Popen[str]:
+        command = [sys.executable, "-m", "briarslip.console.daemon", str(self.path)]
+        process = subprocess.Popen(
+            [*command, *options],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.kill)
+        return process
+
+    def test_check_names_every_fault_and_starts_nothing(self) -> None:
+        self.path.write_text(settings(zone="a b", admin="localhost:1", seeds="x"))
+        process = self.start("--check")
+        _, errors = process.communicate(timeout=SECONDS)
+        self.assertEqual(process.returncode, 2)
+        self.assertEqual(len(errors.splitlines()), 3, errors)
+        self.path.write_text(settings())
+        process = self.start("--check")
+        process.communicate(timeout=SECONDS)
+        self.assertEqual(process.returncode, 0)
+
+    def test_address_in_use_is_one_clear_line(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            port = taken.getsockname()[1]
+            self.path.write_text(settings(admin=f"127.0.0.1:{port}"))
+            process = self.start()
+            _, errors = process.communicate(timeout=SECONDS)
+        self.assertEqual(process.returncode, 1, errors)
+        self.assertIn(str(port), errors)
+        self.assertNotIn("Traceback", errors)
+
+    def test_stop_before_it_listens_is_a_good_end(self) -> None:
+        os.mkfifo(self.path)
+        process = self.start()
+        # Opening waits until the daemon reads its settings.
+        with self.path.open("w"):
+            process.send_signal(signal.SIGTERM)
+            process.communicate(timeout=SECONDS)
+        self.assertEqual(process.returncode, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/console/test_rollouts.py
+++ b/tests/console/test_rollouts.py
@@ -14,7 +14,7 @@
 from briarslip.console.commands.rollouts import read_platform
 from briarslip.version.rollout_document import ROLLOUT_STATUS_PREFIX
 from standins.local_platform import LocalPlatformClient
-from standins.platform import PlatformStandIn
+from standins.platform_store import PlatformStandIn
 
 
 if TYPE_CHECKING:
--- a/tests/process/test_claims.py
+++ b/tests/process/test_claims.py
@@ -30,7 +30,7 @@
 from briarslip.request.claim_answers import ClaimAnswers
 from briarslip.request.outcome import Outcome
 from standins.local_platform import LocalPlatformClient
-from standins.platform import PlatformStandIn
+from standins.platform_store import PlatformStandIn
 from standins.virtual_time import VirtualTimer
 from tests.request.support import NOT_RUN
 from tests.request.support import ROUTE
--- a/tests/process/test_etcd_gateway.py
+++ b/tests/process/test_etcd_gateway.py
@@ -24,8 +24,8 @@
 from briarslip.process.platform import WatchClosed
 from briarslip.process.platform import WatchEvent
 from standins.local_platform import LocalPlatformClient
-from standins.platform import PlatformStandIn
 from standins.platform import make_site
+from standins.platform_store import PlatformStandIn
 from tests.support.reactor import run
 
 
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -10,7 +10,7 @@
 from twisted.internet.task import Clock
 
 from standins.local_platform import LocalPlatformClient
-from standins.platform import PlatformStandIn
+from standins.platform_store import PlatformStandIn
 
 
 if TYPE_CHECKING:
