--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,8 +17,10 @@
     "publish",
     "mesh_convergence",
     "requests",
+    "links",
     "latency",
     "rollouts",
+    "rollout_control",
     "chaos",
 )
 
--- a/src/briarslip/process/admin.py
+++ b/src/briarslip/process/admin.py
@@ -35,6 +35,7 @@
             "peer": str(daemon.settings.listen.peers),
             "availability_zone": daemon.settings.daemon.availability_zone,
             "running_version": snapshot.version,
+            "minimum_version": daemon.distribution.state.minimum_version,
             "digest": snapshot.digest,
             "routes": [route.name for route in daemon.distribution.table.routes],
             "services": sorted(daemon.distribution.table.services),
@@ -69,7 +70,7 @@
                 **rollout_document(
                     status,
                     board.decisions,
-                    daemon.clock.now(),
+                    board.since[status.id, status.state],
                     daemon.distribution.snapshot.version,
                     board.zones_not_heard,
                 ),
--- a/src/briarslip/process/rollout_state.py
+++ b/src/briarslip/process/rollout_state.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from briarslip.process.events import Event
@@ -20,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from datetime import datetime
 
     from briarslip.address import Address
@@ -57,9 +57,11 @@
         self.decisions = Decisions()
         self.plans: dict[str, TrafficPlan] = {}
         self.statuses: tuple[RolloutStatus, ...] = ()
+        self.servers: dict[str, Servers] = {}
         self.zones_heard: dict[str, datetime] = {}
         self.previous: dict[str, Rollout] = {}
         self.finished: dict[RolloutId, State] = {}
+        self.since: dict[tuple[RolloutId, State], datetime] = {}
 
     def refresh(self) -> tuple[tuple[RolloutId, datetime], ...]:
         """Work out plans and states anew; return the rollouts that started."""
@@ -70,7 +72,8 @@
         rollouts = tuple(self.table().rollouts.values())
         services = {rollout.service for rollout in rollouts}
         services |= {d.service for d in self.decisions.rolled_back.values()}
-        servers = {service: _servers(members, service) for service in services}
+        servers = _servers(members, services)
+        self.servers = servers
         started = self._start(rollouts, servers, now)
         plans: dict[str, TrafficPlan] = {}
         for service in services:
@@ -104,7 +107,7 @@
             rollout_id = RolloutId.from_rollout(rollout)
             known = rollout_id in self.decisions.started
             there = bool(servers[rollout.service].get(rollout.version))
-            if self.decisions.synced and there and not known:
+            if self.decisions.ready and there and not known:
                 started.append((rollout_id, self._first_start(rollout, now)))
                 self.decisions.start(*started[-1])
             self.previous[rollout.name] = rollout
@@ -132,7 +135,7 @@
         later = next(r for r in current if r.version == rollout.version)
         reason = f"rollout {later.name} to the same version has a later deadline"
         rollout_id = RolloutId.from_rollout(rollout)
-        return RolloutStatus(rollout, rollout_id, State.SUPERSEDED, 0.0, reason)
+        return RolloutStatus(rollout, rollout_id, State.SUPERSEDED, 0.0, 0.0, reason)
 
     def _finish(self, known: RolloutStatus) -> RolloutStatus:
         """Keep the first terminal state; only a roll back replaces it."""
@@ -148,6 +151,11 @@
     def _take_statuses(self, statuses: tuple[RolloutStatus, ...]) -> None:
         before = {known.id: known.state for known in self.statuses}
         self.statuses = statuses
+        now = self.clock.now()
+        self.since = {
+            (known.id, known.state): self.since.get((known.id, known.state), now)
+            for known in statuses
+        }
         for known in statuses:
             if before.get(known.id) is not known.state:
                 emit(
@@ -161,7 +169,7 @@
         """Whether a version that may get work stands beside the rollout's."""
         plan = self.plans.get(rollout.service)
         excluded = frozenset() if plan is None else plan.excluded
-        servers = _servers(self.members(), rollout.service)
+        servers = self.servers.get(rollout.service, {})
         return bool(servers.keys() - excluded - {rollout.version})
 
     @property
@@ -173,26 +181,32 @@
             if known.state in ANALYZED and self.has_other_servers(known.rollout)
         )
 
+    def server_count(self, rollout: Rollout) -> int:
+        """Return how many servers of a rollout's version take work."""
+        servers = self.servers.get(rollout.service, {})
+        return len(servers.get(rollout.version, ()))
+
     @property
     def zones_not_heard(self) -> tuple[str, ...]:
         """The zones that had members once and have none now."""
         live = {member.availability_zone for member in self.members()}
         return tuple(sorted(self.zones_heard.keys() - live))
 
-    @staticmethod
-    def hold_end(now: datetime, seconds: float) -> datetime:
-        """Return when a hold of some seconds ends."""
-        return now + timedelta(seconds=seconds)
-
 
-def _servers(members: tuple[Member, ...], service: str) -> Servers:
-    """Return the daemons whose servers of a service take work, by version."""
-    found: dict[str, set[Address]] = {}
+def _servers(
+    members: tuple[Member, ...], services: Collection[str]
+) -> dict[str, Servers]:
+    """Return the daemons whose servers take work, by service and version."""
+    found: dict[str, dict[str, set[Address]]] = {name: {} for name in services}
     for member in members:
         for endpoint in member.endpoints:
-            if endpoint.service == service and not endpoint.draining:
-                found.setdefault(endpoint.version, set()).add(member.address)
-    return {version: frozenset(addresses) for version, addresses in found.items()}
+            versions = found.get(endpoint.service)
+            if versions is not None and not endpoint.draining:
+                versions.setdefault(endpoint.version, set()).add(member.address)
+    return {
+        service: {version: frozenset(where) for version, where in versions.items()}
+        for service, versions in found.items()
+    }
 
 
 __all__ = ["RolloutBoard"]
--- a/src/briarslip/process/rollout_task.py
+++ b/src/briarslip/process/rollout_task.py
@@ -12,12 +12,10 @@
 from briarslip.process.events import emit
 from briarslip.process.evidence_collector import EvidenceCollector
 from briarslip.process.rollout_analysis import RolloutAnalysis
-from briarslip.process.rollout_analysis import analyzers
-from briarslip.process.rollout_analysis import counterparts
+from briarslip.process.rollout_peers import RolloutPeers
 from briarslip.process.rollout_spread import DIGEST_PEERS
 from briarslip.process.rollout_spread import lacks
 from briarslip.process.rollout_spread import merge_state
-from briarslip.process.rollout_spread import neighbors
 from briarslip.process.rollout_spread import news
 from briarslip.process.rollout_spread import whole_state
 from briarslip.process.rollout_state import RolloutBoard
@@ -30,6 +28,7 @@
 from briarslip.version.evidence_codec import decode_message
 from briarslip.version.evidence_codec import encode_message
 from briarslip.version.rollout import State
+from briarslip.version.traffic_share import hold_length
 
 
 if TYPE_CHECKING:
@@ -49,7 +48,8 @@
 FORWARD_SECONDS = 0.1
 CONCLUDE_SECONDS = 0.25
 DIGEST_SLICES = 2
-HOLD_SECONDS = 5.0
+PAUSE_SECONDS = 3.0
+STALE_SECONDS = 3.0
 
 
 class RolloutTask:
@@ -77,6 +77,7 @@
         self.availability_zone = own.availability_zone
         self.members = members
         self.send = send
+        self.peers = RolloutPeers(own.address, own.availability_zone, members)
         self.board = RolloutBoard(clock, table, members)
         self.collector = EvidenceCollector(
             clock, str(own.address), own.availability_zone, own.incarnation
@@ -84,6 +85,8 @@
         self.analysis = RolloutAnalysis()
         self.fresh: dict[tuple[str, str], Report] = {}
         self.slices = 0
+        self.last_slice = clock.monotonic()
+        self.stale_until = self.last_slice
 
     @property
     def statuses(self) -> tuple[RolloutStatus, ...]:
@@ -111,13 +114,14 @@
 
     def analyzes(self, service: str) -> bool:
         """Whether this daemon is one of its zone's analyzers of a service."""
-        chosen = analyzers(self.members(), self.availability_zone, service)
-        return self.own_address in chosen
+        return self.own_address in self.peers.analyzers(service)
 
     def _end_slice(self) -> None:
         self.slices += 1
+        self._notice_pause()
         later = self.reactor.callLater
         later(SLICE_SECONDS - self._into_slice(), self._end_slice)
+        self.peers.refresh()
         started = self.board.refresh()
         if started:
             self._pass_on(news(started=started))
@@ -127,14 +131,22 @@
         if self.slices % DIGEST_SLICES == 0:
             self._send_digest()
 
+    def _notice_pause(self) -> None:
+        """Move nothing for a while after a pause: ask what was decided first."""
+        now = self.clock.monotonic()
+        if now - self.last_slice > PAUSE_SECONDS:
+            self.stale_until = now + STALE_SECONDS
+            self._send_digest()
+        self.last_slice = now
+        self.board.decisions.stale = now < self.stale_until
+
     def _into_slice(self) -> float:
         return self.clock.now().timestamp() % SLICE_SECONDS
 
     def _send_evidence(self) -> None:
         self.collector.follow(s.rollout.service for s in self.board.analyzed)
         for report in self.collector.reports():
-            chosen = analyzers(self.members(), self.availability_zone, report.service)
-            for analyzer in chosen:
+            for analyzer in self.peers.analyzers(report.service):
                 if analyzer == self.own_address:
                     self._take_report(report)
                 else:
@@ -143,12 +155,9 @@
     def _forward(self) -> None:
         """Pass the own zone's evidence on to the analyzers of other zones."""
         fresh, self.fresh = self.fresh, {}
-        members = self.members()
         bundles: dict[Address, list[Report]] = {}
         for report in fresh.values():
-            for peer in counterparts(
-                members, self.availability_zone, report.service, self.own_address
-            ):
+            for peer in self.peers.counterparts(report.service):
                 bundles.setdefault(peer, []).append(report)
         for peer, reports in bundles.items():
             self._send(peer, Reports(tuple(reports)))
@@ -163,7 +172,8 @@
         self.analysis.follow(watched)
         time_slice = time_slice_of(self.clock.now().timestamp())
         for status in watched:
-            conclusion = self.analysis.conclude(status.id, time_slice)
+            servers = self.board.server_count(status.rollout)
+            conclusion = self.analysis.conclude(status.id, time_slice, servers)
             if conclusion.fault is not None:
                 self._decide(
                     Decision(
@@ -184,10 +194,11 @@
 
     def _hold(self, status: RolloutStatus) -> None:
         now = self.clock.now()
+        length = hold_length(status.rollout)
         until = self.board.decisions.held_until.get(status.id)
-        if until is not None and (until - now).total_seconds() > HOLD_SECONDS / 2:
+        if until is not None and until - now > length / 2:
             return
-        held = (status.id, self.board.hold_end(now, HOLD_SECONDS))
+        held = (status.id, now + length)
         emit(Event.ROLLOUT_HELD, rollout=status.rollout.name, share=status.share)
         self._merge(news(held_until=(held,)))
 
@@ -244,18 +255,15 @@
 
     def _pass_on(self, state: RolloutState) -> None:
         payload = encode_message(state)
-        for peer in self._neighbors():
+        for peer in self.peers.neighbors:
             self.send(peer, Topic.EVIDENCE, payload)
 
     def _send_digest(self) -> None:
-        peers = self._neighbors()
+        peers = self.peers.neighbors
         chosen = self.rng.sample(peers, min(DIGEST_PEERS, len(peers)))
         for peer in chosen:
             self._send(peer, StateDigest(self.board.decisions.digest))
 
-    def _neighbors(self) -> tuple[Address, ...]:
-        return neighbors(self.members(), self.own_address, self.availability_zone)
-
     def _send(self, peer: Address, message: EvidenceMessage) -> None:
         self.send(peer, Topic.EVIDENCE, encode_message(message))
 
