A herd's first contact costs the contacts less

Cause: when a third of 150 daemons came back, the three seeds spent 4,442 B/s in the first 10 s (4,096 allowed), mostly on join requests: three peers were asked at once. Now one is asked at first, the versions heard from the address are asked of peers once they are known, and answers count towards the byte budget.

--- a/src/briarslip/process/membership_exchange.py
+++ b/src/briarslip/process/membership_exchange.py
@@ -26,6 +26,10 @@
     from briarslip.address import Address
 
 
+VERSION_PEERS = 2
+REQUEST_BYTES = 300
+
+
 def answer_request(
     state: Protocol, sender: Address, message: SyncRequest, now: float
 ) -> tuple[Send, ...]:
@@ -37,6 +41,8 @@
     names: set[str] = set()
     size = sum(estimated_bytes(s, names) for s in answer.statements)
     state.sync_budget.spend(size)
+    # A contact that a herd asks has less left to pass statements on.
+    state.outbox.budget.spend(REQUEST_BYTES)
     for summary in message.summaries:
         _hear_age(state, summary.availability_zone, now - summary.age, now)
     learn(state, message.sender, now)
@@ -79,8 +85,9 @@
     if message.more:
         bootstrap.sync_at = now + sync.FOLLOW_UP_SECONDS
         bootstrap.follow_up_peer = sender
+    asked = () if was_joined else _ask_versions(state, now)
     missing = sync.missing_there(state.table, message)
-    return (SendControl(sender, missing),) if missing else ()
+    return (*asked, SendControl(sender, missing)) if missing else asked
 
 
 def synchronize(state: Protocol, now: float) -> Iterator[Send]:
@@ -103,10 +110,16 @@
     bootstrap.retry_at = now + sync.retry_seconds(bootstrap.attempts, state.rng)
     bootstrap.attempts += 1
     bootstrap.contacts_wanted = True
-    targets = sync.join_targets(bootstrap, state.table, state.rng)
-    for number, peer in enumerate(targets):
-        zones = state.table.zones if number == 0 else ()
-        yield SendControl(peer, sync.request(state.table, zones, number == 0, now))
+    for peer in sync.join_targets(bootstrap, state.table, state.rng):
+        message = sync.request(state.table, state.table.zones, True, now)
+        yield SendControl(peer, message)
+
+
+def _ask_versions(state: Protocol, now: float) -> tuple[Send, ...]:
+    """Ask further peers which version they heard from this address."""
+    message = sync.request(state.table, (), False, now)
+    peers = some_peers(state, VERSION_PEERS)
+    return tuple(SendControl(peer, message) for peer in peers)
 
 
 def compare(state: Protocol, peer: Address, now: float) -> tuple[Send, ...]:
--- a/src/briarslip/process/membership_sync.py
+++ b/src/briarslip/process/membership_sync.py
@@ -71,11 +71,15 @@
 def join_targets(
     bootstrap: Bootstrap, table: Membership, rng: random.Random
 ) -> tuple[Address, ...]:
-    """Return the peers to ask next; the first one is asked for its table."""
+    """Return the peers to ask for their table: one at first, then a few.
+
+    A herd that knows only the contacts so costs these little.
+    """
     own = table.self_member.address
     near = {*bootstrap.hints, *(member.address for member in table.peers)} - {own}
     known = sorted(near) or sorted({*bootstrap.contacts} - {own})
-    return tuple(rng.sample(known, min(JOIN_PEERS, len(known))))
+    count = min(bootstrap.attempts, JOIN_PEERS, len(known))
+    return tuple(rng.sample(known, count))
 
 
 def summaries(
