Statements ride no more on datagrams to suspect peers

Counting a dead statement twice made it worse and is taken back. Such a peer now gets only what is said of itself.

--- a/src/briarslip/process/dissemination.py
+++ b/src/briarslip/process/dissemination.py
@@ -124,8 +124,7 @@
         return tuple(picked)
 
     def _count(self, entry: Queued, members: int) -> None:
-        # The others have heard the suspicion and judge by themselves.
-        entry.passes += 2 if entry.statement.status is Status.DEAD else 1
+        entry.passes += 1
         if entry.passes >= max_passes(members):
             del self.queued[entry.statement.address]
 
--- a/src/briarslip/process/membership_state.py
+++ b/src/briarslip/process/membership_state.py
@@ -102,13 +102,16 @@
 ) -> SendDatagram:
     """Return a datagram with as many statements as the byte budget allows.
 
-    A peer that is not held to be alive is told so first, to let it refute.
+    A peer that is not held to be alive is told just that, to let it refute.
     """
     own = state.own
-    picked = state.outbox.pick(zone_size(state), {own.availability_zone, own.region})
     known = state.table.members.get(peer)
     if known is not None and known.status in (Status.SUSPECT, Status.DEAD):
-        picked = (known, *picked)
+        # Others' statements would be lost on it, and count as passed on.
+        picked: tuple[Member, ...] = (known,)
+    else:
+        implied = {own.availability_zone, own.region}
+        picked = state.outbox.pick(zone_size(state), implied)
     datagram = Datagram(kind, sequence, own.running_version, picked, target)
     return SendDatagram(peer, datagram)
 
