Compare 2 s after a join, as before

Waiting 5 s held the start of a cold fleet up: two tests of the distribution task failed (12 watches instead of 16; a relay did not know two others).

--- a/src/briarslip/process/membership_sync.py
+++ b/src/briarslip/process/membership_sync.py
@@ -26,7 +26,7 @@
     from briarslip.process.membership import Membership
 
 
-FIRST_SYNC_SECONDS = 5.0
+FIRST_SYNC_SECONDS = 2.0
 SYNC_SECONDS = 30.0
 FOLLOW_UP_SECONDS = 0.5
 HINTED_PEERS = 6
