--- a/src/briarslip/version/fault_test.py
+++ b/src/briarslip/version/fault_test.py
@@ -27,6 +27,7 @@
 
 NULL_RATE_RATIO = 1.25
 MAX_GROUP_STEPS = 240
+MIN_FRESH_CALLS = 10
 MIN_CONTROL_CALLS = 20
 MIN_SHARED_EVENTS = 2
 MIN_STEP_CALLS = 5
@@ -183,9 +184,9 @@
                 self.fresh[increment.server].add(increment.counters.latencies)
         fresh_old = [self.fresh[server] for server in old if server in self.fresh]
         fresh_new = [self.fresh[server] for server in new if server in self.fresh]
-        known_new = [level for level in fresh_new if level.known]
+        known_new = [level for level in fresh_new if level.total >= MIN_FRESH_CALLS]
         if 2 * len(known_new) < len(fresh_new) or not all(
-            level.known for level in fresh_old
+            level.total >= MIN_FRESH_CALLS for level in fresh_old
         ):
             return False
         certain = lies_above(known_new, fresh_old)
@@ -197,7 +198,7 @@
         """Let the fresh levels take the place of those that misled."""
         fresh, self.fresh = self.fresh or {}, None
         for server, level in levels.items():
-            if server in fresh and fresh[server].known:
+            if server in fresh and fresh[server].total >= MIN_FRESH_CALLS:
                 level.replace(fresh[server])
 
 
