--- a/tests/request/test_choice.py
+++ b/tests/request/test_choice.py
@@ -5,9 +5,11 @@
 import random
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
+from briarslip.request.directory import REFRESH_SECONDS
 from briarslip.request.ejection import MAX_EJECTED_SHARE
 from briarslip.request.ejection import take_failure
 from briarslip.request.ejection import take_success
@@ -112,6 +114,25 @@
         servers.shares(100)
         self.assertGreater(servers.shares(1000)[2], 0.15)
 
+    def test_server_that_can_not_be_reached_is_left_out_at_once(self) -> None:
+        for load in (None, Load(0, 10)):
+            bench = Bench(*map(member, range(4)))
+            failure = Failure(Outcome.NOT_RUN, Reason.CONNECT_FAILED)
+
+            def react(
+                sent: Sent, failure: Failure = failure, load: Load | None = load
+            ) -> None:
+                if sent.address == address(0):
+                    sent.sink.failed(failure, load)
+                else:
+                    sent.answer()
+
+            bench.react = react
+            for _ in range(70):
+                bench.request("POST")
+                bench.time.advance(0.01)
+            self.assertEqual(Counter(s.address for s in bench.sent)[address(0)], 1)
+
     def test_server_that_fails_most_calls_is_ejected(self) -> None:
         bench = Bench(*map(member, range(2)))
         bench.request("POST")
@@ -151,6 +172,16 @@
             servers = Servers(bench, {0: 0.01, 1: 0.01})
             self.assertGreater(servers.shares(100)[0], 0.3)
 
+    def test_server_that_says_it_drains_gets_nothing_half_a_second_later(self) -> None:
+        bench = Bench(member(0), member(1))
+        servers = Servers(bench, dict.fromkeys(range(2), 0.01))
+        servers.shares(100)
+        first = bench.members[0]
+        endpoint = replace(first.endpoints[0], draining=True)
+        bench.members = (replace(first, endpoints=(endpoint,)), bench.members[1])
+        bench.time.advance(REFRESH_SECONDS)
+        self.assertEqual(servers.shares(100), {1: 1.0})
+
     def test_draining_server_gets_no_further_call(self) -> None:
         bench = Bench(member(0), member(1))
         failure = Failure(Outcome.NOT_RUN, Reason.DRAINING)
