--- a/tests/process/test_rollout_mesh.py
+++ b/tests/process/test_rollout_mesh.py
@@ -39,6 +39,7 @@
 window_ms = 60000
 """
 CALLERS = 2
+QUICK_STOP = ("--drain-s", "0.1")
 MAX_SMALL_SHARE = 0.05
 SETTLE_SECONDS = 3.0
 
@@ -94,7 +95,7 @@
         self.mesh.add_nodes(("klang", "klang", "penang", "penang"))
         self.mesh.start_daemons()
         for number in (0, 2):
-            self.mesh.start_backend(number, "holds", "1")
+            self.mesh.start_backend(number, "holds", "1", *QUICK_STOP)
         deadline = datetime.now(UTC) + timedelta(seconds=60)
         self.mesh.apply(RECORDS.format(deadline=deadline.isoformat()))
         self.mesh.wait_for_version(1)
@@ -113,7 +114,10 @@
 
     def test_bad_version_is_rolled_back_and_stays_so(self) -> None:
         self.mesh.signal("platform", signal.SIGSTOP)
-        new = [self.mesh.start_backend(number, "holds", "2") for number in (1, 3)]
+        new = [
+            self.mesh.start_backend(number, "holds", "2", *QUICK_STOP)
+            for number in (1, 3)
+        ]
         for backend in new:
             put_json(backend, "/standin/faults", {"failure_share": 1.0})
         with Callers(self.mesh) as callers:
@@ -136,12 +140,14 @@
     def check_report(self) -> None:
         """Check that every operator sees the one word with its evidence."""
         ask = ("rollouts", "--platform", self.mesh.platform)
+        texts = [""]
 
         def reported() -> bool:
-            return "rolled_back" in self.mesh.command(*ask)
+            texts.append(self.mesh.command(*ask))
+            return "rolled_back" in texts[-1]
 
         wait_until(reported)
-        text = self.mesh.command(*ask)
+        text = texts[-1]
         self.assertIn("holds 2", text)
         self.assertIn("route holds: failure_share", text)
 
