--- a/tests/process/test_rollout_mesh.py
+++ b/tests/process/test_rollout_mesh.py
@@ -89,7 +89,7 @@
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.mesh = Mesh(Path(directory.name))
-        self.addCleanup(self.mesh.stop_all)
+        self.addCleanup(self.kill_all)
         self.mesh.start_platform()
         self.mesh.add_nodes(("klang", "klang", "penang", "penang"))
         self.mesh.start_daemons()
@@ -100,6 +100,11 @@
         self.mesh.wait_for_version(1)
         self.wait_for("waiting_for_servers")
 
+    def kill_all(self) -> None:
+        """Kill what still runs: stopping is no matter of this test."""
+        for name in tuple(self.mesh.processes):
+            self.mesh.kill(name)
+
     def states(self) -> list[str]:
         """Return the rollout's state at each daemon that has one."""
         found: list[str] = []
@@ -136,12 +141,14 @@
     def check_report(self) -> None:
         """Check that every operator sees the one word with its evidence."""
         ask = ("rollouts", "--platform", self.mesh.platform)
+        texts = [""]
 
         def reported() -> bool:
-            return "rolled_back" in self.mesh.command(*ask)
+            texts.append(self.mesh.command(*ask))
+            return "rolled_back" in texts[-1]
 
         wait_until(reported)
-        text = self.mesh.command(*ask)
+        text = texts[-1]
         self.assertIn("holds 2", text)
         self.assertIn("route holds: failure_share", text)
 
