--- a/src/briarslip/process/suspicion.py
+++ b/src/briarslip/process/suspicion.py
@@ -23,7 +23,10 @@
 FIRST_QUESTION_SECONDS = 2.0
 QUESTION_SECONDS = 1.0
 QUESTIONS_PER_SECOND = 8.0
-LEAST_QUESTIONS = 2
+LEAST_QUESTIONS = 3
+# In a mass loss each has fewer, so that it is known in time at a bounded rate.
+FEW_SUSPECTS = 4
+LEAST_QUESTIONS_OF_MANY = 2
 ANSWER_SECONDS = 0.5
 HOLD_SECONDS = 5.0
 ISOLATED_HOLD_SECONDS = 30.0
@@ -119,11 +122,13 @@
     def overdue(self, health: LocalHealth, now: float) -> tuple[Address, ...]:
         """Return the suspects that had their time and were asked."""
         limit = SUSPECT_SECONDS * health.slowdown
+        is_few = len(self.since) <= FEW_SUSPECTS
+        least = LEAST_QUESTIONS if is_few else LEAST_QUESTIONS_OF_MANY
         return tuple(
             address
             for address, at in self.since.items()
             if now - at > limit
-            and self.questions[address] >= LEAST_QUESTIONS
+            and self.questions[address] >= least
             and now - self.asked_at[address] > ANSWER_SECONDS
         )
 
