--- /dev/null
+++ b/bench/capacity/configuration.py
@@ -0,0 +1,83 @@
+"""Time to publish and to take a change against the number of routes."""
+
+from __future__ import annotations
+
+from bench.capacity.line import Line
+from bench.capacity.target import CHANGES_PER_DAY
+from bench.capacity.target import MAX_CORE_PERCENT
+from bench.capacity.target import ROUTES
+from bench.capacity.target import ROUTES_PER_SERVICE
+from bench.capacity.target import SECONDS_PER_DAY
+from bench.convergence import route
+from bench.figure import Figure
+from bench.publish import seconds_of
+from bench.publish import stored
+from briarslip.process.change_writer import RecordWrite
+from briarslip.version.acceptance import accept
+from briarslip.version.configuration_codec import compress
+from briarslip.version.delta import apply_delta
+from briarslip.version.delta import delta_between
+from briarslip.version.record import RecordKey
+from briarslip.version.routing_table import compile_snapshot
+from briarslip.version.snapshot import EMPTY_SNAPSHOT
+
+
+ROUTE_COUNTS = (95, 190, 380, 760, 1520)
+QUICK_ROUTE_COUNTS = (190, 380)
+REPEATS = 10
+QUICK_REPEATS = 3
+
+
+def records(routes: int) -> list[RecordWrite]:
+    """Return routes, two for each service, and their services."""
+    services = [
+        RecordWrite(RecordKey("service", f"service-{number}", 1), {})
+        for number in range(-(-routes // ROUTES_PER_SERVICE))
+    ]
+    return services + [
+        route(number // ROUTES_PER_SERVICE, number % ROUTES_PER_SERVICE)
+        for number in range(routes)
+    ]
+
+
+def measure(routes: int, repeats: int) -> tuple[float, float, int]:
+    """Return seconds to accept, seconds to take, bytes of the snapshot."""
+    writes = records(routes)
+    held = {
+        write.key: stored(write, f"{1:032x}", len(writes), number)
+        for number, write in enumerate(writes, 1)
+    }
+    base = accept(EMPTY_SNAPSHOT, held).snapshot
+    amended = route(7, 0, 99)
+    held[amended.key] = stored(amended, f"{2:032x}", 1, len(writes) + 1)
+    snapshot = accept(base, held).snapshot
+    delta = delta_between(base, snapshot)
+    accepting = seconds_of(lambda: accept(base, held), repeats)
+    taking = seconds_of(lambda: apply_delta(base, delta), repeats)
+    taking += seconds_of(lambda: compile_snapshot(snapshot), repeats)
+    return accepting, taking, len(compress(snapshot.encode()))
+
+
+def configuration_figures(quick: bool) -> list[Figure]:
+    """Return points, slopes and the share of a core at the target's size."""
+    counts = QUICK_ROUTE_COUNTS if quick else ROUTE_COUNTS
+    repeats = QUICK_REPEATS if quick else REPEATS
+    points = {count: measure(count, repeats) for count in counts}
+    figures: list[Figure] = []
+    for count, (accepting, taking, size) in points.items():
+        figures += [
+            Figure(f"{count} routes: accept a change", 1000 * accepting, "ms"),
+            Figure(f"{count} routes: take a change", 1000 * taking, "ms"),
+            Figure(f"{count} routes: snapshot", size, "B"),
+        ]
+    for index, name in enumerate(("publisher", "daemon")):
+        line = Line.from_points([(n, point[index]) for n, point in points.items()])
+        share = 100 * line.at(ROUTES) * CHANGES_PER_DAY / SECONDS_PER_DAY
+        figures += [
+            Figure(f"{name}: a change, slope", 1e6 * line.slope, "us/route"),
+            Figure(f"{name}: changes of a day", share, "%", MAX_CORE_PERCENT),
+        ]
+    return figures
+
+
+__all__ = ["configuration_figures", "records"]
--- /dev/null
+++ b/bench/capacity/line.py
@@ -0,0 +1,34 @@
+"""Straight lines through measured points, by least squares."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+@dataclass(frozen=True)
+class Line:
+    """``level + slope * x``."""
+
+    level: float
+    slope: float
+
+    @classmethod
+    def from_points(cls, points: Sequence[tuple[float, float]]) -> Line:
+        """Fit a line; the points need two different values of x."""
+        mean_x = sum(x for x, _ in points) / len(points)
+        mean_y = sum(y for _, y in points) / len(points)
+        spread = sum((x - mean_x) ** 2 for x, _ in points)
+        slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+        return cls(mean_y - slope * mean_x, slope)
+
+    def at(self, x: float) -> float:
+        """Return the line's value."""
+        return self.level + self.slope * x
+
+
+__all__ = ["Line"]
--- /dev/null
+++ b/bench/capacity/memory.py
@@ -0,0 +1,156 @@
+"""Resident memory that state adds, each amount in a process of its own.
+
+``python -m bench.capacity.memory KIND COUNT`` prints the bytes added.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from bench.capacity.configuration import records
+from bench.capacity.line import Line
+from bench.capacity.target import BYTES_PER_MB
+from bench.capacity.target import MAX_MEMORY_MB
+from bench.capacity.target import ROUTES
+from bench.capacity.target import SERVERS
+from bench.capacity.target import SERVICES
+from bench.capacity.target import ZONES
+from bench.figure import Figure
+from bench.publish import stored
+from briarslip.address import Address
+from briarslip.process.member import Endpoint
+from briarslip.process.member import Member
+from briarslip.process.member import Status
+from briarslip.process.membership import Membership
+from briarslip.process.membership import take
+from briarslip.process.membership_codec import decode_control
+from briarslip.process.membership_codec import encode_control
+from briarslip.process.membership_messages import Updates
+from briarslip.request.directory import Directory
+from briarslip.version.acceptance import accept
+from briarslip.version.routing_table import compile_snapshot
+from briarslip.version.snapshot import EMPTY_SNAPSHOT
+from tests.connection.support import LinkPair
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+COUNTS = {
+    "members": (200, 800, SERVERS),
+    "routes": (190, 380, 760),
+    "links": (100, 400, SERVERS),
+}
+AT_TARGET = {"members": SERVERS, "routes": ROUTES}
+STATEMENTS_PER_MESSAGE = 100
+
+
+def _member(number: int) -> Member:
+    place = number // ZONES
+    return Member(
+        address=Address(f"10.{number % ZONES}.{place // 250}.{place % 250 + 1}", 7000),
+        availability_zone=f"zone-{number % ZONES}",
+        region=f"region-{number % ZONES // 4}",
+        incarnation=1_700_000_000_000 + number,
+        status=Status.ALIVE,
+        running_version=1000,
+        endpoints=(Endpoint(f"service-{number % SERVICES}", "1", 10, 130, False),),
+    )
+
+
+def hold_members(count: int) -> object:
+    """Return a table of members, heard in messages, and their index."""
+    table = Membership(_member(0))
+    for first in range(1, count, STATEMENTS_PER_MESSAGE):
+        last = min(count, first + STATEMENTS_PER_MESSAGE)
+        told = Updates(tuple(_member(n) for n in range(first, last)))
+        message = decode_control(encode_control(told)).unwrap()
+        assert isinstance(message, Updates)
+        for member in message.statements:
+            take(table, member, 0.0)
+    directory = Directory(lambda: table.live)
+    directory.refresh(0.0)
+    return table, directory
+
+
+def hold_routes(count: int) -> object:
+    """Return a snapshot and its table."""
+    writes = records(count)
+    held = {
+        write.key: stored(write, f"{1:032x}", len(writes), number)
+        for number, write in enumerate(writes, 1)
+    }
+    snapshot = accept(EMPTY_SNAPSHOT, held).snapshot
+    return snapshot, compile_snapshot(snapshot).unwrap()
+
+
+def hold_links(count: int) -> object:
+    """Return links, without what sockets and the reactor hold for each."""
+    return [LinkPair() for _ in range(count // 2)]
+
+
+HOLDERS: dict[str, Callable[[int], object]] = {
+    "members": hold_members,
+    "routes": hold_routes,
+    "links": hold_links,
+}
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def added_bytes(kind: str, count: int) -> int:
+    """Return the resident memory that some state adds to this process."""
+    hold = HOLDERS[kind]
+    hold(10)
+    gc.collect()
+    before = resident_bytes()
+    held: Any = hold(count)
+    gc.collect()
+    after = resident_bytes()
+    del held
+    return after - before
+
+
+def _measure(kind: str, count: int) -> int:
+    command = [sys.executable, "-m", "bench.capacity.memory", kind, str(count)]
+    done = subprocess.run(command, check=True, capture_output=True, text=True)
+    return int(done.stdout)
+
+
+def memory_figures(quick: bool) -> list[Figure]:
+    """Return points, slopes and their sum at the target's size."""
+    figures: list[Figure] = []
+    total = 0.0
+    for kind, counts in COUNTS.items():
+        if quick and kind not in AT_TARGET:
+            continue
+        chosen = counts[::2] if quick else counts
+        points = [(count, _measure(kind, count)) for count in chosen]
+        figures += [
+            Figure(f"{count} {kind}: resident memory added", size / BYTES_PER_MB, "MB")
+            for count, size in points
+        ]
+        line = Line.from_points(points)
+        figures.append(Figure(f"{kind}: slope", line.slope, "B each"))
+        total += max(0.0, line.at(AT_TARGET.get(kind, 0)))
+    name = f"{SERVERS} members and {ROUTES} routes, without the interpreter"
+    figures.append(Figure(name, total / BYTES_PER_MB, "MB", MAX_MEMORY_MB))
+    return figures
+
+
+if __name__ == "__main__":
+    print(added_bytes(sys.argv[1], int(sys.argv[2])))
+
+
+__all__ = ["memory_figures"]
--- /dev/null
+++ b/bench/capacity/platform.py
@@ -0,0 +1,161 @@
+"""The platform's calls, writes and waiting watches against zones and size."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from bench.capacity.control import target_fleet
+from bench.capacity.line import Line
+from bench.capacity.target import CHANGES_PER_DAY
+from bench.capacity.target import MAX_READS_PER_SECOND
+from bench.capacity.target import SECONDS_PER_DAY
+from bench.capacity.target import SERVERS
+from bench.capacity.target import ZONES
+from bench.convergence import route
+from bench.figure import Figure
+from standins.platform_store import WRITE_KINDS
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bench.fleet import Fleet
+
+
+LAYOUTS = ((4, 10), (4, 20), (13, 10), (13, 20))
+QUICK_LAYOUTS = ((2, 4), (4, 4))
+REST_SECONDS = 240.0
+QUICK_REST_SECONDS = 24.0
+CHANGES = 5
+DOWN_SECONDS = 30.0
+RETURN_SECONDS = 30
+CUT_SECONDS = 120
+HEALED_SECONDS = 60
+
+
+def calls_during(fleet: Fleet, work: Callable[[], object]) -> Counter[str]:
+    """Return the platform's calls by kind while work goes on."""
+    before = Counter(fleet.platform.counts)
+    work()
+    return Counter(fleet.platform.counts) - before
+
+
+def writes(calls: Counter[str]) -> int:
+    """Return how many of the calls write."""
+    return sum(calls[kind] for kind in WRITE_KINDS)
+
+
+def peaks(fleet: Fleet, seconds: int) -> tuple[Counter[str], int, int]:
+    """Return all calls, and the most calls and writes of one second."""
+    total: Counter[str] = Counter()
+    most_calls, most_writes = 0, 0
+    for _ in range(seconds):
+        calls = calls_during(fleet, lambda: fleet.run(1.0))
+        total += calls
+        most_calls = max(most_calls, calls.total())
+        most_writes = max(most_writes, writes(calls))
+    return total, most_calls, most_writes
+
+
+def _steady(fleet: Fleet, label: str, quick: bool) -> tuple[list[Figure], float, float]:
+    seconds = QUICK_REST_SECONDS if quick else REST_SECONDS
+    rest = calls_during(fleet, lambda: fleet.run(seconds))
+
+    def change() -> None:
+        for number in range(CHANGES):
+            fleet.apply(route(number, 0, 200 + number))
+            fleet.run(2.0)
+
+    idle = rest.total() / seconds
+    changing = calls_during(fleet, change)
+    per_change = changing.total() / CHANGES - 2.0 * idle
+    return (
+        [
+            Figure(f"{label}: waiting watches", fleet.platform.waiting_watches, ""),
+            Figure(f"{label}: calls at rest", idle, "1/s"),
+            Figure(f"{label}: writes at rest", writes(rest) / seconds, "1/s"),
+            Figure(f"{label}: calls a change", per_change, ""),
+            Figure(f"{label}: writes a change", writes(changing) / CHANGES, ""),
+        ],
+        idle,
+        per_change,
+    )
+
+
+def _zone_lost(fleet: Fleet, label: str) -> list[Figure]:
+    """Lose the first zone whole, and let all of it return at once."""
+    zone = fleet.running[0].zone
+    lost = [daemon for daemon in fleet.running if daemon.zone == zone]
+    for daemon in lost:
+        fleet.kill(daemon)
+    _, gone, _ = peaks(fleet, int(DOWN_SECONDS))
+    for daemon in lost:
+        fleet.restart(daemon)
+    total, most, written = peaks(fleet, RETURN_SECONDS)
+    each = total.total() / len(lost)
+    return [
+        Figure(f"{label}: zone lost, peak calls", gone, "1/s"),
+        Figure(f"{label}: zone back, calls", each, "per daemon"),
+        Figure(f"{label}: zone back, peak calls", most, "1/s"),
+        Figure(f"{label}: zone back, peak writes", written, "1/s"),
+    ]
+
+
+def _region_cut(fleet: Fleet, label: str) -> list[Figure]:
+    """Cut the first region from the platform and from all others.
+
+    Watches that a cut daemon tries to open are counted, reads are not.
+    """
+    region = fleet.running[0].region
+    zones = {d.zone for d in fleet.running if d.region == region}
+    others = {d.zone for d in fleet.running} - zones
+    fleet.zone_cuts |= {frozenset((a, b)) for a in zones for b in others}
+    for zone in zones:
+        fleet.cut_platform(zone)
+    cut, _, _ = peaks(fleet, CUT_SECONDS)
+    fleet.heal()
+    _, most, written = peaks(fleet, HEALED_SECONDS)
+    return [
+        Figure(f"{label}: region cut, calls", cut.total() / CUT_SECONDS, "1/s"),
+        Figure(f"{label}: region back, peak calls", most, "1/s"),
+        Figure(f"{label}: region back, peak writes", written, "1/s"),
+    ]
+
+
+def platform_figures(quick: bool) -> list[Figure]:
+    """Return points and what they come to at the target's size."""
+    figures: list[Figure] = []
+    idle: list[tuple[float, float]] = []
+    changes: list[tuple[float, float]] = []
+    back: list[tuple[float, float]] = []
+    for zones, size in QUICK_LAYOUTS if quick else LAYOUTS:
+        fleet = target_fleet(zones, size)
+        label = f"{zones} x {size}"
+        steady, rest, per_change = _steady(fleet, label, quick)
+        lost = _zone_lost(fleet, label)
+        figures += steady + lost
+        idle.append((zones, rest))
+        changes.append((zones, per_change))
+        back.append((size, lost[2].value))
+        if zones == ZONES:
+            figures += _region_cut(fleet, label)
+    rest = Line.from_points(idle).at(ZONES)
+    change = Line.from_points(changes).at(ZONES)
+    busy = rest + change * CHANGES_PER_DAY / SECONDS_PER_DAY
+    label = f"{ZONES} zones, from the line"
+    figures += [
+        Figure(f"{label}: calls at rest", rest, "1/s"),
+        Figure(f"{label}: calls a change", change, ""),
+        Figure(
+            f"{label}: calls, 2,200 changes a day", busy, "1/s", MAX_READS_PER_SECOND
+        ),
+    ]
+    if not quick:
+        peak = Line.from_points(back).at(SERVERS / ZONES)
+        name = f"{label}: zone of {SERVERS // ZONES} back, peak calls"
+        figures.append(Figure(name, peak, "1/s", MAX_READS_PER_SECOND))
+    return figures
+
+
+__all__ = ["platform_figures"]
--- /dev/null
+++ b/bench/capacity/rollouts.py
@@ -0,0 +1,28 @@
+"""What daemons send for rollouts while there are none."""
+
+from __future__ import annotations
+
+from bench.figure import Figure
+from standins.rollout_fleet import Fleet
+
+
+SYNC_SECONDS = 5.0
+MEASURED_SECONDS = 20.0
+LAYOUTS = (("aaabbbccc", "112112112"), ("abcdefghijklma", "12" * 7))
+
+
+def rollout_figures() -> list[Figure]:
+    """Return the busiest daemon's bytes a second, without frames."""
+    figures: list[Figure] = []
+    for zones, versions in LAYOUTS:
+        fleet = Fleet(zones, versions)
+        fleet.advance(SYNC_SECONDS)
+        fleet.sent_bytes.clear()
+        fleet.advance(MEASURED_SECONDS)
+        worst = max(fleet.sent_bytes.values(), default=0) / MEASURED_SECONDS
+        name = f"no rollout, {len(zones)} daemons: payload sent, worst"
+        figures.append(Figure(name, worst, "B/s"))
+    return figures
+
+
+__all__ = ["rollout_figures"]
