A refused retry after an unclear attempt is told as unknown

Cause: an idempotent request whose first attempt ended with an unknown outcome (connection lost) was retried; when the retry was refused (queue full, connect failed, draining, shed) the caller got the outcome of the last attempt, not-run, although the first attempt may have run. Ruled out: non-idempotent requests (never retried after unknown) and claims (made for non-idempotent requests only). Change: the exchange keeps whether an attempt may have run and turns a later not-run into unknown, for failures and for shed answers. Before: the new test failed, NOT_RUN != UNKNOWN for all refusals. Conclusion: the outcome told covers all attempts of a request.

--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -43,7 +43,8 @@
     """Sends a call until it has an answer that may be passed on.
 
     ``retried`` is true when the call came as part of a retry further out, which
-    must not be retried again here.
+    must not be retried again here. ``may_have_run`` is true after an attempt
+    with an unknown outcome, which no later refusal makes undone.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.attempt: Attempt | None = None
         self.tried: set[Server] = set()
         self.attempts = 0
+        self.may_have_run = False
         self.head_sent = False
         self.answer: StoredAnswer | None = None
         self.parts: list[bytes] = []
@@ -162,6 +164,7 @@
 
     def attempt_failed(self, failure: Failure) -> None:
         """Retry after a failed attempt, or end with its failure."""
+        self.may_have_run |= failure.outcome is not Outcome.NOT_RUN
         if self.may_retry(failure):
             self.retry()
         else:
@@ -170,6 +173,8 @@
     def head(self, head: ResponseHead) -> None:
         """Pass on the head of the attempt that is the answer."""
         self.head_sent = True
+        if self.may_have_run and head.outcome is Outcome.NOT_RUN:
+            head = replace(head, outcome=Outcome.UNKNOWN)
         if self.held is not None:
             self.answer = StoredAnswer(head.status, head.headers, b"")
             if head.outcome is Outcome.NOT_RUN:
@@ -217,8 +222,11 @@
     def _fail(self, failure: Failure) -> None:
         if self.ended:
             return
-        if failure.outcome is Outcome.NOT_RUN and not self.head_sent:
-            self._release()
+        if failure.outcome is Outcome.NOT_RUN:
+            if self.may_have_run:
+                failure = Failure(Outcome.UNKNOWN, failure.reason)
+            elif not self.head_sent:
+                self._release()
         self._finish()
         self.sink.failed(failure, None)
 
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -114,6 +114,19 @@
             bench.sent[0].sink.failed(UNKNOWN, None)
             self.assertEqual(len(bench.sent), attempts, method)
 
+    def test_unclear_attempt_is_not_told_as_not_run_after_a_refused_retry(self) -> None:
+        for refusal in (Reason.CONNECT_FAILED, Reason.QUEUE_FULL, Reason.DRAINING):
+            bench = Bench(member(1), member(2))
+            sink, _ = bench.request("GET")
+            bench.sent[0].sink.failed(UNKNOWN, None)
+            bench.sent[1].sink.failed(Failure(Outcome.NOT_RUN, refusal), None)
+            self.assertEqual(sink.failure, Failure(Outcome.UNKNOWN, refusal))
+        bench = Bench(member(1), member(2))
+        sink, _ = bench.request("GET")
+        bench.sent[0].sink.failed(UNKNOWN, None)
+        bench.sent[1].answer(status=503, outcome=Outcome.NOT_RUN)
+        self.assertEqual((sink.outcome, sink.heads[0].status), (Outcome.UNKNOWN, 503))
+
     def test_a_retry_and_what_is_nested_in_it_are_marked(self) -> None:
         bench = Bench(member(1), member(2))
         bench.request("GET", depth=2)
