A busy answer of a peer that is no longer ahead raises nothing

Cause: a pull stays under way while a version from elsewhere makes the puller forget the peer asked; its Busy answer then deleted a source that was not there, and the KeyError went through the peer link's handler. Ruled out: failed() and answered() drop sources without assuming them. Change: refused() drops the peer if it is still a source. Before: the new test ended with KeyError in refused(). After: test_puller green (9 tests).

--- a/src/briarslip/version/puller.py
+++ b/src/briarslip/version/puller.py
@@ -102,7 +102,8 @@
         return
     puller.asked = None
     if len(puller.sources) > 1:
-        del puller.sources[peer]
+        # A version that came meanwhile may have dropped the peer already.
+        puller.sources.pop(peer, None)
     puller.next_at = now + retry_after * rng.uniform(0.5, 1.5)
 
 
--- a/tests/version/test_puller.py
+++ b/tests/version/test_puller.py
@@ -79,6 +79,13 @@
             self.assertLessEqual(max(waits), limit)
             self.assertLess(min(waits), limit / 10)
 
+    def test_busy_from_a_peer_that_is_no_longer_ahead(self) -> None:
+        puller = Puller(sources={PEERS[0]: 2, PEERS[1]: 3, PEERS[2]: 3}, asked=PEERS[0])
+        puller.forget(2)
+        refused(puller, PEERS[0], 1.0, 0.0, self.rng)
+        self.assertIsNone(puller.asked)
+        self.assertEqual(puller.sources, {PEERS[1]: 3, PEERS[2]: 3})
+
 
 class ServePullTest(unittest.TestCase):
     """Steps when they are smaller, else the whole; paced."""
