One damaged value on the platform can't stop publishing or bootstrap

Cause: json.loads reads 1e999 as an infinity, which int() refuses with OverflowError, and raises RecursionError for deep nesting; neither was caught. A rollout's deadline such as 0001-01-01T00:00:00+14:00 raised OverflowError in astimezone, and a record key with a schema of more than 4300 digits ValueError in parse_key. Each ended the publishing coroutine on every try, so that no change of anybody came into force, and a damaged head ended the bootstrap's read, which was then never tried again. Ruled out: announcements and the platform's gateway and watch, which catch what they read; rollout documents are left to their owner. Change: MALFORMED_ERRORS, one tuple for what reading unexpected JSON raises, in place of six lists; instant() reports the range as a finding; parse_key takes at most 9 schema digits. Before: three tests ended with OverflowError, OverflowError and ValueError. Conclusion: a value that can't be read concerns its own record only.

--- a/src/briarslip/fields.py
+++ b/src/briarslip/fields.py
@@ -115,11 +115,11 @@
     """Read an ISO 8601 time with its offset, as an aware UTC datetime."""
     try:
         parsed = datetime.fromisoformat(value.strip())
-    except ValueError:
-        return Err(f"{value!r} is not an ISO 8601 time")
-    if parsed.tzinfo is None:
-        return Err(f"{value!r} has no offset from UTC")
-    return Ok(parsed.astimezone(UTC))
+        if parsed.tzinfo is None:
+            return Err(f"{value!r} has no offset from UTC")
+        return Ok(parsed.astimezone(UTC))
+    except (ValueError, OverflowError):
+        return Err(f"{value!r} is not an ISO 8601 time from year 1 to 9999, UTC")
 
 
 def listed(
--- a/src/briarslip/process/change_status.py
+++ b/src/briarslip/process/change_status.py
@@ -9,6 +9,8 @@
 
 from result import Err
 
+from briarslip.malformed import MALFORMED_ERRORS
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -118,7 +120,7 @@
     """Tell whether a status says that its change was accepted."""
     try:
         return bool(json.loads(value)["state"] == ACCEPTED)
-    except (ValueError, KeyError, TypeError):
+    except MALFORMED_ERRORS:
         return False
 
 
--- a/src/briarslip/process/version_store.py
+++ b/src/briarslip/process/version_store.py
@@ -16,6 +16,7 @@
 from result import Ok
 from result import Result
 
+from briarslip.malformed import MALFORMED_ERRORS
 from briarslip.process.platform import PlatformError
 from briarslip.process.settled_swap import settled_swap
 from briarslip.version.configuration_codec import Whole
@@ -86,7 +87,7 @@
     try:
         document = json.loads(found.value)
         version, digest = int(document["version"]), str(document["digest"])
-    except (ValueError, KeyError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         return Err(PlatformError(f"head can't be read: {error!r}"))
     return Ok(Head(version, digest, found.mod_revision))
 
@@ -142,7 +143,7 @@
             int(document["chunks"]),
             tuple(str(change) for change in document["changes"]),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         return Err(PlatformError(f"version {version} can't be read: {error!r}"))
     return Ok(entry)
 
--- a/src/briarslip/request/claim.py
+++ b/src/briarslip/request/claim.py
@@ -14,6 +14,8 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from briarslip.malformed import MALFORMED_ERRORS
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -151,7 +153,7 @@
     try:
         document = json.loads(value)
         return Claim(*(str(document[name]) for name in ("nonce", "digest", "holder")))
-    except (ValueError, KeyError, TypeError):
+    except MALFORMED_ERRORS:
         return None
 
 
--- a/src/briarslip/version/delta.py
+++ b/src/briarslip/version/delta.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from briarslip.malformed import MALFORMED_ERRORS
 from briarslip.version.record import parse_key
 from briarslip.version.snapshot import Snapshot
 from briarslip.version.snapshot import decode_entries
@@ -86,7 +87,7 @@
             origins,
             tuple(_read_key(text) for text in document["forgotten"]),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         return Err(f"is not a delta: {error!r}")
     return Ok(delta)
 
--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -32,6 +32,7 @@
 
 RECORDS_PREFIX = "records/"
 SCHEMA_FIELD = "schema"
+MAX_SCHEMA_DIGITS = 9
 MAX_TIMEOUT_MS = 600_000
 MAX_WINDOW_MS = 7 * 24 * 3_600_000
 RETRY_NOT_RUN = "not-run"
@@ -216,6 +217,8 @@
     kind, name, schema = parts
     if not schema.isascii() or not schema.isdigit():
         return None
+    if len(schema) > MAX_SCHEMA_DIGITS:
+        return None
     return RecordKey(kind, name, int(schema))
 
 
--- a/src/briarslip/version/snapshot.py
+++ b/src/briarslip/version/snapshot.py
@@ -14,6 +14,7 @@
 from result import Ok
 from result import Result
 
+from briarslip.malformed import MALFORMED_ERRORS
 from briarslip.version.record import Record
 from briarslip.version.record import parse_key
 
@@ -69,7 +70,7 @@
         document = json.loads(value)
         records, origins = decode_entries(document["records"])
         version = int(document["version"])
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         return Err(f"is not a snapshot: {error!r}")
     return Ok(Snapshot(version, records, origins))
 
--- a/src/briarslip/version/stored_record.py
+++ b/src/briarslip/version/stored_record.py
@@ -11,6 +11,8 @@
 from result import Ok
 from result import Result
 
+from briarslip.malformed import MALFORMED_ERRORS
+
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -87,7 +89,7 @@
                 for body in document["history"]
             ),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except MALFORMED_ERRORS as error:
         return Err(f"is not a stored record: {error!r}")
     return Ok(parsed)
 
--- a/tests/process/test_publisher.py
+++ b/tests/process/test_publisher.py
@@ -37,6 +37,15 @@
     from briarslip.version.snapshot import Snapshot
 
 
+DAMAGED_VALUES = (
+    b'{"change": "c", "change_size": 1e999, "fields": {}, "nonce": "", "history": []}',
+    b"[" * 100_000,
+    b"[]",
+    b"\xff",
+    b"null",
+)
+
+
 class CrashError(Exception):
     """The publisher died."""
 
@@ -214,9 +223,21 @@
     def test_an_unreadable_record_holds_up_nobody(self) -> None:
         self.world.store.swap("records/route/r/1", b"{}", 0)
         self.world.store.swap("records/odd", b"{}", 0)
+        self.world.store.swap(f"records/service/s/{'9' * 5000}", b"{}", 0)
+        for number, value in enumerate(DAMAGED_VALUES):
+            self.world.store.swap(f"records/service/s{number}/1", value, 0)
         self.operator.apply(service("a"))
         self.assertEqual(names(self.publish().unwrap().records), ["service a"])
 
+    def test_a_damaged_head_is_an_error_with_a_reason(self) -> None:
+        self.operator.apply(service("a"))
+        self.publish()
+        for value in (b'{"version": 1e999, "digest": ""}', *DAMAGED_VALUES):
+            damaged = self.item(HEAD_KEY)
+            self.world.store.swap(HEAD_KEY, value, damaged.mod_revision)
+            found = self.world.run(read_head(self.world.client))
+            self.assertIn("can't be read", found.unwrap_err().reason)
+
     def test_large_snapshots_stand_in_chunks(self) -> None:
         rng = random.Random(3)
         fields = {"service": "a", "match_methods": "GET"}
--- /dev/null
+++ b/tests/test_fields.py
@@ -0,0 +1,19 @@
+"""Tests of typed fields."""
+
+from __future__ import annotations
+
+import unittest
+
+from briarslip.fields import instant
+
+
+class InstantTest(unittest.TestCase):
+    """Times with an offset from UTC."""
+
+    def test_a_time_out_of_range_is_refused(self) -> None:
+        for value in ("0001-01-01T00:00:00+14:00", "9999-12-31T23:00:00-14:00"):
+            self.assertIn("not an ISO 8601 time", instant(value).unwrap_err())
+
+
+if __name__ == "__main__":
+    unittest.main()
