A relay that is laid down while it reads the head opens no watches

Cause: _read() looks at the role before it reads the head, and opened the two watches after the reply came, also when the role had been laid down meanwhile. The daemon then held two watches on the platform, which no check closes, until it became a relay again. Ruled out: set_active(False) itself stops the watches that stand; a role laid down and taken up again is read again by the job. Change: _read() looks at the role again after the reply. Before: the new test saw 2 waiting watches, not 0. After: 0; test_platform_watch green (6 tests). Conclusion: only relays watch the platform.

--- a/src/briarslip/process/relay.py
+++ b/src/briarslip/process/relay.py
@@ -117,6 +117,8 @@
         if not self.active:
             return True
         found = await self.platform.range(HEAD_KEY)
+        if not self.active:
+            return True
         if isinstance(found, Err):
             return False
         items = [item for item in found.ok_value.items if item.key == HEAD_KEY]
--- a/tests/process/test_platform_watch.py
+++ b/tests/process/test_platform_watch.py
@@ -6,9 +6,12 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from bench.fleet import FleetClock
 from briarslip.process.platform_watch import BACKOFF_CAP_SECONDS
 from briarslip.process.platform_watch import PlatformWatch
 from briarslip.process.relay import Job
+from briarslip.process.relay import Relay
+from briarslip.version.snapshot import EMPTY_SNAPSHOT
 from tests.support.virtual import VirtualPlatform
 
 
@@ -84,6 +87,29 @@
         self.assertEqual(self.world.store.waiting_watches, 0)
 
 
+class RelayTest(unittest.TestCase):
+    """The relay role, taken up and laid down."""
+
+    def test_laid_down_while_the_head_is_read(self) -> None:
+        world = VirtualPlatform()
+        clock = FleetClock(world.clock)
+        relay = Relay(
+            world.clock,
+            clock,
+            random.Random(1),
+            world.client,
+            lambda: EMPTY_SNAPSHOT,
+            lambda snapshot: None,
+            lambda: None,
+        )
+        world.store.delay_ms = 100
+        relay.set_active(True)
+        relay.set_active(False)
+        world.clock.pump([0.1] * 50)
+        self.assertEqual(world.store.waiting_watches, 0)
+        self.assertEqual(world.store.counts["watch"], 0)
+
+
 class JobTest(unittest.TestCase):
     """One run at a time; failures are repeated."""
 
