A change's status is never written without a lease

Cause: when the platform granted no lease, the status was written with lease 0, which stands for none, so that the key stayed on the platform for ever. ChangeStatuses promises keys that the platform drops. Ruled out: a lease that lapsed later: the swap fails and asks for another. Change: without a lease nothing is written; the next round tries again. Before: the new test found a status. After: none, and the next round writes it; test_publisher green. Conclusion: statuses are bounded by their lease in every case.

--- a/src/briarslip/process/change_status.py
+++ b/src/briarslip/process/change_status.py
@@ -93,6 +93,8 @@
             self._remember(change, value)
             return
         lease_id = await self._lease(now)
+        if lease_id is None:
+            return
         revision = found.mod_revision if found else 0
         reply = await self.platform.swap(key, value, revision, lease_id)
         if isinstance(reply, Err):
@@ -101,11 +103,12 @@
         elif reply.ok_value.swapped:
             self._remember(change, value)
 
-    async def _lease(self, now: float) -> int:
+    async def _lease(self, now: float) -> int | None:
+        """Return the lease for statuses, None if the platform grants none."""
         if now >= self.lease_until:
             granted = await self.platform.grant_lease(STATUS_TTL)
             if isinstance(granted, Err):
-                return 0
+                return None
             self.lease_id = granted.ok_value
             self.lease_until = now + LEASE_REUSE_SECONDS
         return self.lease_id
--- a/tests/process/test_publisher.py
+++ b/tests/process/test_publisher.py
@@ -9,8 +9,11 @@
 from typing import Any
 from unittest import mock
 
+from result import Err
+
 from briarslip.process import publisher
 from briarslip.process.change_status import ChangeStatuses
+from briarslip.process.platform import PlatformError
 from briarslip.process.publisher import HeadBehind
 from briarslip.process.publisher import LostHead
 from briarslip.process.publisher import publish
@@ -220,6 +223,16 @@
             self.world.run(work).unwrap()
         self.assertEqual(self.status(change)["state"], "accepted")
 
+    def test_no_status_is_written_that_would_stay_for_ever(self) -> None:
+        change = self.operator.apply(service("a"))
+        refused = Err(PlatformError("no lease"))
+        grant = mock.AsyncMock(return_value=refused)
+        with mock.patch.object(self.world.client, "grant_lease", grant):
+            self.publish()
+        self.assertIsNone(self.status(change))
+        self.publish()
+        self.assertEqual(self.status(change)["state"], "accepted")
+
     def test_an_unreadable_record_holds_up_nobody(self) -> None:
         self.world.store.swap("records/route/r/1", b"{}", 0)
         self.world.store.swap("records/odd", b"{}", 0)
