--- a/tests/request/test_at_most_once.py
+++ b/tests/request/test_at_most_once.py
@@ -45,7 +45,7 @@
         cls.mesh.apply(RECORDS)
         cls.mesh.wait_for_version(1)
         for number in (0, 1):
-            wait_until(lambda n=number: cls.mesh.call(n, "/holds").status == 200)  # type: ignore[misc]
+            cls.mesh.wait_for_answer(number, "/holds")
 
     def book(self, daemon: int, name: str, path: str = "/holds/1") -> Answer:
         """Send one copy of a booking."""
