--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -22,7 +22,7 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
-    from bench.fleet import FleetDaemon
+    from bench.fleet_daemon import FleetDaemon
     from briarslip.address import Address
 
 
--- a/bench/reconnect.py
+++ b/bench/reconnect.py
@@ -14,7 +14,7 @@
 from bench.convergence import MAX_FAULT_SECONDS
 from bench.convergence import Operators
 from bench.figure import Figure
-from bench.fleet import HeapClock
+from bench.fleet_clock import HeapClock
 from briarslip.connection.frame import Topic
 from briarslip.process import platform_watch
 from briarslip.process.platform_watch import PlatformWatch
--- a/tests/process/test_distribution_task.py
+++ b/tests/process/test_distribution_task.py
@@ -20,7 +20,7 @@
 
 
 if TYPE_CHECKING:
-    from bench.fleet import FleetDaemon
+    from bench.fleet_daemon import FleetDaemon
     from briarslip.address import Address
     from briarslip.version.snapshot import Snapshot
 
--- a/tests/process/test_local_servers.py
+++ b/tests/process/test_local_servers.py
@@ -5,8 +5,8 @@
 import unittest
 from dataclasses import replace
 
-from bench.fleet import FleetClock
-from bench.fleet import HeapClock
+from bench.fleet_clock import FleetClock
+from bench.fleet_clock import HeapClock
 from briarslip.address import Address
 from briarslip.process.announcements import Announcement
 from briarslip.process.local_servers import MAX_SERVERS
--- a/tests/process/test_platform_watch.py
+++ b/tests/process/test_platform_watch.py
@@ -6,7 +6,7 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from bench.fleet import FleetClock
+from bench.fleet_clock import FleetClock
 from briarslip.process.platform_watch import BACKOFF_CAP_SECONDS
 from briarslip.process.platform_watch import PlatformWatch
 from briarslip.process.relay import Job
