--- a/src/briarslip/process/relay.py
+++ b/src/briarslip/process/relay.py
@@ -9,11 +9,11 @@
 from result import Ok
 from twisted.internet.defer import Deferred
 
-from briarslip.backoff import full_jitter
 from briarslip.process.change_status import ChangeStatuses
 from briarslip.process.change_writer import MARKER_KEY
 from briarslip.process.events import Event
 from briarslip.process.events import emit
+from briarslip.process.job import Job
 from briarslip.process.platform_watch import PlatformWatch
 from briarslip.process.publisher import HeadBehind
 from briarslip.process.publisher import publish
@@ -41,8 +41,6 @@
     from briarslip.version.snapshot import Snapshot
 
 
-RETRY_BASE_SECONDS = 0.25
-RETRY_CAP_SECONDS = 4.0
 # Finds out what a watch that says nothing has missed.
 CHECK_INTERVAL_SECONDS = 8.0
 # How long each relay gives those before it to publish a change.
@@ -211,65 +209,4 @@
             self._publish_by_rank()
 
 
-class Job:
-    """Work of which one run is under way at a time, repeated until it succeeds.
-
-    A run asked for while one is under way follows it. Failed runs are
-    repeated with back-off.
-    """
-
-    def __init__(self, reactor: Any, rng: random.Random, work: Any) -> None:
-        self.reactor = reactor
-        self.rng = rng
-        self.work = work
-        self.busy = False
-        self.again = False
-        self.failures = 0
-        self.scheduled: Any = None
-
-    def run(self) -> None:
-        """Run now, or again after the run under way."""
-        self._cancel()
-        if self.busy:
-            self.again = True
-            return
-        self.busy = True
-        Deferred.fromCoroutine(self.work()).addCallbacks(self._ended, self._broken)
-
-    def run_after(self, delay: float) -> None:
-        """Run after some seconds, or sooner if that was asked for already."""
-        if not delay:
-            self.run()
-        elif self.scheduled is None:
-            self.scheduled = self.reactor.callLater(delay, self._due)
-
-    def _due(self) -> None:
-        self.scheduled = None
-        self.run()
-
-    def _cancel(self) -> None:
-        if self.scheduled is not None and self.scheduled.active():
-            self.scheduled.cancel()
-        self.scheduled = None
-
-    def _broken(self, failure: Any) -> None:
-        emit(Event.PUBLISH_FAILED, reason=failure.getTraceback())
-        self._ended(False)
-
-    def _ended(self, succeeded: bool) -> None:
-        self.busy = False
-        again, self.again = self.again, False
-        if not succeeded:
-            delay = full_jitter(
-                self.rng, self.failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
-            )
-            self.failures += 1
-            # Never zero, so that a failure can't repeat without end.
-            self.run_after(delay + RETRY_BASE_SECONDS / 10)
-            return
-        self.failures = 0
-        if again:
-            self.run()
-
-
 __all__ = ["Relay"]
--- /dev/null
+++ b/tests/process/test_job.py
@@ -0,0 +1,35 @@
+"""Tests of work that is repeated."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from briarslip.process.job import Job
+from tests.support.virtual import VirtualPlatform
+
+
+class JobTest(unittest.TestCase):
+    """One run at a time; failures are repeated."""
+
+    def test_failures_and_errors_are_repeated(self) -> None:
+        world = VirtualPlatform()
+        ends: list[bool | None] = [False, None, True]
+        runs: list[float] = []
+
+        async def work() -> bool:
+            runs.append(world.clock.seconds())
+            end = ends[len(runs) - 1]
+            if end is None:
+                raise ValueError
+            return end
+
+        job = Job(world.clock, random.Random(1), work)
+        job.run()
+        world.clock.pump([0.1] * 100)
+        self.assertEqual(len(runs), 3)
+        self.assertFalse(job.busy)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/process/test_platform_watch.py
+++ b/tests/process/test_platform_watch.py
@@ -1,4 +1,4 @@
-"""Tests of watches that go on after outages, and of jobs that are repeated."""
+"""Tests of watches that go on after outages."""
 
 from __future__ import annotations
 
@@ -6,12 +6,8 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from bench.fleet_clock import FleetClock
 from briarslip.process.platform_watch import BACKOFF_CAP_SECONDS
 from briarslip.process.platform_watch import PlatformWatch
-from briarslip.process.relay import Job
-from briarslip.process.relay import Relay
-from briarslip.version.snapshot import EMPTY_SNAPSHOT
 from tests.support.virtual import VirtualPlatform
 
 
@@ -87,50 +83,5 @@
         self.assertEqual(self.world.store.waiting_watches, 0)
 
 
-class RelayTest(unittest.TestCase):
-    """The relay role, taken up and laid down."""
-
-    def test_laid_down_while_the_head_is_read(self) -> None:
-        world = VirtualPlatform()
-        clock = FleetClock(world.clock)
-        relay = Relay(
-            world.clock,
-            clock,
-            random.Random(1),
-            world.client,
-            lambda: EMPTY_SNAPSHOT,
-            lambda snapshot: None,
-            lambda: None,
-        )
-        world.store.delay_ms = 100
-        relay.set_active(True)
-        relay.set_active(False)
-        world.clock.pump([0.1] * 50)
-        self.assertEqual(world.store.waiting_watches, 0)
-        self.assertEqual(world.store.counts["watch"], 0)
-
-
-class JobTest(unittest.TestCase):
-    """One run at a time; failures are repeated."""
-
-    def test_failures_and_errors_are_repeated(self) -> None:
-        world = VirtualPlatform()
-        ends: list[bool | None] = [False, None, True]
-        runs: list[float] = []
-
-        async def work() -> bool:
-            runs.append(world.clock.seconds())
-            end = ends[len(runs) - 1]
-            if end is None:
-                raise ValueError
-            return end
-
-        job = Job(world.clock, random.Random(1), work)
-        job.run()
-        world.clock.pump([0.1] * 100)
-        self.assertEqual(len(runs), 3)
-        self.assertFalse(job.busy)
-
-
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/process/test_relay.py
@@ -0,0 +1,38 @@
+"""Tests of the relay role."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from bench.fleet_clock import FleetClock
+from briarslip.process.relay import Relay
+from briarslip.version.snapshot import EMPTY_SNAPSHOT
+from tests.support.virtual import VirtualPlatform
+
+
+class RelayTest(unittest.TestCase):
+    """The relay role, taken up and laid down."""
+
+    def test_laid_down_while_the_head_is_read(self) -> None:
+        world = VirtualPlatform()
+        clock = FleetClock(world.clock)
+        relay = Relay(
+            world.clock,
+            clock,
+            random.Random(1),
+            world.client,
+            lambda: EMPTY_SNAPSHOT,
+            lambda snapshot: None,
+            lambda: None,
+        )
+        world.store.delay_ms = 100
+        relay.set_active(True)
+        relay.set_active(False)
+        world.clock.pump([0.1] * 50)
+        self.assertEqual(world.store.waiting_watches, 0)
+        self.assertEqual(world.store.counts["watch"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
