A port of many digits is refused, not raised

Cause: parse_address asked int() of any run of digits; int() raises ValueError above 4300 of them. An address comes from announcements, and from the holder of a claim on the platform, where the error ended the claim's coroutine, so that the caller waited for the time-out. Change: at most five digits. Before: the new test ended with ValueError. After: test_fields green. Conclusion: every text gives an address or a reason.

--- a/src/briarslip/address.py
+++ b/src/briarslip/address.py
@@ -11,6 +11,7 @@
 
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 class Address(NamedTuple):
@@ -35,7 +36,12 @@
         ipaddress.ip_address(host)
     except ValueError:
         return Err(f"{host!r} is not an IP number")
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    if (
+        not port.isascii()
+        or not port.isdigit()
+        or len(port) > MAX_PORT_DIGITS
+        or not 0 < int(port) <= MAX_PORT
+    ):
         return Err(f"{port!r} is not a port from 1 to {MAX_PORT}")
     return Ok(Address(host, int(port)))
 
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from briarslip.fields import address
 from briarslip.fields import instant
 
 
@@ -15,5 +16,13 @@
             self.assertIn("not an ISO 8601 time", instant(value).unwrap_err())
 
 
+class AddressTest(unittest.TestCase):
+    """An IP number and a port."""
+
+    def test_a_port_of_many_digits_is_refused(self) -> None:
+        for port in ("9" * 5000, "65536", "0", ""):
+            self.assertIn("not a port", address(f"127.0.0.1:{port}").unwrap_err())
+
+
 if __name__ == "__main__":
     unittest.main()
