A record file that can't be read is a finding

Cause: read_files() let OSError and UnicodeDecodeError pass; a file in another encoding ended the command with a traceback, and hid the findings of the other files. The daemon's settings were treated rightly already.

--- a/src/briarslip/console/record_files.py
+++ b/src/briarslip/console/record_files.py
@@ -26,7 +26,12 @@
     records: dict[RecordKey, Record] = {}
     findings: list[Finding] = []
     for path in paths:
-        result = records_from_ini(path.read_text(encoding="utf-8"), str(path))
+        try:
+            text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            findings.append(Finding(str(path), 0, "", "", f"can't be read: {error}"))
+            continue
+        result = records_from_ini(text, str(path))
         if isinstance(result, Err):
             findings.extend(result.err_value)
             continue
