--- a/standins/local_platform.py
+++ b/standins/local_platform.py
@@ -39,22 +39,22 @@
     """A watch whose callbacks run through ``call_later``."""
 
     def __init__(self, call_later: Callable[..., object]) -> None:
-        self._call_later = call_later
-        self._stopped = False
+        self.call_later = call_later
+        self.stopped = False
         self.inner: StandInWatch | None = None
 
     def stop(self) -> None:
         """Stop the watch; no callback runs afterwards."""
-        self._stopped = True
+        self.stopped = True
         if self.inner is not None:
             self.inner.stop()
 
     def schedule(self, callback: Callable[[T], None], argument: T) -> None:
         """Run a callback soon, unless the watch is stopped by then."""
-        self._call_later(0, self._run, callback, argument)
+        self.call_later(0, self._run, callback, argument)
 
     def _run(self, callback: Callable[[T], None], argument: T) -> None:
-        if not self._stopped:
+        if not self.stopped:
             callback(argument)
 
 
@@ -71,20 +71,20 @@
         call_later: Callable[..., object],
         timeout: timedelta = DEFAULT_TIMEOUT,
     ) -> None:
-        self._state = state
-        self._call_later = call_later
-        self._timeout = timeout
+        self.state = state
+        self.call_later = call_later
+        self.timeout = timeout
 
     async def get(self, key: str) -> Result[KeyValue | None, PlatformError]:
         """Read one key."""
-        return await self._call("range", lambda: self._state.get(key))
+        return await self._call("range", lambda: self.state.get(key))
 
     async def range(self, prefix: str) -> Result[RangeReply, PlatformError]:
         """Read every key under a prefix, in key order."""
         return await self._call(
             "range",
             lambda: RangeReply(
-                self._state.range(prefix_range(prefix)), self._state.revision
+                self.state.range(prefix_range(prefix)), self.state.revision
             ),
         )
 
@@ -97,26 +97,26 @@
     ) -> Result[SwapReply, PlatformError]:
         """Write ``value`` if the key's mod revision is ``expected_revision``."""
         return await self._call(
-            "txn", lambda: self._state.swap(key, value, expected_revision, lease_id)
+            "txn", lambda: self.state.swap(key, value, expected_revision, lease_id)
         )
 
     async def grant_lease(self, ttl: timedelta) -> Result[int, PlatformError]:
         """Grant a lease, in whole seconds rounded up, and return its id."""
         whole = timedelta(seconds=max(1, math.ceil(ttl.total_seconds())))
-        return await self._call("lease_grant", lambda: self._state.grant_lease(whole))
+        return await self._call("lease_grant", lambda: self.state.grant_lease(whole))
 
     async def keep_alive(
         self, lease_id: int
     ) -> Result[timedelta | None, PlatformError]:
         """Renew a lease; return what is left of it, None if it has lapsed."""
         return await self._call(
-            "lease_keepalive", lambda: self._state.keep_alive(lease_id)
+            "lease_keepalive", lambda: self.state.keep_alive(lease_id)
         )
 
     async def revoke_lease(self, lease_id: int) -> Result[None, PlatformError]:
         """Revoke a lease; one that has lapsed already counts as revoked."""
         reply = await self._call(
-            "lease_revoke", lambda: self._state.lapse_lease(lease_id)
+            "lease_revoke", lambda: self.state.lapse_lease(lease_id)
         )
         return reply.map(lambda _: None)
 
@@ -128,16 +128,16 @@
         on_closed: Callable[[WatchClosed], None],
     ) -> Watch:
         """Watch a prefix from ``start_revision`` on (inclusive)."""
-        self._state.counts["watch"] += 1
-        watch = _LocalWatch(self._call_later)
-        if self._state.outage:
+        self.state.counts["watch"] += 1
+        watch = _LocalWatch(self.call_later)
+        if self.state.outage:
             watch.schedule(on_closed, WatchClosed("outage"))
             return watch
 
         def close(reason: str, compact_revision: int) -> None:
             watch.schedule(on_closed, WatchClosed(reason, compact_revision > 0))
 
-        watch.inner = self._state.open_watch(
+        watch.inner = self.state.open_watch(
             prefix_range(prefix),
             start_revision,
             lambda events: watch.schedule(on_events, events),
@@ -149,14 +149,14 @@
         self, kind: str, operation: Callable[[], T]
     ) -> Result[T, PlatformError]:
         is_write = kind in WRITE_KINDS
-        self._state.counts[kind] += 1
-        if self._state.outage:
+        self.state.counts[kind] += 1
+        if self.state.outage:
             # As over the wire, where a closed connection tells nothing.
             return Err(PlatformError("outage", is_write))
-        delay = timedelta(milliseconds=self._state.delay_ms)
-        if delay > self._timeout:
-            self._call_later(delay.total_seconds(), self._finish, kind, operation)
-            await self._sleep(self._timeout)
+        delay = timedelta(milliseconds=self.state.delay_ms)
+        if delay > self.timeout:
+            self.call_later(delay.total_seconds(), self._finish, kind, operation)
+            await self._sleep(self.timeout)
             return Err(PlatformError("timed out", is_write))
         if delay:
             await self._sleep(delay)
@@ -169,13 +169,13 @@
             value = operation()
         except LeaseNotFoundError:
             return Err(PlatformError("lease not found"))
-        if self._state.take_lost_answer(kind):
+        if self.state.take_lost_answer(kind):
             return Err(PlatformError("answer lost", maybe_applied=True))
         return Ok(value)
 
     async def _sleep(self, length: timedelta) -> None:
         waiting: Deferred[None] = Deferred()
-        self._call_later(length.total_seconds(), waiting.callback, None)
+        self.call_later(length.total_seconds(), waiting.callback, None)
         await waiting
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -78,9 +78,9 @@
         base: Any = super()
         base.__init__()
         self.isLeaf = True
-        self._state = state
-        self._progress_interval = progress_interval
-        self._answers = {
+        self.state = state
+        self.progress_interval = progress_interval
+        self.answers = {
             "range": self._range,
             "txn": self._txn,
             "lease_grant": self._lease_grant,
@@ -92,8 +92,8 @@
         """Answer with the call counts."""
         if request.path != b"/standin/counts":
             return _refuse(request, HTTPStatus.NOT_FOUND, 5, "no such page")
-        counts = dict(self._state.counts)
-        gauges = {"waiting_watches": self._state.waiting_watches}
+        counts = dict(self.state.counts)
+        gauges = {"waiting_watches": self.state.waiting_watches}
         return json.dumps({"calls": counts, "gauges": gauges}).encode()
 
     def render_PUT(self, request: Any) -> bytes:  # noqa: N802 - Twisted's name
@@ -101,7 +101,7 @@
         if request.path != b"/standin/switches":
             return _refuse(request, HTTPStatus.NOT_FOUND, 5, "no such page")
         try:
-            apply_switches(self._state, json.load(request.content))
+            apply_switches(self.state, json.load(request.content))
         except (ValueError, TypeError, AttributeError) as problem:
             return _refuse(request, HTTPStatus.BAD_REQUEST, 3, str(problem))
         return b"{}"
@@ -111,17 +111,17 @@
         kind = KINDS.get(request.path.decode("utf-8", "replace"))
         if kind is None:
             return _refuse(request, HTTPStatus.NOT_FOUND, 5, "no such call")
-        self._state.counts[kind] += 1
-        if self._state.outage == OUTAGE_STATUS:
+        self.state.counts[kind] += 1
+        if self.state.outage == OUTAGE_STATUS:
             return _refuse(request, HTTPStatus.SERVICE_UNAVAILABLE, 14, "outage")
-        if self._state.outage:
+        if self.state.outage:
             request.transport.abortConnection()
             return NOT_DONE_YET
         request.notifyFinish().addErrback(lambda _: None)
         body = request.content.read()
-        if self._state.delay_ms:
-            delay = self._state.delay_ms / 1000
-            self._state.clock.callLater(delay, self._serve, request, kind, body)
+        if self.state.delay_ms:
+            delay = self.state.delay_ms / 1000
+            self.state.clock.callLater(delay, self._serve, request, kind, body)
         else:
             self._serve(request, kind, body)
         return NOT_DONE_YET
@@ -132,12 +132,12 @@
             if kind == "watch":
                 self._watch(request, message["create_request"])
                 return
-            answer = json.dumps(self._answers[kind](message)).encode()
+            answer = json.dumps(self.answers[kind](message)).encode()
         except LeaseNotFoundError:
             answer = _refuse(request, HTTPStatus.NOT_FOUND, 5, "lease not found")
         except (KeyError, IndexError, TypeError, ValueError) as problem:
             answer = _refuse(request, HTTPStatus.BAD_REQUEST, 3, repr(problem))
-        lost = self._state.take_lost_answer(kind)
+        lost = self.state.take_lost_answer(kind)
         if request._disconnected:
             return
         if lost:
@@ -147,14 +147,14 @@
         request.finish()
 
     def _header(self) -> dict[str, str]:
-        return {"revision": str(self._state.revision)}
+        return {"revision": str(self.state.revision)}
 
     def _range(self, message: dict[str, Any]) -> dict[str, Any]:
         key_range = _range_of(message)
         if key_range[1]:
-            items = self._state.range(key_range)
+            items = self.state.range(key_range)
         else:
-            item = self._state.get(key_range[0].decode())
+            item = self.state.get(key_range[0].decode())
             items = (item,) if item else ()
         kvs = [_item_json(item) for item in items]
         return {"header": self._header(), "kvs": kvs, "count": str(len(kvs))}
@@ -164,7 +164,7 @@
         (success,) = message["success"]
         put = success.get("request_put", {})
         value = decode(put.get("value", "")) if put else None
-        reply = self._state.swap(
+        reply = self.state.swap(
             decode(compare["key"]).decode(),
             value,
             int(compare["mod_revision"]),
@@ -178,18 +178,18 @@
 
     def _lease_grant(self, message: dict[str, Any]) -> dict[str, Any]:
         ttl = int(message["TTL"])
-        lease_id = self._state.grant_lease(timedelta(seconds=ttl))
+        lease_id = self.state.grant_lease(timedelta(seconds=ttl))
         return {"header": self._header(), "ID": str(lease_id), "TTL": str(ttl)}
 
     def _lease_keepalive(self, message: dict[str, Any]) -> dict[str, Any]:
         result = {"header": self._header(), "ID": message["ID"]}
-        left = self._state.keep_alive(int(message["ID"]))
+        left = self.state.keep_alive(int(message["ID"]))
         if left is not None:
             result["TTL"] = str(int(left.total_seconds()))
         return {"result": result}
 
     def _lease_revoke(self, message: dict[str, Any]) -> dict[str, Any]:
-        if not self._state.lapse_lease(int(message["ID"])):
+        if not self.state.lapse_lease(int(message["ID"])):
             raise LeaseNotFoundError(message["ID"])
         return {"header": self._header()}
 
@@ -197,7 +197,7 @@
         if not request._disconnected:
             key_range = _range_of(create)
             start = int(create.get("start_revision", 0))
-            _WatchAnswer(self._state, request, self._progress_interval).open(
+            _WatchAnswer(self.state, request, self.progress_interval).open(
                 key_range, start
             )
 
@@ -208,51 +208,51 @@
     def __init__(
         self, state: PlatformStandIn, request: Any, interval: timedelta
     ) -> None:
-        self._state = state
-        self._request = request
-        self._interval = interval
-        self._watch: StandInWatch | None = None
-        self._timer: DelayedCall | None = None
+        self.state = state
+        self.request = request
+        self.interval = interval
+        self.watch: StandInWatch | None = None
+        self.timer: DelayedCall | None = None
 
     def open(self, key_range: tuple[bytes, bytes], start_revision: int) -> None:
         """Answer that the watch is made, then deliver its events."""
-        self._request.notifyFinish().addBoth(self._finished)
+        self.request.notifyFinish().addBoth(self._finished)
         self._write({"created": True})
         self._schedule()
-        self._watch = self._state.open_watch(
+        self.watch = self.state.open_watch(
             key_range, start_revision, self._deliver, self._close
         )
 
     def _write(self, result: dict[str, Any]) -> None:
-        header = {"revision": str(self._state.revision)}
+        header = {"revision": str(self.state.revision)}
         line = json.dumps({"result": {"header": header} | result})
-        self._request.write(line.encode() + b"\n")
+        self.request.write(line.encode() + b"\n")
 
     def _deliver(self, events: tuple[WatchEvent, ...]) -> None:
         self._write({"events": [_event_json(event) for event in events]})
 
     def _close(self, reason: str, compact_revision: int) -> None:
         if not compact_revision:
-            self._request.transport.abortConnection()
+            self.request.transport.abortConnection()
             return
         compacted = {"canceled": True, "compact_revision": str(compact_revision)}
         self._write(compacted | {"cancel_reason": reason})
-        self._request.finish()
+        self.request.finish()
 
     def _schedule(self) -> None:
-        delay = self._interval.total_seconds()
-        self._timer = self._state.clock.callLater(delay, self._progress)
+        delay = self.interval.total_seconds()
+        self.timer = self.state.clock.callLater(delay, self._progress)
 
     def _progress(self) -> None:
-        if not self._state.freeze_watches:
+        if not self.state.freeze_watches:
             self._write({})
         self._schedule()
 
     def _finished(self, _: object) -> None:
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        if self._watch is not None:
-            self._watch.stop()
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        if self.watch is not None:
+            self.watch.stop()
 
 
 def _refuse(request: Any, status: HTTPStatus, code: int, text: str) -> bytes:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -53,7 +53,7 @@
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_closed: Callable[[str, int], None],
     ) -> None:
-        self._state = state
+        self.state = state
         self.key_range = key_range
         self.next_revision = start_revision
         self.on_events = on_events
@@ -61,7 +61,7 @@
 
     def stop(self) -> None:
         """Stop the watch without a callback."""
-        self._state.forget_watch(self)
+        self.state.forget_watch(self)
 
 
 def in_range(key: str, key_range: tuple[bytes, bytes]) -> bool:
@@ -87,18 +87,18 @@
         self.lose_answers = 0
         self._outage = OUTAGE_NONE
         self._freeze_watches = False
-        self._history_limit = history_limit
-        self._history: deque[tuple[WatchEvent, ...]] = deque()
-        self._items: dict[str, KeyValue] = {}
-        self._leases: dict[int, _Lease] = {}
-        self._last_lease_id = 1000
+        self.history_limit = history_limit
+        self.history: deque[tuple[WatchEvent, ...]] = deque()
+        self.items: dict[str, KeyValue] = {}
+        self.leases: dict[int, _Lease] = {}
+        self.last_lease_id = 1000
         # A dict keeps the order of opening, so that runs repeat exactly.
-        self._watches: dict[StandInWatch, None] = {}
+        self.watches: dict[StandInWatch, None] = {}
 
     @property
     def waiting_watches(self) -> int:
         """The number of watches now open."""
-        return len(self._watches)
+        return len(self.watches)
 
     @property
     def outage(self) -> str:
@@ -111,7 +111,7 @@
             raise ValueError(f"outage is one of {OUTAGES}, not {how!r}")
         self._outage = how
         if how:
-            for watch in tuple(self._watches):
+            for watch in tuple(self.watches):
                 self._close_watch(watch, "outage", 0)
 
     @property
@@ -133,18 +133,18 @@
 
     def get(self, key: str) -> KeyValue | None:
         """Return one key."""
-        return self._items.get(key)
+        return self.items.get(key)
 
     def range(self, key_range: tuple[bytes, bytes]) -> tuple[KeyValue, ...]:
         """Return the keys of a range in key order."""
-        keys = sorted(key for key in self._items if in_range(key, key_range))
-        return tuple(self._items[key] for key in keys)
+        keys = sorted(key for key in self.items if in_range(key, key_range))
+        return tuple(self.items[key] for key in keys)
 
     def swap(
         self, key: str, value: bytes | None, expected_revision: int, lease_id: int = 0
     ) -> SwapReply:
         """Write or delete a key if its mod revision is the expected one."""
-        current = self._items.get(key)
+        current = self.items.get(key)
         found_revision = current.mod_revision if current else 0
         if found_revision != expected_revision:
             return SwapReply(False, self.revision, current)
@@ -156,15 +156,15 @@
 
     def grant_lease(self, ttl: timedelta) -> int:
         """Grant a lease and return its id."""
-        self._last_lease_id += 1
-        lease_id = self._last_lease_id
+        self.last_lease_id += 1
+        lease_id = self.last_lease_id
         expiry = self.clock.callLater(ttl.total_seconds(), self.lapse_lease, lease_id)
-        self._leases[lease_id] = _Lease(ttl, expiry)
+        self.leases[lease_id] = _Lease(ttl, expiry)
         return lease_id
 
     def keep_alive(self, lease_id: int) -> timedelta | None:
         """Renew a lease; None if there is none."""
-        lease = self._leases.get(lease_id)
+        lease = self.leases.get(lease_id)
         if lease is None:
             return None
         lease.expiry.reset(lease.ttl.total_seconds())
@@ -172,7 +172,7 @@
 
     def lapse_lease(self, lease_id: int) -> bool:
         """End a lease and delete its keys; False if there is none."""
-        lease = self._leases.pop(lease_id, None)
+        lease = self.leases.pop(lease_id, None)
         if lease is None:
             return False
         if lease.expiry.active():
@@ -190,22 +190,22 @@
         """Open a watch; ``on_closed`` gets the reason and compact revision."""
         start = start_revision or self.revision + 1
         watch = StandInWatch(self, key_range, start, on_events, on_closed)
-        self._watches[watch] = None
+        self.watches[watch] = None
         self._pump(watch)
         return watch
 
     def forget_watch(self, watch: StandInWatch) -> None:
         """Drop a watch without a callback."""
-        self._watches.pop(watch, None)
+        self.watches.pop(watch, None)
 
     def _put(self, key: str, value: bytes, lease_id: int) -> None:
-        if lease_id and lease_id not in self._leases:
+        if lease_id and lease_id not in self.leases:
             raise LeaseNotFoundError(lease_id)
         self._detach(key)
         if lease_id:
-            self._leases[lease_id].keys.add(key)
+            self.leases[lease_id].keys.add(key)
         self.revision += 1
-        self._items[key] = KeyValue(key, value, self.revision, lease_id)
+        self.items[key] = KeyValue(key, value, self.revision, lease_id)
         self._record((WatchEvent(key, value, self.revision),))
 
     def _delete(self, keys: tuple[str, ...]) -> None:
@@ -214,27 +214,27 @@
         self.revision += 1
         for key in keys:
             self._detach(key)
-            del self._items[key]
+            del self.items[key]
         self._record(tuple(WatchEvent(key, None, self.revision) for key in keys))
 
     def _detach(self, key: str) -> None:
-        item = self._items.get(key)
-        if item and item.lease_id in self._leases:
-            self._leases[item.lease_id].keys.discard(key)
+        item = self.items.get(key)
+        if item and item.lease_id in self.leases:
+            self.leases[item.lease_id].keys.discard(key)
 
     def _record(self, events: tuple[WatchEvent, ...]) -> None:
-        self._history.append(events)
-        if len(self._history) > self._history_limit:
-            self._history.popleft()
+        self.history.append(events)
+        if len(self.history) > self.history_limit:
+            self.history.popleft()
             self.oldest_revision += 1
         self._pump_all()
 
     def _pump_all(self) -> None:
-        for watch in tuple(self._watches):
+        for watch in tuple(self.watches):
             self._pump(watch)
 
     def _pump(self, watch: StandInWatch) -> None:
-        if self._freeze_watches or watch not in self._watches:
+        if self._freeze_watches or watch not in self.watches:
             return
         # A fresh store has compacted nothing: revision 1 is empty, not lost.
         if watch.next_revision < self.oldest_revision and self.oldest_revision > 2:
@@ -243,8 +243,8 @@
         first = max(0, watch.next_revision - self.oldest_revision)
         events = tuple(
             event
-            for index in range(first, len(self._history))
-            for event in self._history[index]
+            for index in range(first, len(self.history))
+            for event in self.history[index]
             if in_range(event.key, watch.key_range)
         )
         watch.next_revision = max(watch.next_revision, self.revision + 1)
--- a/tests/process/test_distribution_task.py
+++ b/tests/process/test_distribution_task.py
@@ -178,7 +178,7 @@
     def test_watch_resumed_after_compaction(self) -> None:
         self.fleet.platform.outage = "close"
         self.watched.run(1.0)
-        self.fleet.platform._history.clear()
+        self.fleet.platform.history.clear()
         self.fleet.platform.oldest_revision = self.fleet.platform.revision + 9
         self.fleet.platform.revision += 9
         self.fleet.platform.outage = ""
