--- a/src/briarslip/fields.py
+++ b/src/briarslip/fields.py
@@ -22,6 +22,7 @@
     from collections.abc import Iterable
 
     from briarslip.address import Address
+    from briarslip.ini import IniField
     from briarslip.ini import IniSection
 
 
@@ -145,7 +146,7 @@
 def read_fields(
     source: str, section: IniSection, specs: Iterable[FieldSpec]
 ) -> Result[dict[str, Any], tuple[Finding, ...]]:
-    """Read a section by its specs, with all faults reported together.
+    """Read a section by its specs; the error holds all findings.
 
     The values stand under the field's name without its unit ``_ms``, since a
     duration is read into a timedelta.
@@ -155,23 +156,14 @@
     values: dict[str, Any] = {}
     for spec in specs:
         field = given.pop(spec.name, None)
-        attribute = spec.name.removesuffix("_ms")
-        if field is None:
-            values[attribute] = spec.default
-            if spec.required:
-                reason = "is missing"
-                findings.append(
-                    Finding(source, section.line, section.name, spec.name, reason)
-                )
-            continue
-        result = spec.parse(field.value)
+        result = _read_field(spec, field)
         if isinstance(result, Err):
-            reason = result.err_value
+            line = section.line if field is None else field.line
             findings.append(
-                Finding(source, field.line, section.name, spec.name, reason)
+                Finding(source, line, section.name, spec.name, result.err_value)
             )
-            continue
-        values[attribute] = result.ok_value
+        else:
+            values[spec.name.removesuffix("_ms")] = result.ok_value
     findings.extend(
         Finding(source, field.line, section.name, field.key, "unknown field")
         for field in given.values()
@@ -179,6 +171,13 @@
     return Err(tuple(findings)) if findings else Ok(values)
 
 
+def _read_field(spec: FieldSpec, field: IniField | None) -> Result[Any, str]:
+    """Return a field's value or its default; the error is a reason."""
+    if field is not None:
+        return spec.parse(field.value)
+    return Err("is missing") if spec.required else Ok(spec.default)
+
+
 __all__ = [
     "REQUIRED",
     "FieldSpec",
--- a/src/briarslip/process/publisher.py
+++ b/src/briarslip/process/publisher.py
@@ -73,12 +73,10 @@
     puts a version in force. Records are read after the head, so that they are
     never older than it. Return the snapshot in force.
     """
-    found = await read_head(platform)
+    found = await _head_not_behind(platform, running)
     if isinstance(found, Err):
         return found
     head = found.ok_value
-    if head.version < running.version:
-        return Err(HeadBehind(head.version, running.version))
     base = await read_version(platform, head, running)
     if isinstance(base, Err):
         return base
@@ -99,6 +97,18 @@
     return Ok(acceptance.snapshot)
 
 
+async def _head_not_behind(
+    platform: PlatformClient, running: Snapshot
+) -> Result[Head, PublishError]:
+    found = await read_head(platform)
+    if isinstance(found, Err):
+        return found
+    head = found.ok_value
+    if head.version < running.version:
+        return Err(HeadBehind(head.version, running.version))
+    return Ok(head)
+
+
 async def _put_in_force(
     platform: PlatformClient, head: Head, base: Snapshot, acceptance: Acceptance
 ) -> Result[None, PublishError]:
