--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -73,7 +73,3 @@
             done = briarslip("check", str(path))
         self.assertEqual(done.returncode, session.EXIT_BAD_INPUT)
         self.assertEqual(len(done.stderr.splitlines()), 4, done.stderr)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/console/test_daemon.py
+++ b/tests/console/test_daemon.py
@@ -74,7 +74,3 @@
             process.send_signal(signal.SIGTERM)
             process.communicate(timeout=SECONDS)
         self.assertEqual(process.returncode, 0)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/console/test_record_files.py
+++ b/tests/console/test_record_files.py
@@ -25,7 +25,3 @@
         self.assertEqual(end.exception.code, EXIT_BAD_INPUT)
         for path in (latin, absent):
             self.assertIn(str(path), errors.getvalue())
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -70,7 +70,3 @@
             str(value) for name, value in vars(session).items() if name[:5] == "EXIT_"
         }
         self.assertEqual(listed, coded | {"0"})
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_announcements.py
+++ b/tests/process/test_announcements.py
@@ -43,7 +43,3 @@
     def test_what_is_not_a_json_object(self) -> None:
         for body in (b"", b"\xff", b"[1]", b"[" * 100_000):
             self.assertEqual([""], findings(body))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_change_writer.py
+++ b/tests/process/test_change_writer.py
@@ -205,7 +205,3 @@
         for written in won.values():
             for key in written.keys:
                 self.assertIn(key, running.records)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_claim_interleavings.py
+++ b/tests/process/test_claim_interleavings.py
@@ -150,7 +150,3 @@
     6: AtMostOnceTest.pause_or_resume,
     7: AtMostOnceTest.give_up,
 }
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_claims.py
+++ b/tests/process/test_claims.py
@@ -183,7 +183,3 @@
         self.time.advance(LEASE_SECONDS + 1)
         self.assertIsNone(self.state.get(KEY))
         self.assertIsInstance(self.one.acquire("other")[0], HeldClaim)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_configuration_faults.py
+++ b/tests/process/test_configuration_faults.py
@@ -125,7 +125,3 @@
                 tables = [d.distribution.table for d in faults.fleet.running]
                 self.assertTrue(all("last" in table.services for table in tables))
                 self.assertEqual(watched.violations, [])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_configuration_mesh.py
+++ b/tests/process/test_configuration_mesh.py
@@ -168,7 +168,3 @@
             stderr=subprocess.PIPE,
             text=True,
         )
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_dissemination.py
+++ b/tests/process/test_dissemination.py
@@ -59,7 +59,3 @@
         for number in range(MAX_QUEUED + 100):
             self.outbox.put(member(number))
         self.assertEqual(MAX_QUEUED, len(self.outbox.queued))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_distribution_task.py
+++ b/tests/process/test_distribution_task.py
@@ -331,7 +331,3 @@
             stale = encode_message(Offer(1))
             daemon.take_control(relay.address, Topic.CONFIGURATION, stale)
         self.assert_converges(3)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_etcd_gateway.py
+++ b/tests/process/test_etcd_gateway.py
@@ -358,7 +358,3 @@
         self.assertIsNone(state.get("k"))
         clock.advance(0.5)
         self.assertIsNotNone(state.get("k"))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_events.py
+++ b/tests/process/test_events.py
@@ -34,7 +34,3 @@
 
     def test_level_leaves_lesser_events_out(self) -> None:
         self.assertEqual(len(self.lines(LogSettings("json", "warning"))), 1)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_failure_detector.py
+++ b/tests/process/test_failure_detector.py
@@ -186,7 +186,3 @@
             len(s.datagram.statements) for s in sends if isinstance(s, SendDatagram)
         )
         self.assertLess(sent * 30, 1_024 * 20 + 4_096)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_job.py
+++ b/tests/process/test_job.py
@@ -29,7 +29,3 @@
         world.clock.pump([0.1] * 100)
         self.assertEqual(len(runs), 3)
         self.assertFalse(job.busy)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_local_servers.py
+++ b/tests/process/test_local_servers.py
@@ -95,7 +95,3 @@
     def test_servers_beyond_the_limit_are_refused(self) -> None:
         taken = [self.servers.take(announcement(9000 + n)) for n in range(8)]
         self.assertEqual([True] * MAX_SERVERS + [False] * 2, taken)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_platform_watch.py
+++ b/tests/process/test_platform_watch.py
@@ -81,7 +81,3 @@
         self.world.store.outage = ""
         self.world.clock.pump([0.1] * 100)
         self.assertEqual(self.world.store.waiting_watches, 0)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_publisher.py
+++ b/tests/process/test_publisher.py
@@ -297,7 +297,3 @@
         self.world.run(slow.report_accepted([change], 5, 0.0))
         self.publish()
         self.assertEqual(self.status(change), {"state": "accepted", "version": 5})
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_relay.py
+++ b/tests/process/test_relay.py
@@ -32,7 +32,3 @@
         world.clock.pump([0.1] * 50)
         self.assertEqual(world.store.waiting_watches, 0)
         self.assertEqual(world.store.counts["watch"], 0)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_service_levels.py
+++ b/tests/process/test_service_levels.py
@@ -84,7 +84,3 @@
         ring.add(False, 1_000_000)
         self.assertEqual(ring.series(5)[-1], (1, 0))
         self.assertEqual(sum(bad for _, bad in ring.series(5)), 0)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_settings.py
+++ b/tests/process/test_settings.py
@@ -78,7 +78,3 @@
         result = Settings.from_ini(text, "d.ini")
         if result.is_err():
             self.assertTrue(all(finding.reason for finding in result.unwrap_err()))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/request/test_admission.py
+++ b/tests/request/test_admission.py
@@ -224,7 +224,3 @@
         self.time.run()
         self.assertEqual(self.admission.load.in_flight, 0)
         self.assertEqual(self.admission.bulk_in_flight, 0)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/request/test_at_most_once.py
+++ b/tests/request/test_at_most_once.py
@@ -131,7 +131,3 @@
         for daemon in (1, 0):
             wait_until(lambda n=daemon: self.book(n, "outage").outcome == "ran")  # type: ignore[misc]
         self.assertEqual(self.runs("outage"), 1)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/request/test_call.py
+++ b/tests/request/test_call.py
@@ -18,7 +18,3 @@
         changed = {"service_version", "headers"}
         for name in {f.name for f in dataclasses.fields(original)} - changed:
             self.assertIs(getattr(sent, name), getattr(original, name), name)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/request/test_choice.py
+++ b/tests/request/test_choice.py
@@ -196,7 +196,3 @@
         for _ in range(100):
             bench.request("POST")
         self.assertEqual(Counter(s.address for s in bench.sent)[address(0)], 1)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -272,7 +272,3 @@
         for _ in range(10):
             bench.request()
         self.assertEqual({s.call.service_version for s in bench.sent}, {"2"})
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/request/test_outcome_truth.py
+++ b/tests/request/test_outcome_truth.py
@@ -104,7 +104,3 @@
         time.sleep(0.3)
         self.mesh.kill("daemon-2")
         time.sleep(0.3)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/request/test_outstanding.py
+++ b/tests/request/test_outstanding.py
@@ -37,7 +37,3 @@
             outstanding.pool(True).leave("s")
         self.assertEqual(outstanding.total, 0)
         self.assertEqual(self.fill(outstanding, "s", True), entered)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/request/test_propagation.py
+++ b/tests/request/test_propagation.py
@@ -37,7 +37,3 @@
         bench = Bench(member(1))
         sink, _ = bench.request(headers=b"Idempotency-Key: %s\r\n" % (b"k" * 256))
         self.assertEqual(sink.failure, Failure(Outcome.NOT_RUN, Reason.BAD_REQUEST))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/standins/test_backend.py
+++ b/tests/standins/test_backend.py
@@ -275,7 +275,3 @@
         with socket.create_connection(("127.0.0.1", self.port), WAIT_S) as extra:
             extra.settimeout(WAIT_S)
             self.assertEqual(extra.recv(1), b"")
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_fields.py
+++ b/tests/test_fields.py
@@ -22,7 +22,3 @@
     def test_a_port_of_many_digits_is_refused(self) -> None:
         for port in ("9" * 5000, "65536", "0", ""):
             self.assertIn("not a port", address(f"127.0.0.1:{port}").unwrap_err())
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/test_ini.py
+++ b/tests/test_ini.py
@@ -46,7 +46,3 @@
         result = parse_ini(text, "a.ini")
         if result.is_err():
             self.assertTrue(all(str(finding) for finding in result.unwrap_err()))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_acceptance.py
+++ b/tests/version/test_acceptance.py
@@ -245,7 +245,3 @@
             findings.extend(check_records(records))
             bad = any(w.fields == BAD_ROUTE.fields for _, w in done[refusal.change])
             self.assertTrue(findings or bad, refusal)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_delta.py
+++ b/tests/version/test_delta.py
@@ -51,7 +51,3 @@
         for value in (b"", b"[]", b"{}", b'{"records": {"x": [1, 2]}}', b"\xff"):
             self.assertTrue(decode_delta(value).is_err())
             self.assertTrue(decode_snapshot(value).is_err())
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_puller.py
+++ b/tests/version/test_puller.py
@@ -144,7 +144,3 @@
         for head, replies, waited, expected in cases:
             found = minimum_version(head, replies, waited)
             self.assertEqual(found, expected, (head, replies, waited))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_push_tree.py
+++ b/tests/version/test_push_tree.py
@@ -42,7 +42,3 @@
         before = relays(members, "klang")
         after = relays([m for m in members if m != before[0]], "klang")
         self.assertEqual(after[0], before[1])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_record.py
+++ b/tests/version/test_record.py
@@ -80,7 +80,3 @@
         unknown = type(service("a"))(RecordKey("route", "r", 9), {"service": "b"})
         refused = compile_snapshot(snapshot_of(2, service("b"), unknown), before)
         self.assertIn("'a'", str(refused.unwrap_err()[0]))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_route_index.py
+++ b/tests/version/test_route_index.py
@@ -81,7 +81,3 @@
             made("c", "/x"),
         ]
         self.assertEqual([f.source for f in overlaps(routes)], ["route b"])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_traffic_share.py
+++ b/tests/version/test_traffic_share.py
@@ -93,7 +93,3 @@
         servers = [Address("10.0.0.1", n) for n in range(8)]
         seen = {focus(servers, 8, 0.05, n / 100, "r") for n in range(50)}
         self.assertEqual(seen, {(server,) for server in servers})
-
-
-if __name__ == "__main__":
-    unittest.main()
