--- a/tests/process/test_claim_interleavings.py
+++ b/tests/process/test_claim_interleavings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import unittest
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
