--- a/src/briarslip/process/bootstrap.py
+++ b/src/briarslip/process/bootstrap.py
@@ -66,7 +66,7 @@
         self.reading = False
 
     def start(self) -> None:
-        """Begin to ask, spread over a moment so that a herd does not."""
+        """Begin after a random part of a round: many daemons may start at once."""
         self.reactor.callLater(self.rng.uniform(0, ROUND_SECONDS), self._round)
 
     def finish(self) -> None:
--- a/src/briarslip/process/distribution_task.py
+++ b/src/briarslip/process/distribution_task.py
@@ -59,7 +59,7 @@
 
 
 # How long a daemon has to be chosen before it acts as a relay, so that those
-# which know few members yet, as after a herd's return, leave the platform alone.
+# which know few members yet, as when many return at once, leave the platform alone.
 RELAY_PATIENCE_SECONDS = 2.0
 
 
