--- a/bench/request_model.py
+++ b/bench/request_model.py
@@ -25,8 +25,8 @@
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
 from briarslip.request.forwarder import CallerRequest
+from briarslip.request.forwarder import Dependencies
 from briarslip.request.forwarder import Forwarder
-from briarslip.request.forwarder import Surroundings
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -148,7 +148,7 @@
         self.forwarders = [self._forwarder(n) for n in range(forwarders)]
 
     def _forwarder(self, number: int) -> Any:
-        surroundings = Surroundings(
+        dependencies = Dependencies(
             own_address=NEVER,
             availability_zone="z",
             table=lambda: self.table,
@@ -163,7 +163,7 @@
         )
         rng = random.Random(self.seed * 100 + number)
         kind = ThinForwarder if self.thin else Forwarder
-        return kind(self.time, rng, surroundings)
+        return kind(self.time, rng, dependencies)
 
     def add_server(self, means: dict[str, float], **options: Any) -> ModelServer:
         """Add a server with mean service times by route in seconds."""
--- a/bench/thin_requests.py
+++ b/bench/thin_requests.py
@@ -23,8 +23,8 @@
     from briarslip.request.call import Dispatch
     from briarslip.request.call import ResponseHead
     from briarslip.request.call import ResponseSink
+    from briarslip.request.dependencies import Dependencies
     from briarslip.request.forwarder import CallerRequest
-    from briarslip.request.surroundings import Surroundings
 
 
 QUEUE_LENGTH_PER_SLOT = 4
@@ -91,18 +91,18 @@
     """Two random choices by own in-flight calls; retries whatever fails."""
 
     def __init__(
-        self, clock: Clock, rng: random.Random, surroundings: Surroundings
+        self, clock: Clock, rng: random.Random, dependencies: Dependencies
     ) -> None:
         self.clock = clock
         self.rng = rng
-        self.surroundings = surroundings
+        self.dependencies = dependencies
         self.in_flight: Counter[Address] = Counter()
 
     def __call__(
         self, request: CallerRequest, sink: ResponseSink
     ) -> Callable[[], None]:
         """Serve a request."""
-        route: Any = self.surroundings.table().match(request.target, request.method)
+        route: Any = self.dependencies.table().match(request.target, request.method)
         call = Call(
             method=request.method,
             target=request.target,
@@ -121,12 +121,12 @@
 
     def send(self, call: Call, sink: ResponseSink, attempt: int) -> None:
         """Make one attempt."""
-        members = tuple(self.surroundings.members())
+        members = tuple(self.dependencies.members())
         two = (self.rng.choice(members), self.rng.choice(members))
         member = min(two, key=lambda m: self.in_flight[m.address])
         self.in_flight[member.address] += 1
         kept = ThinAttempt(self, call, sink, member.address, attempt)
-        self.surroundings.remote(member.address, call, kept)
+        self.dependencies.remote(member.address, call, kept)
 
 
 class ThinAttempt:
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -36,8 +36,8 @@
 from briarslip.process.shutdown import Remaining
 from briarslip.process.shutdown import Shutdown
 from briarslip.request.claim import CLAIMS_SERVICE
+from briarslip.request.forwarder import Dependencies
 from briarslip.request.forwarder import Forwarder
-from briarslip.request.forwarder import Surroundings
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -139,7 +139,7 @@
             lambda: self.distribution.snapshot.version,
         )
         self.service_levels = ServiceLevels(clock)
-        self.forwarder = Forwarder(clock, rng, self._surroundings())
+        self.forwarder = Forwarder(clock, rng, self._dependencies())
         limits = settings.limits
         self.callers = CallerHttpFactory(reactor, self.forwarder, limits.max_body_bytes)
 
@@ -164,8 +164,8 @@
             endpoints=(),
         )
 
-    def _surroundings(self) -> Surroundings:
-        return Surroundings(
+    def _dependencies(self) -> Dependencies:
+        return Dependencies(
             own_address=self.settings.listen.peers,
             availability_zone=self.settings.daemon.availability_zone,
             table=lambda: self.distribution.table,
--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -62,13 +62,13 @@
 
     def start(self) -> None:
         """Hand the call to the daemon of the server."""
-        surroundings = self.forwarder.surroundings
-        if self.server.address != surroundings.own_address:
-            self.cancel_dispatch = surroundings.remote(
+        dependencies = self.forwarder.dependencies
+        if self.server.address != dependencies.own_address:
+            self.cancel_dispatch = dependencies.remote(
                 self.server.address, self.call, self
             )
             return
-        dispatch = surroundings.local(self.call.service, self.call.service_version)
+        dispatch = dependencies.local(self.call.service, self.call.service_version)
         if dispatch is None:
             self.failed(Failure(Outcome.NOT_RUN, Reason.NO_SERVER), None)
             return
@@ -126,7 +126,7 @@
         if reason is not Reason.CANCELLED:
             self._judge_server(outcome, reason, failed)
         call = self.call
-        self.forwarder.surroundings.record(
+        self.forwarder.dependencies.record(
             Sample(
                 service=call.service,
                 version=call.service_version,
--- a/src/briarslip/request/dependencies.py
+++ b/src/briarslip/request/dependencies.py
@@ -1,4 +1,4 @@
-"""What a daemon's forwarder sees of the daemon around it."""
+"""What a forwarder needs of its daemon."""
 
 from __future__ import annotations
 
@@ -27,8 +27,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Surroundings:
-    """The parts of the daemon that requests need.
+class Dependencies:
+    """The functions of the daemon that a forwarder calls.
 
     ``version_for`` returns the service version that a call must go to, empty
     for any. ``excluded`` returns the versions of a service that must get no
@@ -51,4 +51,4 @@
     focus: Callable[[str, str], tuple[Address, ...] | None] = _all_servers
 
 
-__all__ = ["Surroundings"]
+__all__ = ["Dependencies"]
--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -70,7 +70,7 @@
         """Begin; a non-idempotent call with a key gets a claim first."""
         forwarder = self.forwarder
         remaining = self.call.deadline - forwarder.clock.monotonic()
-        self.timer = forwarder.surroundings.call_later(
+        self.timer = forwarder.dependencies.call_later(
             remaining + GRACE_SECONDS, self._time_out
         )
         if self.call.idempotent or not caller_key or claims == "none":
@@ -78,7 +78,7 @@
             return
         self.claim_required = claims == "required"
         request = ClaimRequest.from_call(self.call, caller_key)
-        forwarder.surroundings.claims.acquire(request, self._claimed)
+        forwarder.dependencies.claims.acquire(request, self._claimed)
 
     def _claimed(self, decision: Decision) -> None:
         if self.ended:
@@ -107,7 +107,7 @@
     def _give_back(self, decision: Decision) -> None:
         held = decision.unclear if isinstance(decision, NoPlatform) else decision
         if isinstance(held, HeldClaim):
-            self.forwarder.surroundings.claims.release(held)
+            self.forwarder.dependencies.claims.release(held)
 
     def _replay(self, answer: StoredAnswer) -> None:
         headers = answer.headers + REPLAYED_LINE
@@ -127,7 +127,7 @@
     def _choose(self) -> Server | None:
         forwarder = self.forwarder
         servers = forwarder.servers(self.call, self.tried)
-        zone = forwarder.surroundings.availability_zone
+        zone = forwarder.dependencies.availability_zone
         return choose(servers, zone, forwarder.clock.monotonic(), forwarder.rng)
 
     def _send(self, server: Server, retried: bool) -> None:
@@ -200,7 +200,7 @@
         elif last:
             held, self.held = self.held, None
             whole = replace(answer, body=b"".join(self.parts))
-            self.forwarder.surroundings.claims.store(held, whole)
+            self.forwarder.dependencies.claims.store(held, whole)
 
     def cancel(self) -> None:
         """Give the request up: the caller has gone."""
@@ -233,13 +233,13 @@
     def _release(self) -> None:
         held, self.held = self.held, None
         if held is not None:
-            self.forwarder.surroundings.claims.release(held)
+            self.forwarder.dependencies.claims.release(held)
 
     def _finish(self) -> None:
         self.ended = True
         held, self.held = self.held, None
         if held is not None:
-            self.forwarder.surroundings.claims.abandon(held)
+            self.forwarder.dependencies.claims.abandon(held)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -8,6 +8,7 @@
 
 from briarslip.request.call import Call
 from briarslip.request.claim import MAX_KEY_BYTES
+from briarslip.request.dependencies import Dependencies
 from briarslip.request.directory import Directory
 from briarslip.request.exchange import Exchange
 from briarslip.request.flow import Flow
@@ -18,7 +19,6 @@
 from briarslip.request.propagation import read_context
 from briarslip.request.retry import RetryBudget
 from briarslip.request.service_time import ServiceTimes
-from briarslip.request.surroundings import Surroundings
 
 
 if TYPE_CHECKING:
@@ -56,12 +56,12 @@
     """Routes requests and hands them to the chosen server's daemon."""
 
     def __init__(
-        self, clock: Clock, rng: random.Random, surroundings: Surroundings
+        self, clock: Clock, rng: random.Random, dependencies: Dependencies
     ) -> None:
         self.clock = clock
         self.rng = rng
-        self.surroundings = surroundings
-        self.directory = Directory(surroundings.members)
+        self.dependencies = dependencies
+        self.directory = Directory(dependencies.members)
         self.budget = RetryBudget()
         self.latencies = ServiceTimes()
         self.outstanding = Outstanding()
@@ -70,7 +70,7 @@
         self, request: CallerRequest, sink: ResponseSink
     ) -> Callable[[], None]:
         """Serve a request; the returned function gives it up."""
-        table = self.surroundings.table()
+        table = self.dependencies.table()
         if not table.version:
             return _refuse(sink, Reason.NO_CONFIGURATION)
         route = table.match(request.target, request.method)
@@ -96,7 +96,7 @@
             headers=context.headers,
             body=request.body,
             service=route.service,
-            service_version=self.surroundings.version_for(route),
+            service_version=self.dependencies.version_for(route),
             route=route.name,
             urgent=route.priority == "urgent" and not context.bulk,
             idempotent=route.idempotent or request.method in IDEMPOTENT_METHODS,
@@ -111,11 +111,11 @@
         A call that its version can't serve goes to one that is not under
         rollout, never the other way round.
         """
-        surroundings, service = self.surroundings, call.service
-        excluded = surroundings.excluded(service)
+        dependencies, service = self.dependencies, call.service
+        excluded = dependencies.excluded(service)
         now = self.clock.monotonic()
         found = self.directory.find(service, call.service_version, excluded, now)
-        focus = surroundings.focus(service, call.service_version)
+        focus = dependencies.focus(service, call.service_version)
         if focus is not None:
             found = [server for server in found if server.address in focus]
         if tried:
@@ -126,7 +126,7 @@
             server
             for server in self.directory.find(service, "", excluded, now)
             if server not in tried
-            and surroundings.focus(service, server.version) is None
+            and dependencies.focus(service, server.version) is None
         ]
 
     def finished(self, call: Call) -> None:
@@ -143,4 +143,4 @@
     return _nothing
 
 
-__all__ = ["CallerRequest", "Forwarder", "Surroundings"]
+__all__ = ["CallerRequest", "Dependencies", "Forwarder"]
--- a/tests/request/support.py
+++ b/tests/request/support.py
@@ -21,8 +21,8 @@
 from briarslip.request.claim import NoPlatform
 from briarslip.request.claim import StoredAnswer
 from briarslip.request.forwarder import CallerRequest
+from briarslip.request.forwarder import Dependencies
 from briarslip.request.forwarder import Forwarder
-from briarslip.request.forwarder import Surroundings
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -172,7 +172,7 @@
         self.claims = claims or FakeClaims(NoPlatform())
         self.react: Callable[[Sent], None] = lambda sent: None
         table = RoutingTable.from_forms(1, (Service("holds"), route))
-        surroundings = Surroundings(
+        dependencies = Dependencies(
             own_address=address(99),
             availability_zone="klang",
             table=lambda: table,
@@ -185,7 +185,7 @@
             call_later=self.time.call_later,
             claims=self.claims,
         )
-        self.forwarder = Forwarder(self.time, random.Random(seed), surroundings)
+        self.forwarder = Forwarder(self.time, random.Random(seed), dependencies)
 
     def remote(
         self, where: Address, call: Call, sink: ResponseSink
