--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -32,7 +32,8 @@
 
 RECORDS_PREFIX = "records/"
 SCHEMA_FIELD = "schema"
-MAX_SCHEMA_DIGITS = 9
+MAX_SCHEMA = 1 << 31
+MAX_SCHEMA_DIGITS = len(str(MAX_SCHEMA))
 MAX_TIMEOUT_MS = 600_000
 MAX_WINDOW_MS = 7 * 24 * 3_600_000
 RETRY_NOT_RUN = "not-run"
@@ -274,7 +275,7 @@
         return Err((Finding(source, section.line, section.name, "", reason),))
     given = dict(section.fields)
     schema_field = given.pop(SCHEMA_FIELD, IniField(SCHEMA_FIELD, "1", section.line))
-    schema = fields.integer(1, 1 << 31)(schema_field.value)
+    schema = fields.integer(1, MAX_SCHEMA)(schema_field.value)
     if isinstance(schema, Err):
         reason = schema.err_value
         line = schema_field.line
