Periodic work goes on after a round that raises

Cause: five loops asked for their next round only at the end of a round, and the wheel of deadlines dropped the rest of a tick: one exception anywhere ended membership, the links' heartbeats or the housekeeping for the life of the process, with no sign but one traceback. Ruled out: the loops that go by a Deferred's end, which already go on. Change: the next round is asked for first; the wheel passes the rest after the one that raised.

--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -267,9 +267,9 @@
 
     def sweep(self) -> None:
         """Close the connections that have stood still for too long."""
+        self.sweeping = self.reactor.callLater(SWEEP_SECONDS, self.sweep)
         for connection in list(self.connections):
             self._check(connection)
-        self.sweeping = self.reactor.callLater(SWEEP_SECONDS, self.sweep)
 
     def _check(self, connection: CallerConnection) -> None:
         still = self.now - connection.active_at
--- a/src/briarslip/connection/deadline_wheel.py
+++ b/src/briarslip/connection/deadline_wheel.py
@@ -58,9 +58,16 @@
         return self.add(self.clock.monotonic() + delay, function)
 
     def _pass(self, tick: int) -> None:
-        bucket = self.buckets.pop(tick)
-        while bucket:
-            bucket.pop().on_passed()
+        self._pass_all(self.buckets.pop(tick))
+
+    def _pass_all(self, bucket: set[Deadline]) -> None:
+        try:
+            while bucket:
+                bucket.pop().on_passed()
+        finally:
+            if bucket:
+                # One that raised must not keep the others from passing.
+                self.reactor.callLater(0.0, self._pass_all, bucket)
 
 
 def _nothing() -> None:
--- a/src/briarslip/connection/peer_links.py
+++ b/src/briarslip/connection/peer_links.py
@@ -114,6 +114,15 @@
             link.close()
 
     def check(self) -> None:
+        """Look at every link, and again while there are any."""
+        try:
+            self._check_links()
+        finally:
+            self.checking = bool(self.links)
+            if self.checking:
+                self.reactor.callLater(CHECK_SECONDS, self.check)
+
+    def _check_links(self) -> None:
         """Probe, replace or close links as their silence asks."""
         now = self.clock.monotonic()
         for peer, link in list(self.links.items()):
@@ -125,9 +134,6 @@
                 case Step.CLOSE:
                     del self.links[peer]
                     link.close()
-        self.checking = bool(self.links)
-        if self.checking:
-            self.reactor.callLater(CHECK_SECONDS, self.check)
 
     def _quiet(self, link: PeerLink) -> bool:
         """Whether a link must answer a heartbeat before it is trusted."""
--- a/src/briarslip/process/bootstrap.py
+++ b/src/briarslip/process/bootstrap.py
@@ -85,6 +85,7 @@
     def _round(self) -> None:
         if self.done:
             return
+        self.reactor.callLater(ROUND_SECONDS * self.rng.uniform(0.5, 1.5), self._round)
         near, far = self.members()
         for member in (
             *self._sample(near, NEAR_MEMBERS_ASKED),
@@ -95,7 +96,6 @@
             self.reading = True
             Deferred.fromCoroutine(self._read_head())
         self._decide()
-        self.reactor.callLater(ROUND_SECONDS * self.rng.uniform(0.5, 1.5), self._round)
 
     def _sample(self, members: Sequence[Address], count: int) -> list[Address]:
         return self.rng.sample(sorted(members), min(count, len(members)))
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -205,9 +205,9 @@
 
     def keep_house(self) -> None:
         """Do the periodic work of the process."""
+        self.reactor.callLater(HOUSEKEEPING_SECONDS, self.keep_house)
         self.servers.expire()
         self.distribution.choose_relays(self.draining)
-        self.reactor.callLater(HOUSEKEEPING_SECONDS, self.keep_house)
 
     def update_membership(self) -> None:
         """Tell the other daemons what has changed here."""
--- a/src/briarslip/process/membership_task.py
+++ b/src/briarslip/process/membership_task.py
@@ -160,12 +160,12 @@
                 self.on_version(sender, version)
 
     def _tick(self) -> None:
+        delay = self.tick_seconds * self.rng.uniform(0.9, 1.1)
+        self.reactor.callLater(delay, self._tick)
         self._send_all(protocol.tick(self.state, self.clock.monotonic()))
         if self.state.bootstrap.contacts_wanted and not self.is_reading_contacts:
             self._start_reading(self._read_contacts())
         self._report()
-        delay = self.tick_seconds * self.rng.uniform(0.9, 1.1)
-        self.reactor.callLater(delay, self._tick)
 
     def _report(self) -> None:
         """Log what has become of members, and of this daemon's judgement."""
--- a/src/briarslip/version/rollout_document.py
+++ b/src/briarslip/version/rollout_document.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from briarslip.malformed import MALFORMED_ERRORS
 from briarslip.version.decision import Decision
 from briarslip.version.decision import Fault
 from briarslip.version.decision import RolloutId
@@ -125,7 +126,7 @@
         document["rollout"], document["digest"], document["since"]
         document["configuration_version"] + document["started_ms"]
         RANKS[document["state"]]
-    except (ValueError, KeyError, TypeError) as error:
+    except MALFORMED_ERRORS as error:
         return Err(f"is not a rollout's status: {error!r}")
     return Ok(document)
 
--- a/tests/burn/test_report.py
+++ b/tests/burn/test_report.py
@@ -88,7 +88,3 @@
     def test_no_daemon_at_all(self) -> None:
         report = merge((), ("10.0.0.3:1",), WINDOWS_SECONDS[-1])
         self.assertIn("no daemon answered", table(report))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/connection/test_backend_pool.py
+++ b/tests/connection/test_backend_pool.py
@@ -177,7 +177,3 @@
         self.assertEqual("paused", transport.producerState)
         request.flow.set_paused(False)
         self.assertEqual("producing", transport.producerState)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/connection/test_caller_http.py
+++ b/tests/connection/test_caller_http.py
@@ -239,7 +239,3 @@
         for request, _ in self.forwarded.calls:
             self.assertNotIn(b"\n\n", request.headers)
             self.assertRegex(request.headers, rb"\A([^\r\n\x00]+\r\n)*\Z")
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/connection/test_deadline_wheel.py
+++ b/tests/connection/test_deadline_wheel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import unittest
 from typing import Any
 
@@ -35,6 +36,18 @@
             self.assertGreaterEqual(passed, due)
             self.assertLessEqual(passed, due + TICK_SECONDS + 0.002)
 
+    def test_one_that_raises_keeps_no_other_from_passing(self) -> None:
+        def fail() -> None:
+            raise ZeroDivisionError
+
+        for _ in range(5):
+            self.add(1.0)
+            self.wheel.call_later(1.0, fail)
+        for _ in range(100):
+            with contextlib.suppress(ZeroDivisionError):
+                self.clock.advance(0.05)
+        self.assertEqual(5, len(self.passed))
+
     def test_cancelled_deadlines_never_pass(self) -> None:
         deadlines = [self.add(1.0) for _ in range(10)]
         for deadline in deadlines[::2]:
@@ -109,7 +122,3 @@
         for transport in (failing, closing, lost):
             write_now(transport, b"data")
             self.assertEqual((b"", b"data"), (transport.sent, transport.buffered))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/connection/test_peer_link.py
+++ b/tests/connection/test_peer_link.py
@@ -247,7 +247,3 @@
             at = data.draw(st.integers(0, len(text) - 1))
             text[at] = data.draw(st.integers(0, 255))
         self.pair.server.dataReceived(bytes(text))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/connection/test_peer_links.py
+++ b/tests/connection/test_peer_links.py
@@ -231,7 +231,3 @@
             self.assertLessEqual(max(series), limit)
             self.assertGreater(max(series), 0.9 * limit)
             self.assertLess(min(series), 0.1 * limit)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/connection/test_whole_answers.py
+++ b/tests/connection/test_whole_answers.py
@@ -93,7 +93,3 @@
         posts = [run["id"] for run in runs if run["method"] == "POST"]
         self.assertEqual(len(set(posts)), len(posts))
         self.assertGreater(len(posts), 150)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/console/test_rollouts.py
+++ b/tests/console/test_rollouts.py
@@ -76,7 +76,3 @@
     def test_platform_outage_is_said(self) -> None:
         self.platform.outage = "close"
         self.assertIn("does not answer", self.read().unwrap_err())
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/load/test_plan.py
+++ b/tests/load/test_plan.py
@@ -89,7 +89,3 @@
     def test_warm_up_is_not_measured(self) -> None:
         for arrival in arrivals(plan()):
             self.assertEqual(arrival.at >= 1.0, arrival.measured)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/load/test_runner.py
+++ b/tests/load/test_runner.py
@@ -139,7 +139,3 @@
         page = report_html(chosen, tally)
         self.assertEqual(4, page.count("<polyline"))
         self.assertNotIn("http://", page)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_etcd_http.py
+++ b/tests/process/test_etcd_http.py
@@ -92,7 +92,3 @@
         connection.connectionLost(TwistedFailure(ConnectionDone()))
         self.reactor.advance(2 * SILENCE.total_seconds())
         self.assertEqual(["watch refused: no"], [c.reason for c in self.closed])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_imports.py
+++ b/tests/process/test_imports.py
@@ -44,7 +44,3 @@
             [sys.executable, "-c", PROGRAM], capture_output=True, check=True
         )
         self.assertEqual(HEAVY & set(json.loads(result.stdout)), frozenset())
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_membership.py
+++ b/tests/process/test_membership.py
@@ -72,7 +72,3 @@
         self.assertEqual(checksum(self.table, "klang"), checksum(other, "klang"))
         take(other, replace(member(1), incarnation=6), 0.0)
         self.assertNotEqual(checksum(self.table, "klang"), checksum(other, "klang"))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_membership_codec.py
+++ b/tests/process/test_membership_codec.py
@@ -73,7 +73,3 @@
             decode_datagram(bytes(bad[: rng.randrange(len(bad) + 1)]), PLACE)
             decode_control(control[: rng.randrange(len(control))])
             decode_control(rng.randbytes(40))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_membership_mesh.py
+++ b/tests/process/test_membership_mesh.py
@@ -68,7 +68,3 @@
         began = time.monotonic()
         self.wait_for(3, "left", everyone - {3})
         self.assertLess(time.monotonic() - began, DRAINING_SECONDS)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_membership_task.py
+++ b/tests/process/test_membership_task.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import unittest
 from datetime import timedelta
 from typing import TYPE_CHECKING
+from unittest import mock
 
 from bench.fleet import DATAGRAM
 from bench.fleet import Fleet
+from briarslip.process import membership_protocol as protocol
 from briarslip.process.member import Status
 from tests.support.members import endpoint
 from tests.support.members import has_new_work
@@ -153,6 +156,22 @@
         self.assert_within(fleet, 5.0, lambda: 3 in heard)
 
 
+class TickTest(FleetTestCase):
+    """The periodic work goes on whatever one round of it meets."""
+
+    def test_tick_that_raises_is_followed_by_the_next(self) -> None:
+        fleet = settled(("klang",), 6)
+        with mock.patch.object(protocol, "tick", side_effect=ZeroDivisionError):
+            for _ in range(20):
+                with contextlib.suppress(ZeroDivisionError):
+                    fleet.run(0.05)
+        dead = fleet.running[3]
+        fleet.kill(dead)
+        self.assert_within(
+            fleet, DEAD_SECONDS, lambda: not holders(fleet, dead, Status.ALIVE)
+        )
+
+
 class PauseTest(FleetTestCase):
     """A paused daemon refutes, and accuses nobody when it wakes."""
 
@@ -399,7 +418,3 @@
         before = fleet.platform.counts.copy()
         fleet.run(100.0)
         self.assertLessEqual((fleet.platform.counts - before).total(), 2)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_rollout_mesh.py
+++ b/tests/process/test_rollout_mesh.py
@@ -151,7 +151,3 @@
         text = texts[-1]
         self.assertIn("holds 2", text)
         self.assertIn("route holds: failure_share", text)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_rollout_task.py
+++ b/tests/process/test_rollout_task.py
@@ -309,7 +309,3 @@
         self.assertIs(daemons.nodes[0].task.statuses[0].state, State.HELD)
         daemons.advance(8)
         self.assertEqual(daemons.shares(), [1.0] * 9)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -148,7 +148,3 @@
     def stop(self, mesh: Mesh, name: str) -> None:
         """Stop a process and note its status."""
         self.statuses[name] = mesh.stop(name)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_analyzer.py
+++ b/tests/version/test_analyzer.py
@@ -130,7 +130,3 @@
             crossed += best > 3.0
         # At exp(-3) = 5% the expected count is at most 10 of 200.
         self.assertLessEqual(crossed, 10)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/version/test_rollout.py
+++ b/tests/version/test_rollout.py
@@ -197,7 +197,3 @@
         newer = {**self.document(10, known(), 5), "digest": "other"}
         self.assertIsNone(next_document(newer, self.document(95, known(), 4)))
         self.assertIsNotNone(next_document(newer, self.document(10, known(), 6)))
-
-
-if __name__ == "__main__":
-    unittest.main()
