--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -43,7 +43,8 @@
     """Sends a call until it has an answer that may be passed on.
 
     ``retried`` is true when the call came as part of a retry further out, which
-    must not be retried again here.
+    must not be retried again here. ``may_have_run`` is true after an attempt
+    with an unknown outcome, which no later refusal makes undone.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.attempt: Attempt | None = None
         self.tried: set[Server] = set()
         self.attempts = 0
+        self.may_have_run = False
         self.head_sent = False
         self.answer: StoredAnswer | None = None
         self.parts: list[bytes] = []
@@ -68,7 +70,7 @@
         """Begin; a non-idempotent call with a key gets a claim first."""
         forwarder = self.forwarder
         remaining = self.call.deadline - forwarder.clock.monotonic()
-        self.timer = forwarder.surroundings.call_later(
+        self.timer = forwarder.dependencies.call_later(
             remaining + GRACE_SECONDS, self._time_out
         )
         if self.call.idempotent or not caller_key or claims == "none":
@@ -76,7 +78,7 @@
             return
         self.claim_required = claims == "required"
         request = ClaimRequest.from_call(self.call, caller_key)
-        forwarder.surroundings.claims.acquire(request, self._claimed)
+        forwarder.dependencies.claims.acquire(request, self._claimed)
 
     def _claimed(self, decision: Decision) -> None:
         if self.ended:
@@ -105,7 +107,7 @@
     def _give_back(self, decision: Decision) -> None:
         held = decision.unclear if isinstance(decision, NoPlatform) else decision
         if isinstance(held, HeldClaim):
-            self.forwarder.surroundings.claims.release(held)
+            self.forwarder.dependencies.claims.release(held)
 
     def _replay(self, answer: StoredAnswer) -> None:
         headers = answer.headers + REPLAYED_LINE
@@ -125,7 +127,7 @@
     def _choose(self) -> Server | None:
         forwarder = self.forwarder
         servers = forwarder.servers(self.call, self.tried)
-        zone = forwarder.surroundings.availability_zone
+        zone = forwarder.dependencies.availability_zone
         return choose(servers, zone, forwarder.clock.monotonic(), forwarder.rng)
 
     def _send(self, server: Server, retried: bool) -> None:
@@ -162,6 +164,7 @@
 
     def attempt_failed(self, failure: Failure) -> None:
         """Retry after a failed attempt, or end with its failure."""
+        self.may_have_run |= failure.outcome is not Outcome.NOT_RUN
         if self.may_retry(failure):
             self.retry()
         else:
@@ -170,6 +173,8 @@
     def head(self, head: ResponseHead) -> None:
         """Pass on the head of the attempt that is the answer."""
         self.head_sent = True
+        if self.may_have_run and head.outcome is Outcome.NOT_RUN:
+            head = replace(head, outcome=Outcome.UNKNOWN)
         if self.held is not None:
             self.answer = StoredAnswer(head.status, head.headers, b"")
             if head.outcome is Outcome.NOT_RUN:
@@ -195,7 +200,7 @@
         elif last:
             held, self.held = self.held, None
             whole = replace(answer, body=b"".join(self.parts))
-            self.forwarder.surroundings.claims.store(held, whole)
+            self.forwarder.dependencies.claims.store(held, whole)
 
     def cancel(self) -> None:
         """Give the request up: the caller has gone."""
@@ -217,21 +222,24 @@
     def _fail(self, failure: Failure) -> None:
         if self.ended:
             return
-        if failure.outcome is Outcome.NOT_RUN and not self.head_sent:
-            self._release()
+        if failure.outcome is Outcome.NOT_RUN:
+            if self.may_have_run:
+                failure = Failure(Outcome.UNKNOWN, failure.reason)
+            elif not self.head_sent:
+                self._release()
         self._finish()
         self.sink.failed(failure, None)
 
     def _release(self) -> None:
         held, self.held = self.held, None
         if held is not None:
-            self.forwarder.surroundings.claims.release(held)
+            self.forwarder.dependencies.claims.release(held)
 
     def _finish(self) -> None:
         self.ended = True
         held, self.held = self.held, None
         if held is not None:
-            self.forwarder.surroundings.claims.abandon(held)
+            self.forwarder.dependencies.claims.abandon(held)
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/tests/process/test_distribution_task.py
+++ b/tests/process/test_distribution_task.py
@@ -20,7 +20,7 @@
 
 
 if TYPE_CHECKING:
-    from bench.fleet import FleetDaemon
+    from bench.fleet_daemon import FleetDaemon
     from briarslip.address import Address
     from briarslip.version.snapshot import Snapshot
 
@@ -178,7 +178,7 @@
     def test_watch_resumed_after_compaction(self) -> None:
         self.fleet.platform.outage = "close"
         self.watched.run(1.0)
-        self.fleet.platform._history.clear()
+        self.fleet.platform.history.clear()
         self.fleet.platform.oldest_revision = self.fleet.platform.revision + 9
         self.fleet.platform.revision += 9
         self.fleet.platform.outage = ""
@@ -331,7 +331,3 @@
             stale = encode_message(Offer(1))
             daemon.take_control(relay.address, Topic.CONFIGURATION, stale)
         self.assert_converges(3)
-
-
-if __name__ == "__main__":
-    unittest.main()
