Meshes listen below the ports of outgoing connections; clearer names in membership

Cause: one of two chaos trials on a quiet machine did not start: a daemon did not answer within 20 s. free_address let the system choose a port, freed it and handed it on; the system gives such ports (32768 and up) to outgoing connections as well, of which a mesh opens thousands. Ruled out: the load (below 1), the daemon's start (0.4 s). The log of that daemon was gone with its directory, so the port is inferred, not seen. Change: ports from 10000 to 29999, each given once in a process.

Also: an errand is an indirect probe, as the field calls it.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -16,7 +16,6 @@
 
 from bench.figure import Figure
 from standins.mesh import Mesh
-from standins.mesh import wait_until
 
 
 ADDED_P99_BOUND_MS = 0.56
@@ -109,7 +108,7 @@
     mesh.apply(RECORDS)
     mesh.wait_for_version(1)
     for number in range(2):
-        wait_until(lambda n=number: mesh.call(n, "/holds/1").status == 200)  # type: ignore[misc]
+        mesh.wait_for_answer(number, "/holds/1")
     return {
         "direct": backend,
         # The difference of two equal targets is the noise of the run.
--- a/src/briarslip/process/failure_detector.py
+++ b/src/briarslip/process/failure_detector.py
@@ -94,17 +94,17 @@
         case Kind.PROBE:
             return (compose(state, sender, Kind.ACK, sequence),)
         case Kind.PROBE_REQUEST if datagram.target is not None:
-            errand = state.prober.begin_errand(sender, sequence, now)
-            return (compose(state, datagram.target, Kind.PROBE, errand),)
+            own_sequence = state.prober.begin_indirect_probe(sender, sequence, now)
+            return (compose(state, datagram.target, Kind.PROBE, own_sequence),)
         case Kind.ACK:
             return _take_ack(state, sequence, now)
     return ()
 
 
 def _take_ack(state: Protocol, sequence: int, now: float) -> tuple[Send, ...]:
-    errand = state.prober.errands.pop(sequence, None)
-    if errand is not None:
-        return (compose(state, errand.requester, Kind.ACK, errand.sequence),)
+    indirect = state.prober.indirect_probes.pop(sequence, None)
+    if indirect is not None:
+        return (compose(state, indirect.requester, Kind.ACK, indirect.sequence),)
     probe = state.prober.probes.pop(sequence, None)
     if probe is not None:
         state.health.record(True, now)
--- a/src/briarslip/process/membership_exchange.py
+++ b/src/briarslip/process/membership_exchange.py
@@ -41,7 +41,7 @@
     names: set[str] = set()
     size = sum(estimated_bytes(s, names) for s in answer.statements)
     state.sync_budget.spend(size)
-    # A contact that a herd asks has less left to pass statements on.
+    # A contact that many joining daemons ask has less left to pass statements on.
     state.outbox.budget.spend(REQUEST_BYTES)
     for summary in message.summaries:
         _hear_age(state, summary.availability_zone, now - summary.age, now)
--- a/src/briarslip/process/membership_protocol.py
+++ b/src/briarslip/process/membership_protocol.py
@@ -47,7 +47,7 @@
 
 VERSION_FANOUT = 2
 TOLD_PER_ZONE = 3
-WAKE_SECONDS = 2.0
+PAUSE_SECONDS = 2.0
 FORGET_EVERY_SECONDS = 5.0
 
 
@@ -55,8 +55,8 @@
     """Do what time asks for; return what to send."""
     for budget in state.budgets:
         budget.fill(now)
-    if now - state.ticked_at > WAKE_SECONDS:
-        _wake(state, now - state.ticked_at)
+    if now - state.ticked_at > PAUSE_SECONDS:
+        _resume(state, now - state.ticked_at)
     state.ticked_at = now
     zone_digest.refresh(state.links, state.table, now)
     if now >= state.forget_at:
@@ -140,10 +140,10 @@
     return ()
 
 
-def _wake(state: Protocol, paused_seconds: float) -> None:
+def _resume(state: Protocol, paused_seconds: float) -> None:
     """Start afresh after a pause: its probes failed for no other's fault."""
     state.prober.probes.clear()
-    state.prober.errands.clear()
+    state.prober.indirect_probes.clear()
     state.suspicions.delay(paused_seconds)
     raise_incarnation(state.table, 0)
     spread(state, state.own, refutes=True)
--- a/src/briarslip/process/membership_sync.py
+++ b/src/briarslip/process/membership_sync.py
@@ -1,7 +1,7 @@
 """Comparison of whole zones by checksum: at a join, and now and then after.
 
 A reply carries one zone at most, and a daemon short of its byte budget names
-other peers instead, so that a herd of joining daemons is paced.
+other peers instead, so that a mass restart is paced.
 """
 
 from __future__ import annotations
@@ -73,7 +73,7 @@
 ) -> tuple[Address, ...]:
     """Return the peers to ask for their table: one at first, then a few.
 
-    A herd that knows only the contacts so costs these little.
+    A mass restart that knows only the contacts costs these little.
     """
     own = table.self_member.address
     near = {*bootstrap.hints, *(member.address for member in table.peers)} - {own}
--- a/src/briarslip/process/probing.py
+++ b/src/briarslip/process/probing.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Errand:
+class IndirectProbe:
     """A probe made for another daemon, which gets the answer."""
 
     requester: Address
@@ -45,7 +45,7 @@
 
     order: list[Address] = field(default_factory=list)
     probes: dict[int, Probe] = field(default_factory=dict)
-    errands: dict[int, Errand] = field(default_factory=dict)
+    indirect_probes: dict[int, IndirectProbe] = field(default_factory=dict)
     sequence: int = 0
 
     def next_target(
@@ -66,10 +66,12 @@
         self.probes[sequence] = Probe(target, now)
         return sequence
 
-    def begin_errand(self, requester: Address, sequence: int, now: float) -> int:
+    def begin_indirect_probe(
+        self, requester: Address, sequence: int, now: float
+    ) -> int:
         """Note a probe made for another; return its own sequence number."""
         own_sequence = self._next_sequence()
-        self.errands[own_sequence] = Errand(requester, sequence, now)
+        self.indirect_probes[own_sequence] = IndirectProbe(requester, sequence, now)
         return own_sequence
 
     def late(self, now: float) -> tuple[tuple[int, Address], ...]:
@@ -84,9 +86,9 @@
     def failed(self, now: float) -> tuple[Address, ...]:
         """End the probes that had their time; return their targets."""
         ended = [s for s, p in self.probes.items() if now - p.sent_at > PROBE_SECONDS]
-        for sequence, errand in list(self.errands.items()):
-            if now - errand.sent_at > PROBE_SECONDS:
-                del self.errands[sequence]
+        for sequence, indirect in list(self.indirect_probes.items()):
+            if now - indirect.sent_at > PROBE_SECONDS:
+                del self.indirect_probes[sequence]
         return tuple(self.probes.pop(sequence).target for sequence in ended)
 
     def _next_sequence(self) -> int:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,6 +25,11 @@
 
 
 HOST = "127.0.0.1"
+MIN_PORT = 10_000
+MAX_PORT = 30_000
+# Not seeded: meshes of several processes must not choose the same ports.
+PORTS_RNG = random.SystemRandom()
+given_ports: set[int] = set()
 START_SECONDS = 20.0
 STOP_SECONDS = 30.0
 POLL_SECONDS = 0.02
@@ -68,16 +74,23 @@
 
 
 def free_address() -> str:
-    """Return an address whose port is free for TCP and UDP."""
+    """Return an address whose port is free for TCP and UDP.
+
+    It lies below the ports that the system gives to outgoing connections, one
+    of which would take it otherwise before the process that is to listen.
+    """
     while True:
+        port = PORTS_RNG.randrange(MIN_PORT, MAX_PORT)
+        if port in given_ports:
+            continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((HOST, port))
                 udp.bind((HOST, port))
             except OSError:
                 continue
-            return f"{HOST}:{port}"
+        given_ports.add(port)
+        return f"{HOST}:{port}"
 
 
 def get_json(address: str, path: str, timeout: float = 5.0) -> Any:
--- a/tests/connection/test_whole_answers.py
+++ b/tests/connection/test_whole_answers.py
@@ -11,7 +11,6 @@
 from standins.mesh import Mesh
 from standins.mesh import get_json
 from standins.mesh import put_json
-from standins.mesh import wait_until
 
 
 RECORDS = """\
@@ -79,7 +78,7 @@
             mesh.apply(RECORDS)
             mesh.wait_for_version(1)
             for number in range(2):
-                wait_until(lambda n=number: mesh.call(n, "/history/1").status == 200)  # type: ignore[misc]
+                mesh.wait_for_answer(number, "/history/1")
             put_json(backend, "/standin/faults", FAULTS)
             rows = self.run_load(mesh)
             runs = get_json(backend, "/standin/requests")
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -17,7 +17,6 @@
 from briarslip.process.shutdown import Shutdown
 from briarslip.process.shutdown import next_phase
 from standins.mesh import Mesh
-from standins.mesh import wait_until
 from tests.connection.support import FakeClock
 
 
@@ -143,7 +142,7 @@
         mesh.apply(RECORDS)
         mesh.wait_for_version(1)
         for number in range(2):
-            wait_until(lambda n=number: mesh.call(n, "/holds/1").status == 200)  # type: ignore[misc]
+            mesh.wait_for_answer(number, "/holds/1")
 
     def stop(self, mesh: Mesh, name: str) -> None:
         """Stop a process and note its status."""
