--- a/tests/version/test_record.py
+++ b/tests/version/test_record.py
@@ -4,6 +4,11 @@
 
 import unittest
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from briarslip.version.record import SPECS
 from briarslip.version.record import Record
 from briarslip.version.record import RecordKey
 from briarslip.version.record import Route
@@ -15,6 +20,9 @@
 from tests.support.records import snapshot_of
 
 
+FIELD_NAMES = sorted({spec.name for kind in SPECS.values() for spec in kind.fields})
+
+
 def parsed(schema: int, **fields: str) -> Route:
     """Return a route read in a schema."""
     form = parse_record(Record(RecordKey("route", "r", schema), fields)).unwrap()
@@ -80,3 +88,37 @@
         unknown = type(service("a"))(RecordKey("route", "r", 9), {"service": "b"})
         refused = compile_snapshot(snapshot_of(2, service("b"), unknown), before)
         self.assertIn("'a'", str(refused.unwrap_err()[0]))
+
+
+class FuzzTest(unittest.TestCase):
+    """Record files of any content."""
+
+    @settings(derandomize=True, max_examples=300)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(("service", "route", "rollout", "objective", "x")),
+                st.text(alphabet="ab /é", max_size=4),
+                st.dictionaries(
+                    st.sampled_from((*FIELD_NAMES, "schema", "y")),
+                    st.text(alphabet="0129.-:T+/,truefalsnonePOST%é", max_size=24),
+                    max_size=6,
+                ),
+            ),
+            max_size=4,
+        )
+    )
+    def test_any_file_gives_records_or_findings(
+        self, sections: list[tuple[str, str, dict[str, str]]]
+    ) -> None:
+        text = "".join(
+            f"[{kind} {name}]\n" + "".join(f"{k} = {v}\n" for k, v in fields.items())
+            for kind, name, fields in sections
+        )
+        result = records_from_ini(text, "a.ini")
+        if result.is_err():
+            places = [finding.source for finding in result.unwrap_err()]
+            self.assertEqual({"a.ini"}, set(places))
+            return
+        for record in result.unwrap():
+            self.assertTrue(parse_record(record).is_ok(), record)
