--- a/tests/process/test_change_writer.py
+++ b/tests/process/test_change_writer.py
@@ -20,14 +20,14 @@
 from briarslip.process.platform import PlatformError
 from briarslip.process.publisher import publish
 from briarslip.version.snapshot import EMPTY_SNAPSHOT
+from standins.virtual_platform import HookedClient
+from standins.virtual_platform import VirtualPlatform
 from tests.support.records import Operator
 from tests.support.records import ids
 from tests.support.records import names
 from tests.support.records import removed
 from tests.support.records import route
 from tests.support.records import service
-from tests.support.virtual import HookedClient
-from tests.support.virtual import VirtualPlatform
 
 
 if TYPE_CHECKING:
--- a/tests/process/test_job.py
+++ b/tests/process/test_job.py
@@ -6,7 +6,7 @@
 import unittest
 
 from briarslip.process.job import Job
-from tests.support.virtual import VirtualPlatform
+from standins.virtual_platform import VirtualPlatform
 
 
 class JobTest(unittest.TestCase):
--- a/tests/process/test_membership_task.py
+++ b/tests/process/test_membership_task.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import contextlib
-import unittest
 from datetime import timedelta
-from typing import TYPE_CHECKING
 from unittest import mock
 
-from bench.fleet import DATAGRAM
-from bench.fleet import Fleet
 from briarslip.process import membership_protocol as protocol
 from briarslip.process.member import Status
+from tests.support.members import ENDED
+from tests.support.members import FleetTestCase
 from tests.support.members import endpoint
 from tests.support.members import has_new_work
 from tests.support.members import holders
@@ -20,40 +18,9 @@
 from tests.support.members import status_at
 
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Iterable
-
-    from bench.fleet import FleetDaemon
-
-
 DRAINING_SECONDS = 3.0
 DEAD_SECONDS = 15.0
 REFUTE_SECONDS = 3.0
-MAX_DATAGRAM_BYTES = 1_200
-MAX_BYTES_PER_SECOND = 4_096.0
-ENDED = (Status.DEAD, Status.LEFT, None)
-
-
-class FleetTestCase(unittest.TestCase):
-    """Steps shared by the tests below."""
-
-    def assert_none_ended(
-        self, fleet: Fleet, daemons: Iterable[FleetDaemon], seconds: float
-    ) -> None:
-        """Let time pass; nobody may hold one of these daemons to have ended."""
-        chosen = tuple(daemons)
-        for _ in range(int(seconds / 0.25)):
-            fleet.run(0.25)
-            for daemon in chosen:
-                evicted_by = [str(h.address) for h in holders(fleet, daemon, *ENDED)]
-                self.assertEqual([], evicted_by, f"{daemon.address} was evicted")
-
-    def assert_within(
-        self, fleet: Fleet, seconds: float, condition: Callable[[], bool]
-    ) -> None:
-        """Let time pass until a condition holds, for some seconds at most."""
-        self.assertLessEqual(fleet.run_until(condition, seconds + 0.1), seconds)
 
 
 class DrainingTest(FleetTestCase):
@@ -331,90 +298,3 @@
             REFUTE_SECONDS,
             lambda: not any(has_new_work(d, fresh, "service-2") for d in fleet.running),
         )
-
-
-class BootstrapTest(FleetTestCase):
-    """First contact, and the return of a herd."""
-
-    def test_contacts_stand_in_for_seeds_that_are_gone(self) -> None:
-        fleet = settled(("klang",), 8)
-        fleet.run(150.0)
-        writes = fleet.platform.counts["txn"]
-        self.assertIsNotNone(fleet.platform.get("contacts/klang"))
-        fleet.run(600.0)
-        self.assertEqual(writes, fleet.platform.counts["txn"])
-        fleet.seeds = ()
-        fresh = fleet.restart(fleet.running[6])
-        self.assert_within(fleet, 10.0, lambda: len(fresh.membership.live) == 8)
-
-    def test_zones_without_common_seeds_meet_by_their_contacts(self) -> None:
-        fleet = Fleet()
-        fleet.add_zone("klang", 4)
-        fleet.seeds = ()
-        fleet.add_zone("penang", 4)
-        self.assert_within(
-            fleet, 300.0, lambda: is_alive_everywhere(fleet, fleet.running)
-        )
-
-    def test_joining_needs_no_platform(self) -> None:
-        fleet = settled(("klang",), 8)
-        fleet.platform.outage = "close"
-        fresh = fleet.restart(fleet.running[6])
-        self.assert_within(fleet, 10.0, lambda: len(fresh.membership.live) == 8)
-
-    def test_herd_comes_back_within_its_byte_limit(self) -> None:
-        fleet = settled(("klang", "penang"), 15)
-        herd = fleet.running[::3]
-        for daemon in herd:
-            fleet.kill(daemon)
-        fleet.run(30.0)
-        before = {a: t.membership for a, t in fleet.traffic.items()}
-        for daemon in herd:
-            fleet.restart(daemon)
-        fleet.run(30.0)
-        self.assertTrue(is_alive_everywhere(fleet, fleet.running))
-        for address, traffic in fleet.traffic.items():
-            rate = (traffic.membership - before[address]) / 30.0
-            self.assertLess(rate, MAX_BYTES_PER_SECOND, str(address))
-
-
-class TrafficTest(FleetTestCase):
-    """Bytes at rest and in a mass loss, and the size of datagrams."""
-
-    def test_bytes_at_rest_do_not_grow_with_the_zone(self) -> None:
-        rates = []
-        for size in (10, 40):
-            fleet = settled(("klang",), size)
-            fleet.run(60.0)
-            before = sum(t.membership for t in fleet.traffic.values())
-            fleet.run(30.0)
-            total = sum(t.membership for t in fleet.traffic.values()) - before
-            rates.append(total / 30.0 / size)
-            largest = max(t.largest_datagram for t in fleet.traffic.values())
-            self.assertLess(largest, MAX_DATAGRAM_BYTES)
-        self.assertLess(max(rates), MAX_BYTES_PER_SECOND / 4)
-        self.assertLess(rates[1], rates[0] * 1.25)
-
-    def test_mass_loss_keeps_the_byte_limit(self) -> None:
-        fleet = settled(("klang",), 40)
-        for daemon in fleet.running[::2]:
-            fleet.kill(daemon)
-        for _ in range(6):
-            before = {
-                d.address: fleet.traffic[d.address].membership for d in fleet.running
-            }
-            fleet.run(10.0)
-            for address, total in before.items():
-                rate = (fleet.traffic[address].membership - total) / 10.0
-                self.assertLess(rate, MAX_BYTES_PER_SECOND, str(address))
-        self.assertGreater(fleet.traffic[fleet.running[0].address].sent[DATAGRAM], 0)
-
-    def test_heartbeats_never_touch_the_platform(self) -> None:
-        fleet = settled(("klang",), 8)
-        fleet.run(20.0)
-        for daemon in fleet.daemons.values():
-            daemon.distribution.relay.set_active(False)
-            daemon.distribution.choose_relays = lambda draining: None  # type: ignore[method-assign]
-        before = fleet.platform.counts.copy()
-        fleet.run(100.0)
-        self.assertLessEqual((fleet.platform.counts - before).total(), 2)
--- /dev/null
+++ b/tests/process/test_membership_traffic.py
@@ -0,0 +1,100 @@
+"""First contact and traffic of membership, in virtual time."""
+
+from __future__ import annotations
+
+from bench.fleet import DATAGRAM
+from bench.fleet import Fleet
+from tests.support.members import FleetTestCase
+from tests.support.members import is_alive_everywhere
+from tests.support.members import settled
+
+
+MAX_DATAGRAM_BYTES = 1_200
+MAX_BYTES_PER_SECOND = 4_096.0
+
+
+class BootstrapTest(FleetTestCase):
+    """First contact, and the return of a herd."""
+
+    def test_contacts_stand_in_for_seeds_that_are_gone(self) -> None:
+        fleet = settled(("klang",), 8)
+        fleet.run(150.0)
+        writes = fleet.platform.counts["txn"]
+        self.assertIsNotNone(fleet.platform.get("contacts/klang"))
+        fleet.run(600.0)
+        self.assertEqual(writes, fleet.platform.counts["txn"])
+        fleet.seeds = ()
+        fresh = fleet.restart(fleet.running[6])
+        self.assert_within(fleet, 10.0, lambda: len(fresh.membership.live) == 8)
+
+    def test_zones_without_common_seeds_meet_by_their_contacts(self) -> None:
+        fleet = Fleet()
+        fleet.add_zone("klang", 4)
+        fleet.seeds = ()
+        fleet.add_zone("penang", 4)
+        self.assert_within(
+            fleet, 300.0, lambda: is_alive_everywhere(fleet, fleet.running)
+        )
+
+    def test_joining_needs_no_platform(self) -> None:
+        fleet = settled(("klang",), 8)
+        fleet.platform.outage = "close"
+        fresh = fleet.restart(fleet.running[6])
+        self.assert_within(fleet, 10.0, lambda: len(fresh.membership.live) == 8)
+
+    def test_herd_comes_back_within_its_byte_limit(self) -> None:
+        fleet = settled(("klang", "penang"), 15)
+        herd = fleet.running[::3]
+        for daemon in herd:
+            fleet.kill(daemon)
+        fleet.run(30.0)
+        before = {a: t.membership for a, t in fleet.traffic.items()}
+        for daemon in herd:
+            fleet.restart(daemon)
+        fleet.run(30.0)
+        self.assertTrue(is_alive_everywhere(fleet, fleet.running))
+        for address, traffic in fleet.traffic.items():
+            rate = (traffic.membership - before[address]) / 30.0
+            self.assertLess(rate, MAX_BYTES_PER_SECOND, str(address))
+
+
+class TrafficTest(FleetTestCase):
+    """Bytes at rest and in a mass loss, and the size of datagrams."""
+
+    def test_bytes_at_rest_do_not_grow_with_the_zone(self) -> None:
+        rates = []
+        for size in (10, 40):
+            fleet = settled(("klang",), size)
+            fleet.run(60.0)
+            before = sum(t.membership for t in fleet.traffic.values())
+            fleet.run(30.0)
+            total = sum(t.membership for t in fleet.traffic.values()) - before
+            rates.append(total / 30.0 / size)
+            largest = max(t.largest_datagram for t in fleet.traffic.values())
+            self.assertLess(largest, MAX_DATAGRAM_BYTES)
+        self.assertLess(max(rates), MAX_BYTES_PER_SECOND / 4)
+        self.assertLess(rates[1], rates[0] * 1.25)
+
+    def test_mass_loss_keeps_the_byte_limit(self) -> None:
+        fleet = settled(("klang",), 40)
+        for daemon in fleet.running[::2]:
+            fleet.kill(daemon)
+        for _ in range(6):
+            before = {
+                d.address: fleet.traffic[d.address].membership for d in fleet.running
+            }
+            fleet.run(10.0)
+            for address, total in before.items():
+                rate = (fleet.traffic[address].membership - total) / 10.0
+                self.assertLess(rate, MAX_BYTES_PER_SECOND, str(address))
+        self.assertGreater(fleet.traffic[fleet.running[0].address].sent[DATAGRAM], 0)
+
+    def test_heartbeats_never_touch_the_platform(self) -> None:
+        fleet = settled(("klang",), 8)
+        fleet.run(20.0)
+        for daemon in fleet.daemons.values():
+            daemon.distribution.relay.set_active(False)
+            daemon.distribution.choose_relays = lambda draining: None  # type: ignore[method-assign]
+        before = fleet.platform.counts.copy()
+        fleet.run(100.0)
+        self.assertLessEqual((fleet.platform.counts - before).total(), 2)
--- a/tests/process/test_platform_watch.py
+++ b/tests/process/test_platform_watch.py
@@ -8,7 +8,7 @@
 
 from briarslip.process.platform_watch import BACKOFF_CAP_SECONDS
 from briarslip.process.platform_watch import PlatformWatch
-from tests.support.virtual import VirtualPlatform
+from standins.virtual_platform import VirtualPlatform
 
 
 if TYPE_CHECKING:
--- a/tests/process/test_publisher.py
+++ b/tests/process/test_publisher.py
@@ -22,14 +22,14 @@
 from briarslip.process.version_store import read_head
 from briarslip.process.version_store import read_version
 from briarslip.version.snapshot import EMPTY_SNAPSHOT
+from standins.virtual_platform import HookedClient
+from standins.virtual_platform import VirtualPlatform
 from tests.support.records import Operator
 from tests.support.records import ids
 from tests.support.records import names
 from tests.support.records import removed
 from tests.support.records import route
 from tests.support.records import service
-from tests.support.virtual import HookedClient
-from tests.support.virtual import VirtualPlatform
 
 
 if TYPE_CHECKING:
--- a/tests/process/test_relay.py
+++ b/tests/process/test_relay.py
@@ -8,7 +8,7 @@
 from bench.fleet_clock import FleetClock
 from briarslip.process.relay import Relay
 from briarslip.version.snapshot import EMPTY_SNAPSHOT
-from tests.support.virtual import VirtualPlatform
+from standins.virtual_platform import VirtualPlatform
 
 
 class RelayTest(unittest.TestCase):
--- a/tests/support/members.py
+++ b/tests/support/members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import unittest
 from typing import TYPE_CHECKING
 
 from bench.fleet import Fleet
@@ -11,6 +12,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from bench.fleet import FleetDaemon
@@ -81,6 +83,30 @@
     return fleet
 
 
+ENDED = (Status.DEAD, Status.LEFT, None)
+
+
+class FleetTestCase(unittest.TestCase):
+    """Steps shared by the tests below."""
+
+    def assert_none_ended(
+        self, fleet: Fleet, daemons: Iterable[FleetDaemon], seconds: float
+    ) -> None:
+        """Let time pass; nobody may hold one of these daemons to have ended."""
+        chosen = tuple(daemons)
+        for _ in range(int(seconds / 0.25)):
+            fleet.run(0.25)
+            for daemon in chosen:
+                evicted_by = [str(h.address) for h in holders(fleet, daemon, *ENDED)]
+                self.assertEqual([], evicted_by, f"{daemon.address} was evicted")
+
+    def assert_within(
+        self, fleet: Fleet, seconds: float, condition: Callable[[], bool]
+    ) -> None:
+        """Let time pass until a condition holds, for some seconds at most."""
+        self.assertLessEqual(fleet.run_until(condition, seconds + 0.1), seconds)
+
+
 __all__ = [
     "endpoint",
     "has_new_work",
--- a/tests/support/records.py
+++ b/tests/support/records.py
@@ -22,7 +22,7 @@
     from briarslip.process.change_writer import ChangeError
     from briarslip.process.change_writer import WrittenChange
     from briarslip.process.platform import PlatformClient
-    from tests.support.virtual import VirtualPlatform
+    from standins.virtual_platform import VirtualPlatform
 
 
 def service(name: str) -> RecordWrite:
