--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -15,7 +15,7 @@
 from briarslip.process.change_writer import RecordWrite
 from briarslip.process.change_writer import write_change
 from briarslip.version.record import RecordKey
-from standins.local_platform import LocalPlatformClient
+from standins.local_platform import LocalStoreClient
 
 
 if TYPE_CHECKING:
@@ -48,9 +48,7 @@
         self.rng = random.Random(seed)
         for number, zone in enumerate(ZONES):
             self.fleet.add_zone(zone, (size + number) // len(ZONES))
-        self.client = LocalPlatformClient(
-            self.fleet.platform, self.fleet.clock.callLater
-        )
+        self.client = LocalStoreClient(self.fleet.platform, self.fleet.clock.callLater)
         self.numbers = count(1)
         self.version = 0
         self.fleet.run(SETTLE_SECONDS)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,7 +20,7 @@
 from bench.fleet_traffic import Traffic
 from briarslip.address import Address
 from briarslip.process.change_writer import write_change
-from standins.local_platform import LocalPlatformClient
+from standins.local_platform import LocalStoreClient
 from standins.platform_store import PlatformStandIn
 
 
@@ -85,7 +85,7 @@
 
     def apply(self, *writes: RecordWrite) -> None:
         """Write a change as operators do; no daemon has seen it yet."""
-        client = LocalPlatformClient(self.platform, self.clock.callLater)
+        client = LocalStoreClient(self.platform, self.clock.callLater)
         work = write_change(client, writes, lambda: f"{next(self.changes):032x}")
         done: list[Any] = []
         Deferred.fromCoroutine(work).addBoth(done.append)
--- a/bench/fleet_daemon.py
+++ b/bench/fleet_daemon.py
@@ -16,9 +16,9 @@
 from briarslip.process.member import Member
 from briarslip.process.member import Status
 from briarslip.process.membership_task import MembershipTask
-from briarslip.process.platform import PlatformError
-from briarslip.process.platform import WatchClosed
-from standins.local_platform import LocalPlatformClient
+from briarslip.process.store import StoreError
+from briarslip.process.store import WatchClosed
+from standins.local_platform import LocalStoreClient
 
 
 if TYPE_CHECKING:
@@ -83,7 +83,7 @@
         self.fleet.send_datagram(self.address, Address(*address), data)
 
 
-class FleetPlatform(LocalPlatformClient):
+class FleetPlatform(LocalStoreClient):
     """A daemon's platform client, which its zone's cut closes."""
 
     def __init__(self, fleet: Fleet, zone: str, reactor: FleetReactor) -> None:
@@ -94,7 +94,7 @@
 
     async def _call(self, kind: str, operation: Callable[[], Any]) -> Any:
         if self.zone in self.fleet.platform_cuts:
-            return Err(PlatformError("cut off", kind not in ("range",)))
+            return Err(StoreError("cut off", kind not in ("range",)))
         return await super()._call(kind, operation)
 
     def watch(
--- a/bench/links.py
+++ b/bench/links.py
@@ -62,7 +62,7 @@
         self.reactor: Any = MemoryReactorClock()
         pool = BackendPool(self.reactor, Address("127.0.0.1", 8000), 10)
         self.pair.server.dispatch = pool
-        factory = CallerHttpFactory(self.reactor, self._forward, 1 << 20)
+        factory = CallerHttpFactory(self.reactor, self._forward)
         self.caller: Any = factory.buildProtocol(None)
         self.backend: Any = None
         self.transports = [CountingTransport() for _ in range(4)]
--- a/bench/reconnect.py
+++ b/bench/reconnect.py
@@ -16,17 +16,17 @@
 from bench.figure import Figure
 from bench.fleet_clock import HeapClock
 from briarslip.connection.frame import Topic
-from briarslip.process import platform_watch
-from briarslip.process.platform_watch import PlatformWatch
+from briarslip.process import store_watch
+from briarslip.process.store_watch import StoreWatch
 from briarslip.process.version_store import HEAD_KEY
 from briarslip.version import distribution
 from briarslip.version import puller
-from standins.local_platform import LocalPlatformClient
+from standins.local_platform import LocalStoreClient
 from standins.platform_store import PlatformStandIn
 
 
 if TYPE_CHECKING:
-    from briarslip.process.platform import WatchEvent
+    from briarslip.process.store import WatchEvent
 
 
 WINDOW_SECONDS = 0.1
@@ -45,17 +45,17 @@
         self.clock: Any = HeapClock()
         self.store = PlatformStandIn(self.clock)
         self.rng = random.Random(1)
-        self.watches: list[PlatformWatch] = []
+        self.watches: list[StoreWatch] = []
         for _ in range(size):
-            client = LocalPlatformClient(self.store, self.clock.callLater)
+            client = LocalStoreClient(self.store, self.clock.callLater)
 
             def read(
                 events: tuple[WatchEvent, ...],
-                client: LocalPlatformClient = client,
+                client: LocalStoreClient = client,
             ) -> None:
                 Deferred.fromCoroutine(client.get(HEAD_KEY))
 
-            watch = PlatformWatch(
+            watch = StoreWatch(
                 self.clock, self.rng, client, HEAD_KEY, read, lambda: None
             )
             watch.start(0)
@@ -77,9 +77,7 @@
         counts = Counter[int]()
         before = self.store.counts.total()
         self.store.outage = ""
-        for window in range(
-            int(2 * platform_watch.BACKOFF_CAP_SECONDS / WINDOW_SECONDS)
-        ):
+        for window in range(int(2 * store_watch.BACKOFF_CAP_SECONDS / WINDOW_SECONDS)):
             self.clock.advance(WINDOW_SECONDS)
             counts[window] = self.store.counts.total() - before
             before = self.store.counts.total()
@@ -157,7 +155,7 @@
                 "calls/s",
             ),
         ]
-        with mock.patch.object(platform_watch, "full_jitter", fixed_delay):
+        with mock.patch.object(store_watch, "full_jitter", fixed_delay):
             peak = NaiveFleet(size).peak_after_outage()
         name = f"{size}, each watches: peak after an outage, fixed wait"
         figures.append(Figure(name, peak, "calls/s"))
--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.web import http
 
+from briarslip.connection.dialect import OWN_DIALECT
 from briarslip.connection.http_head import HEAD_END
 from briarslip.connection.http_head import MAX_HEAD_BYTES
 from briarslip.connection.http_head import parse_answer_head
@@ -26,6 +27,7 @@
 
     from twisted.python.failure import Failure as TwistedFailure
 
+    from briarslip.connection.dialect import Dialect
     from briarslip.connection.http_head import AnswerHead
     from briarslip.request.call import Call
     from briarslip.request.call import Load
@@ -48,13 +50,16 @@
         on_idle: Callable[[BackendConnection], None],
         on_lost: Callable[[BackendConnection], None],
         on_made: Callable[[BackendConnection], None],
+        dialect: Dialect = OWN_DIALECT,
     ) -> None:
         self.load = load
+        self.dialect = dialect
         self.on_idle = on_idle
         self.on_lost = on_lost
         self.on_made: Callable[[BackendConnection], None] | None = on_made
         self.call: Call | None = None
         self.sink: ResponseSink | None = None
+        self.request_id = b""
         self.idle_since = 0.0
         self.retiring = False
         self._reset()
@@ -64,6 +69,7 @@
         self.answer: AnswerHead | None = None
         self.left: int | None = None
         self.decoder: Any = None
+        self.skipping = False
 
     def connectionMade(self) -> None:
         """Report the connection."""
@@ -77,6 +83,7 @@
         self._reset()
         self.call = call
         self.sink = sink
+        self.request_id = self.dialect.request_id_of(call.headers)
         call.flow.on_change = self._flow_changed
         if call.flow.paused:
             self._flow_changed(True)
@@ -110,7 +117,7 @@
             if len(self.buffer) > MAX_HEAD_BYTES:
                 self.transport.abortConnection()
             return
-        parsed = parse_answer_head(self.buffer[: end + 2])
+        parsed = parse_answer_head(self.buffer[: end + 2], self.dialect)
         if isinstance(parsed, Err) or parsed.ok_value.status == SWITCHING_PROTOCOLS:
             self.transport.abortConnection()
             return
@@ -121,9 +128,33 @@
             if rest:
                 self._take_head()
             return
+        if self.request_id and answer.request_id != self.request_id:
+            self._pass_over(answer, rest)
+            return
+        if self.dialect.signature and not answer.signed and answer.status < 300:
+            self.transport.abortConnection()
+            return
         self.buffer = b""
         self._begin_answer(answer, rest)
 
+    def _pass_over(self, answer: AnswerHead, rest: bytes) -> None:
+        """Skip an answer to another request; one to this one may follow."""
+        self.retiring = True
+        self.skipping = True
+        self.buffer = b""
+        self.answer = answer
+        self.left = answer.length
+        if answer.chunked:
+            self.decoder = http._ChunkedTransferDecoder(self._part, self._chunks_end)
+        if rest or self.left == 0:
+            self._take_body(rest)
+
+    def _skipped(self, rest: bytes) -> None:
+        self._reset()
+        self.buffer = rest
+        if rest:
+            self._take_head()
+
     def _begin_answer(self, answer: AnswerHead, rest: bytes) -> None:
         sink, call = self.sink, self.call
         assert sink is not None
@@ -146,6 +177,9 @@
         if self.left is None:
             self._part(data)
             return
+        if self.skipping and len(data) >= self.left:
+            self._skipped(data[self.left :])
+            return
         if len(data) > self.left:
             self.retiring = True
             data = data[: self.left]
@@ -162,10 +196,13 @@
             self.transport.abortConnection()
 
     def _part(self, data: bytes) -> None:
-        if self.sink is not None and data:
+        if self.sink is not None and data and not self.skipping:
             self.sink.body(data, False)
 
     def _chunks_end(self, rest: bytes) -> None:
+        if self.skipping:
+            self._skipped(rest)
+            return
         if rest:
             self.retiring = True
         self._end(b"")
@@ -204,7 +241,10 @@
             return
         answer = self.answer
         until_close = (
-            answer is not None and answer.length is None and not answer.chunked
+            answer is not None
+            and answer.length is None
+            and not answer.chunked
+            and not self.skipping
         )
         if until_close and reason.check(type(connectionDone.value)):
             sink.body(b"", True)
--- a/src/briarslip/connection/backend_pool.py
+++ b/src/briarslip/connection/backend_pool.py
@@ -7,6 +7,7 @@
 from twisted.internet.protocol import ClientFactory
 
 from briarslip.connection.backend_connection import BackendConnection
+from briarslip.connection.dialect import OWN_DIALECT
 from briarslip.request.call import Load
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
@@ -22,6 +23,7 @@
     from twisted.python.failure import Failure as TwistedFailure
 
     from briarslip.address import Address
+    from briarslip.connection.dialect import Dialect
     from briarslip.request.call import Call
     from briarslip.request.call import ResponseHead
     from briarslip.request.call import ResponseSink
@@ -46,11 +48,13 @@
         address: Address,
         slots: int,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+        dialect: Dialect = OWN_DIALECT,
     ) -> None:
         self.reactor = reactor
         self.address = address
         self.slots = slots
         self.connect_timeout = connect_timeout
+        self.dialect = dialect
         self.in_flight = 0
         self.idle: list[BackendConnection] = []
         self.connections: set[BackendConnection] = set()
@@ -191,6 +195,7 @@
             on_idle=pool.take_back,
             on_lost=pool.lost,
             on_made=self.exchange.start,
+            dialect=pool.dialect,
         )
         pool.connections.add(connection)
         return connection
--- a/src/briarslip/connection/caller_exchange.py
+++ b/src/briarslip/connection/caller_exchange.py
@@ -28,10 +28,6 @@
     status: b"HTTP/1.1 %d %s\r\n" % (status, phrase)
     for status, phrase in http.RESPONSES.items()
 }
-OUTCOME_LINES = {
-    outcome: b"Briarslip-Outcome: %s\r\n" % outcome.value.encode()
-    for outcome in Outcome
-}
 FAILURE_STATUSES = {
     Reason.NO_ROUTE: http.NOT_FOUND,
     Reason.BAD_REQUEST: http.BAD_REQUEST,
@@ -40,9 +36,15 @@
     Reason.HANDED_OVER: http.CONFLICT,
     Reason.KEY_MISMATCH: UNPROCESSABLE,
 }
-OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.TOO_MANY_OUTSTANDING))
-# A whole second is the least that the header can say.
-RETRY_AFTER_LINE = b"Retry-After: 1\r\n"
+FINAL_NOT_RUN = frozenset(
+    (
+        Reason.NO_ROUTE,
+        Reason.BAD_REQUEST,
+        Reason.BODY_TOO_LARGE,
+        Reason.HANDED_OVER,
+        Reason.KEY_MISMATCH,
+    )
+)
 CLOSE_LINE = b"Connection: close\r\n"
 
 
@@ -94,12 +96,13 @@
             else http.BAD_GATEWAY
         )
         status = FAILURE_STATUSES.get(failure.reason, default)
-        extra = self._close()
-        if failure.reason in OVERLOAD_REASONS:
-            extra += RETRY_AFTER_LINE
+        dialect = self.connection.factory.dialect
+        extra = dialect.outcome_line(failure.outcome.value) + self._close()
+        if failure.outcome is Outcome.NOT_RUN and failure.reason not in FINAL_NOT_RUN:
+            status = http.SERVICE_UNAVAILABLE
+            extra += dialect.retry_after_line(self.connection.factory.retry_after())
         bodiless = self.request_head.method == b"HEAD"
-        text = failure.reason.value
-        answer = error_answer(status, failure.outcome, text, extra, bodiless)
+        answer = error_answer(status, failure.reason.value, extra, bodiless)
         self.connection.write(answer)
         self._finish()
 
@@ -129,7 +132,8 @@
             else:
                 self.connection.closing = True
         line = STATUS_LINES.get(head.status) or b"HTTP/1.1 %d \r\n" % head.status
-        outcome = OUTCOME_LINES[head.outcome]
+        dialect = self.connection.factory.dialect
+        outcome = dialect.outcome_line(head.outcome.value)
         close = self._close()
         return b"".join((line, head.headers, outcome, framing, close, b"\r\n"))
 
@@ -166,15 +170,12 @@
         self.connection.abort()
 
 
-def error_answer(
-    status: int, outcome: Outcome, text: str, extra: bytes, bodiless: bool = False
-) -> bytes:
+def error_answer(status: int, text: str, extra: bytes, bodiless: bool = False) -> bytes:
     """Return a whole error answer; ``extra`` holds further header lines."""
     body = f"{text}\n".encode()
     head = b"Content-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n"
     parts = (
         STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status,
-        OUTCOME_LINES[outcome],
         head % len(body),
         extra,
         b"\r\n",
--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -14,8 +14,10 @@
 from briarslip.connection.caller_exchange import CLOSE_LINE
 from briarslip.connection.caller_exchange import CallerExchange
 from briarslip.connection.caller_exchange import error_answer
+from briarslip.connection.caller_limits import DEFAULT_LIMITS
+from briarslip.connection.caller_limits import DEFAULT_RETRY_AFTER_SECONDS
+from briarslip.connection.dialect import OWN_DIALECT
 from briarslip.connection.http_head import HEAD_END
-from briarslip.connection.http_head import MAX_HEAD_BYTES
 from briarslip.connection.http_head import parse_request_head
 from briarslip.connection.request_body import BodyState
 from briarslip.connection.request_body import RequestBody
@@ -32,6 +34,8 @@
     from twisted.internet.interfaces import IAddress
     from twisted.python.failure import Failure as TwistedFailure
 
+    from briarslip.connection.caller_limits import CallerLimits
+    from briarslip.connection.dialect import Dialect
     from briarslip.connection.http_head import HeadFault
     from briarslip.connection.http_head import RequestHead
     from briarslip.request.call import ResponseSink
@@ -39,9 +43,7 @@
 
 MAX_DEPTH = 64
 HEAD_TOO_LARGE = 431
-SWEEP_SECONDS = 1.0
-IDLE_LIMIT_SECONDS = 75.0
-REQUEST_LIMIT_SECONDS = 30.0
+SWEEP_SECONDS = 0.5
 DRAIN_IDLE_SECONDS = 1.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -58,6 +60,7 @@
         self.request_body: RequestBody | None = None
         self.exchange: CallerExchange | None = None
         self.closing = factory.draining
+        self.closed = False
         self.advancing = False
         self.reading = True
         self.paused = False
@@ -83,7 +86,7 @@
         self.buffer = self.buffer + data if self.buffer else data
         if self.exchange is None:
             self._advance()
-        elif len(self.buffer) > MAX_HEAD_BYTES:
+        elif len(self.buffer) > self.factory.limits().head_bytes:
             self.reading = False
             self.transport.pauseProducing()
 
@@ -123,6 +126,9 @@
 
     def close(self) -> None:
         """Close once everything written has been sent."""
+        if self.closed:
+            return
+        self.closed = True
         self.closing = True
         self.buffer = b""
         self.transport.unregisterProducer()
@@ -151,27 +157,28 @@
 
     def _take_head(self) -> bool:
         end = self.buffer.find(HEAD_END)
-        if end < 0 and len(self.buffer) <= MAX_HEAD_BYTES:
+        most = self.factory.limits().head_bytes
+        if end < 0 and len(self.buffer) <= most:
             return False
-        if not 0 <= end <= MAX_HEAD_BYTES:
-            self._refuse(HEAD_TOO_LARGE, "the head is too large")
+        if not 0 <= end <= most:
+            self.refuse(HEAD_TOO_LARGE, "the head is too large")
             return False
-        parsed = parse_request_head(self.buffer[: end + 2])
+        parsed = parse_request_head(self.buffer[: end + 2], self.factory.dialect)
         if isinstance(parsed, Err):
             fault: HeadFault = parsed.err_value
-            self._refuse(fault.status, fault.reason)
+            self.refuse(fault.status, fault.reason)
             return False
         self.buffer = self.buffer[end + len(HEAD_END) :]
         head = self.request_head = parsed.ok_value
         if head.depth >= MAX_DEPTH:
-            self._refuse(http.BAD_REQUEST, Reason.BAD_REQUEST.value)
+            self.refuse(http.BAD_REQUEST, Reason.BAD_REQUEST.value)
             return False
         if head.length != 0:
             self._begin_body(head)
         return True
 
     def _begin_body(self, head: RequestHead) -> None:
-        self.request_body = RequestBody(head.length, self.factory.max_body_bytes)
+        self.request_body = RequestBody(head.length, self.factory.limits().body_bytes)
         wanted = self.request_body.state is BodyState.PARTIAL
         if head.expects_continue and wanted and not self.buffer:
             self.write(CONTINUE)
@@ -189,9 +196,9 @@
             return True
         if body.state is BodyState.TOO_LARGE:
             status = http.REQUEST_ENTITY_TOO_LARGE
-            self._refuse(status, Reason.BODY_TOO_LARGE.value)
+            self.refuse(status, Reason.BODY_TOO_LARGE.value)
         elif body.state is BodyState.MALFORMED:
-            self._refuse(http.BAD_REQUEST, "the body is malformed")
+            self.refuse(http.BAD_REQUEST, "the body is malformed")
         return False
 
     def _dispatch(self, body: bytes) -> None:
@@ -205,25 +212,31 @@
         request = CallerRequest(
             method=head.method.decode("latin-1"),
             target=head.target.decode("latin-1"),
-            headers=head.headers,
+            headers=head.headers + self.factory.added_headers,
             body=body,
             depth=head.depth,
             timeout=None if head.timeout_ms is None else head.timeout_ms / 1000,
             flow=exchange.flow,
+            host=head.host,
         )
         cancel = self.factory.forward(request, exchange)
         if not exchange.ended:
             exchange.cancel = cancel
 
-    def _refuse(self, status: int, text: str) -> None:
+    def refuse(self, status: int, text: str) -> None:
         """Refuse a request that can't be read on from; the connection ends."""
         self.request_head = self.request_body = None
-        self.write(error_answer(status, Outcome.NOT_RUN, text, CLOSE_LINE))
+        outcome = self.factory.dialect.outcome_line(Outcome.NOT_RUN.value)
+        self.write(error_answer(status, text, outcome + CLOSE_LINE))
         self.close()
 
 
 class CallerHttpFactory(ServerFactory):
-    """Builds the connections of callers and closes those that stand still."""
+    """Builds the connections of callers and closes those that stand still.
+
+    ``added_headers`` are put on each request. ``retry_after`` returns after how
+    many seconds a caller whose request was refused should come back.
+    """
 
     noisy = False
 
@@ -231,11 +244,17 @@
         self,
         reactor: Any,
         forward: Callable[[CallerRequest, ResponseSink], Callable[[], None]],
-        max_body_bytes: int,
+        limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
+        dialect: Dialect = OWN_DIALECT,
+        added_headers: bytes = b"",
+        retry_after: Callable[[], float] = lambda: DEFAULT_RETRY_AFTER_SECONDS,
     ) -> None:
         self.reactor = reactor
         self.forward = forward
-        self.max_body_bytes = max_body_bytes
+        self.limits = limits
+        self.dialect = dialect
+        self.added_headers = added_headers
+        self.retry_after = retry_after
         self.connections: set[CallerConnection] = set()
         self.in_flight = 0
         self.draining = False
@@ -273,15 +292,20 @@
 
     def _check(self, connection: CallerConnection) -> None:
         still = self.now - connection.active_at
+        limits = self.limits()
         if connection.paused:
-            if still > REQUEST_LIMIT_SECONDS:
+            if still > limits.read_seconds:
                 connection.abort()
             return
         if connection.exchange is not None:
             return
         started = connection.buffer or connection.request_head is not None
-        idle_limit = DRAIN_IDLE_SECONDS if self.draining else IDLE_LIMIT_SECONDS
-        if still > (REQUEST_LIMIT_SECONDS if started else idle_limit):
+        idle_limit = DRAIN_IDLE_SECONDS if self.draining else limits.idle_seconds
+        if still <= (limits.read_seconds if started else idle_limit):
+            return
+        if started:
+            connection.refuse(http.REQUEST_TIMEOUT, "the request took too long")
+        else:
             connection.close()
 
 
--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -4,12 +4,16 @@
 
 import re
 from dataclasses import dataclass
+from functools import lru_cache
 
 from result import Err
 from result import Ok
 from result import Result
 from twisted.web import http
 
+from briarslip.connection.dialect import OWN_DIALECT
+from briarslip.connection.dialect import Dialect
+
 
 MAX_HEAD_BYTES = 32 << 10
 HEAD_END = b"\r\n\r\n"
@@ -28,8 +32,9 @@
     )
 )
 # Each hop writes these itself.
-PER_HOP = frozenset((b"content-length", b"briarslip-deadline-ms", b"briarslip-depth"))
+PER_HOP = frozenset((b"content-length", b"briarslip-depth"))
 NOT_END_TO_END = HOP_BY_HOP | PER_HOP
+ALWAYS_NOTED = NOT_END_TO_END | {b"host"}
 
 TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 HEADER_LINES = rb"((?:%s:[^\x00-\x08\x0a-\x1f\x7f]*+\r\n)*+)" % TOKEN
@@ -37,11 +42,8 @@
 ANSWER = re.compile(
     rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n\x00]*+)?\r\n" + HEADER_LINES
 )
-NOTED = re.compile(
-    rb"(?im)^(%s|host|briarslip-not-run):([^\r]*)\r\n"
-    % b"|".join(sorted(NOT_END_TO_END))
-)
 DECLARED_LENGTH = re.compile(rb"(?im)^content-length:[ \t]*([0-9]+)[ \t]*\r\n")
+ABSOLUTE_FORM = re.compile(rb"(?i)http://([^/?#@]+)([/?][^#]*)?")
 MAX_NUMBER_DIGITS = 15
 
 
@@ -70,6 +72,7 @@
     minor_version: bytes
     timeout_ms: int | None
     depth: int
+    host: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +81,8 @@
 
     ``length`` is None for a body that is chunked or ends with the connection.
     ``headers`` keep a Content-Length, which tells the caller's side how long
-    the body must be.
+    the body must be. ``request_id`` is what the server echoes, ``signed``
+    whether it put its signature on the answer.
     """
 
     status: int
@@ -87,15 +91,24 @@
     chunked: bool
     keep: bool
     shed: bool
+    request_id: bytes = b""
+    signed: bool = False
+
+
+@lru_cache(maxsize=8)
+def _noted_pattern(dialect: Dialect) -> re.Pattern[bytes]:
+    names = sorted(re.escape(name) for name in ALWAYS_NOTED | dialect.noted)
+    return re.compile(rb"(?im)^(%s):([^\r]*)\r\n" % b"|".join(names))
 
 
 class NotedHeaders:
     """The headers of a head that matter to this hop, by lower-case name."""
 
-    def __init__(self, block: bytes) -> None:
+    def __init__(self, block: bytes, dialect: Dialect) -> None:
         self.block = block
+        self.dialect = dialect
         self.values: dict[bytes, list[bytes]] = {}
-        for name, value in NOTED.findall(block):
+        for name, value in _noted_pattern(dialect).findall(block):
             self.values.setdefault(name.lower(), []).append(value.strip())
 
     @property
@@ -115,7 +128,8 @@
 
     def end_to_end(self, kept: frozenset[bytes] = frozenset()) -> bytes:
         """Return the header lines without those of this hop, but for ``kept``."""
-        dropped = (NOT_END_TO_END - kept) & self.values.keys()
+        own = NOT_END_TO_END | self.dialect.set_by_daemon
+        dropped = (own - kept) & self.values.keys()
         if b"connection" in dropped:
             dropped |= self.connection - {b"close", b"keep-alive"} - kept
         if not dropped:
@@ -125,6 +139,10 @@
             line for line in lines if line.partition(b":")[0].lower() not in dropped
         )
 
+    def first(self, name: bytes) -> bytes:
+        """Return the first value of a header, empty if there is none."""
+        return self.values.get(name.lower(), [b""])[0]
+
     def number(self, name: bytes) -> Result[int | None, str]:
         """Read a header that may stand once and holds a whole number."""
         values = self.values.get(name)
@@ -136,7 +154,9 @@
         return Ok(int(value))
 
 
-def parse_request_head(data: bytes) -> Result[RequestHead, HeadFault]:
+def parse_request_head(
+    data: bytes, dialect: Dialect = OWN_DIALECT
+) -> Result[RequestHead, HeadFault]:
     """Read a request head up to, and without, its empty line.
 
     Anything that two readers could frame in two ways is refused.
@@ -145,11 +165,16 @@
     if match is None:
         return Err(HeadFault(http.BAD_REQUEST, "the head is malformed"))
     method, target, minor, block = match.groups()
-    noted = NotedHeaders(block)
-    if minor == b"1" and len(noted.values.get(b"host", ())) != 1:
+    noted = NotedHeaders(block, dialect)
+    hosts = noted.values.get(b"host", [])
+    if minor == b"1" and len(hosts) != 1:
         return Err(HeadFault(http.BAD_REQUEST, "there must be one Host header"))
+    absolute = ABSOLUTE_FORM.fullmatch(target)
+    if absolute is not None:
+        hosts, target = [absolute[1]], absolute[2] or b"/"
     numbers: dict[bytes, int | None] = {}
-    for name in PER_HOP & noted.values.keys():
+    deadline = dialect.deadline.lower()
+    for name in (PER_HOP | {deadline}) & noted.values.keys():
         number = noted.number(name)
         if isinstance(number, Err):
             return Err(HeadFault(http.BAD_REQUEST, number.err_value))
@@ -171,19 +196,23 @@
             keep=noted.keep(minor),
             expects_continue=expects == [b"100-continue"],
             minor_version=minor,
-            timeout_ms=numbers.get(b"briarslip-deadline-ms"),
+            timeout_ms=numbers.get(deadline),
             depth=numbers.get(b"briarslip-depth") or 0,
+            host=hosts[0].decode("latin-1").lower() if hosts else "",
         )
     )
 
 
-def parse_answer_head(data: bytes) -> Result[AnswerHead, str]:
+def parse_answer_head(
+    data: bytes, dialect: Dialect = OWN_DIALECT
+) -> Result[AnswerHead, str]:
     """Read an answer head up to, and without, its empty line."""
     match = ANSWER.fullmatch(data)
     if match is None:
         return Err("the head is malformed")
-    minor, status, block = match.groups()
-    noted = NotedHeaders(block)
+    minor, digits, block = match.groups()
+    status = int(digits)
+    noted = NotedHeaders(block, dialect)
     length = noted.number(b"content-length")
     if isinstance(length, Err):
         return Err(length.err_value)
@@ -195,12 +224,15 @@
             return Err("unknown transfer encoding")
     return Ok(
         AnswerHead(
-            status=int(status),
+            status=status,
             headers=noted.end_to_end(frozenset((b"content-length",))),
             length=length.ok_value,
             chunked=encodings is not None,
             keep=noted.keep(minor),
-            shed=b"briarslip-not-run" in noted.values,
+            shed=dialect.not_run.lower() in noted.values
+            or status in dialect.not_run_statuses,
+            request_id=noted.first(dialect.request_id),
+            signed=dialect.signature.lower() in noted.values,
         )
     )
 
--- a/src/briarslip/connection/local_http.py
+++ b/src/briarslip/connection/local_http.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from functools import partial
 from io import BytesIO
 from typing import TYPE_CHECKING
 from typing import Any
@@ -36,7 +37,8 @@
     def process(self) -> None:
         """Answer from the endpoint of this method and path."""
         path = self.path.decode("latin-1")
-        endpoint = self.channel.factory.endpoints.get((self.method.decode(), path))
+        method = self.method.decode("latin-1")
+        endpoint = self.channel.factory.find(method, path)
         if endpoint is None:
             reply = JsonReply(http.NOT_FOUND, {"error": f"no such endpoint: {path}"})
         else:
@@ -50,18 +52,31 @@
 
 
 class LocalHttpFactory(http.HTTPFactory):
-    """Serves endpoints by method and path."""
+    """Serves endpoints by method and path.
+
+    A path that ends with a slash serves all paths of one more segment, which
+    its endpoint is given before the body.
+    """
 
     noisy = False
 
     def __init__(
         self,
         reactor: Any,
-        endpoints: Mapping[tuple[str, str], Callable[[bytes], JsonReply]],
+        endpoints: Mapping[tuple[str, str], Callable[..., JsonReply]],
     ) -> None:
         super().__init__(reactor=reactor)
         self.endpoints = endpoints
 
+    def find(self, method: str, path: str) -> Callable[[bytes], JsonReply] | None:
+        """Return the endpoint of a method and path."""
+        endpoint = self.endpoints.get((method, path))
+        if endpoint is not None:
+            return endpoint
+        parent, _, last = path.rpartition("/")
+        endpoint = self.endpoints.get((method, f"{parent}/"))
+        return None if endpoint is None or not last else partial(endpoint, last)
+
     def buildProtocol(self, addr: IAddress) -> http.HTTPChannel:
         """Build a plain HTTP/1.1 channel."""
         channel = http.HTTPChannel()
--- a/src/briarslip/console/change.py
+++ b/src/briarslip/console/change.py
@@ -34,7 +34,7 @@
     from briarslip.process.change_writer import RecordWrite
     from briarslip.process.change_writer import WriteFailed
     from briarslip.process.change_writer import WrittenChange
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
 
 
 POLL_SECONDS = 0.1
@@ -42,7 +42,7 @@
 
 def write_and_report(
     platform: str,
-    plan: Callable[[PlatformClient], Coroutine[Any, Any, list[RecordWrite]]],
+    plan: Callable[[StoreClient], Coroutine[Any, Any, list[RecordWrite]]],
     wait_s: float,
 ) -> None:
     """Write the planned records as one change; print the outcome or exit.
@@ -74,7 +74,7 @@
 
 
 async def _await_status(
-    reactor: Any, client: PlatformClient, change: str, wait_s: float
+    reactor: Any, client: StoreClient, change: str, wait_s: float
 ) -> dict[str, Any] | None:
     deadline = time.monotonic() + wait_s
     while time.monotonic() < deadline:
--- a/src/briarslip/console/commands/apply.py
+++ b/src/briarslip/console/commands/apply.py
@@ -17,7 +17,7 @@
 
 
 if TYPE_CHECKING:
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
 
 
 ReadAtOption = Annotated[
@@ -37,7 +37,7 @@
         RecordWrite(record.key, record.fields, read_at) for record in read_files(files)
     ]
 
-    async def plan(_: PlatformClient) -> list[RecordWrite]:
+    async def plan(_: StoreClient) -> list[RecordWrite]:
         return records
 
     write_and_report(platform, plan, wait_s)
--- a/src/briarslip/console/commands/change.py
+++ b/src/briarslip/console/commands/change.py
@@ -23,8 +23,8 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from briarslip.process.platform import KeyValue
-    from briarslip.process.platform import PlatformError
+    from briarslip.process.store import KeyValue
+    from briarslip.process.store import StoreError
 
 
 ChangeArgument = Annotated[str, typer.Argument(help="the id that apply printed")]
@@ -33,7 +33,7 @@
 def change(change_id: ChangeArgument, platform: PlatformOption) -> None:
     """Print whether a change was accepted, and if not, why."""
 
-    async def work(reactor: Any) -> Result[KeyValue | None, PlatformError]:
+    async def work(reactor: Any) -> Result[KeyValue | None, StoreError]:
         client = platform_client(reactor, platform)
         return await client.get(f"{CHANGE_STATUS_PREFIX}{change_id}")
 
--- a/src/briarslip/console/commands/remove.py
+++ b/src/briarslip/console/commands/remove.py
@@ -16,7 +16,7 @@
 
 
 if TYPE_CHECKING:
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
 
 
 def remove(
@@ -25,7 +25,7 @@
     """Remove records as one change."""
     names = [RecordName.from_argument(text) for text in records]
 
-    async def plan(client: PlatformClient) -> list[RecordWrite]:
+    async def plan(client: StoreClient) -> list[RecordWrite]:
         writes: list[RecordWrite] = []
         for name in names:
             forms = await fetch_stored(client, name)
--- a/src/briarslip/console/daemon.py
+++ b/src/briarslip/console/daemon.py
@@ -17,7 +17,12 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
+    from typing import Any
+
+    from briarslip.process.daemon import Daemon
+    from briarslip.process.settings import LogSettings
 
 
 EXIT_CANNOT_LISTEN = 1
@@ -27,8 +32,7 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the daemon until it is told to stop; return the exit status."""
-    for number in STOP_SIGNALS:
-        signal.signal(number, _stop_before_start)
+    stop_before_start()
     options = _parser().parse_args(arguments)
     path = Path(options.settings)
     try:
@@ -46,6 +50,12 @@
     return _run(settings.ok_value)
 
 
+def stop_before_start() -> None:
+    """Let a signal end the process at once while nothing has been taken on."""
+    for number in STOP_SIGNALS:
+        signal.signal(number, _end)
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="briarslipd", description=__doc__)
     parser.add_argument("settings", help="INI file with the settings")
@@ -56,14 +66,20 @@
 
 
 def _run(settings: Settings) -> int:
+    from briarslip.process.daemon import Daemon
+
+    return run_daemon(lambda r: Daemon.from_settings(settings, r), settings.log)
+
+
+def run_daemon(make_daemon: Callable[[Any], Daemon], log: LogSettings) -> int:
+    """Run a daemon, made for the reactor it is given; return the exit status."""
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
-    from briarslip.process.daemon import Daemon
     from briarslip.process.events import install_log
 
-    install_log(settings.log)
-    daemon = Daemon.from_settings(settings, reactor)
+    install_log(log)
+    daemon = make_daemon(reactor)
     failures: list[CannotListenError] = []
 
     def start() -> None:
@@ -84,8 +100,7 @@
     return EXIT_CANNOT_LISTEN if failures else 0
 
 
-def _stop_before_start(*_: object) -> NoReturn:
-    """End at once: nothing has been taken on yet."""
+def _end(*_: object) -> NoReturn:
     raise SystemExit(0)
 
 
@@ -93,4 +108,4 @@
     raise SystemExit(main())
 
 
-__all__ = ["main"]
+__all__ = ["EXIT_BAD_SETTINGS", "main", "run_daemon", "stop_before_start"]
--- a/src/briarslip/console/stored.py
+++ b/src/briarslip/console/stored.py
@@ -21,7 +21,7 @@
     from collections.abc import Mapping
 
     from briarslip.console.record_name import RecordName
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
     from briarslip.version.record import RecordKey
 
 
@@ -41,7 +41,7 @@
 
 
 async def fetch_stored(
-    client: PlatformClient, name: RecordName | None
+    client: StoreClient, name: RecordName | None
 ) -> list[StoredForm]:
     """Return a record's forms, or those of all records, or exit with an error."""
     prefix = name.prefix if name else ""
--- /dev/null
+++ b/src/briarslip/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/src/briarslip/platform/__main__.py
@@ -0,0 +1,54 @@
+"""The daemon on the users' platform: ``python -m briarslip.platform``."""
+
+from __future__ import annotations
+
+import os
+import random
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+
+from briarslip.console.daemon import EXIT_BAD_SETTINGS
+from briarslip.console.daemon import run_daemon
+from briarslip.console.daemon import stop_before_start
+from briarslip.finding import report
+from briarslip.platform.settings import SETTINGS_VARIABLE
+from briarslip.platform.settings import read_settings
+from briarslip.process.clock import SystemClock
+
+
+if TYPE_CHECKING:
+    from briarslip.process.daemon import Daemon
+
+
+def main() -> int:
+    """Run the daemon until it is told to stop; return the exit status."""
+    stop_before_start()
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        print(f"{SETTINGS_VARIABLE}: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    read = read_settings(raw, str(path))
+    if isinstance(read, Err):
+        print(report(read.err_value), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    file = read.ok_value
+
+    def make_daemon(reactor: Any) -> Daemon:
+        from briarslip.platform.edges import platform_edges
+        from briarslip.process.daemon import Daemon
+
+        rng = random.Random()
+        edges = platform_edges(file, reactor, rng)
+        return Daemon(file.settings, reactor, SystemClock(), rng, edges)
+
+    return run_daemon(make_daemon, file.settings.log)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/src/briarslip/platform/configuration.py
@@ -0,0 +1,123 @@
+"""The operator's configuration on the platform, read into records."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+from result import Ok
+
+from briarslip.finding import report
+from briarslip.platform.document import Document
+from briarslip.platform.document import read_document
+from briarslip.platform.rollouts import ORDER_PREFIX
+from briarslip.platform.rollouts import read_order
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.version.record import Record
+from briarslip.version.record import RecordKey
+from briarslip.version.routing_table import CALLERS
+from briarslip.version.snapshot import Snapshot
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from result import Result
+
+    from briarslip.finding import Finding
+    from briarslip.process.store import KeyValue
+
+
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+SAFE_KIND = "safe"
+KINDS = frozenset((SAFE_KIND, "non_idempotent"))
+# Ranks up to this one are urgent; 0 is the highest.
+LAST_URGENT_RANK = 1
+
+Records = dict[RecordKey, Record]
+
+
+def read_configuration(
+    items: Mapping[str, KeyValue],
+) -> Result[Snapshot | None, tuple[Finding, ...]]:
+    """Read what the operator has written, None before the first configuration.
+
+    The snapshot's version is the revision of the newest item.
+    """
+    item = items.get(CONFIGURATION_KEY)
+    if item is None:
+        return Ok(None)
+    records = read_document(item.value, CONFIGURATION_KEY, _records)
+    if isinstance(records, Err):
+        return records
+    found = records.ok_value
+    version = item.mod_revision
+    for key, order in items.items():
+        if key.startswith(ORDER_PREFIX):
+            version = max(version, order.mod_revision)
+            _add_order(found, order)
+    return Ok(Snapshot(version, found, {}))
+
+
+def _add_order(records: Records, item: KeyValue) -> None:
+    """Add a rollout; one that can't be read holds nothing else up."""
+    order = read_order(item)
+    if isinstance(order, Err):
+        emit(Event.MESSAGE_REFUSED, peer=item.key, reason=report(order.err_value))
+        return
+    record = order.ok_value
+    if RecordKey("service", record.fields["service"], 1) not in records:
+        reason = f"names service {record.fields['service']!r}, which does not exist"
+        emit(Event.MESSAGE_REFUSED, peer=item.key, reason=reason)
+        return
+    records[record.key] = record
+
+
+def _records(document: Document) -> Records:
+    records: Records = {}
+    for name in document.tables("services"):
+        _add(records, "service", name, 1, {})
+    for name, route in document.tables("routes").items():
+        _add(records, "route", name, 3, dict(_route_fields(route)))
+    limits = document.table("limits")
+    fields = {
+        "head_bytes": str(limits.integer("header-bytes", minimum=1)),
+        "body_bytes": str(limits.integer("max-body-bytes")),
+        "read_ms": str(limits.integer("header-timeout-ms", minimum=1)),
+        "idle_ms": str(limits.integer("idle-timeout-ms", minimum=1)),
+    }
+    _add(records, "limits", CALLERS, 1, fields)
+    return records
+
+
+def _add(
+    records: Records, kind: str, name: str, schema: int, fields: dict[str, str]
+) -> None:
+    key = RecordKey(kind, name, schema)
+    records[key] = Record(key, fields)
+
+
+def _route_fields(route: Document) -> Iterator[tuple[str, str]]:
+    parts = [
+        (part.text("service"), part.integer("weight"))
+        for part in route.rows("traffic-split")
+    ]
+    service = parts[0][0] if parts else route.text("service")
+    yield "service", service
+    if parts:
+        yield "parts", ", ".join(f"{name} {weight}" for name, weight in parts)
+    yield "host", route.text("host")
+    yield "path_prefix", route.text("prefix")
+    is_safe = route.word("kind", KINDS) == SAFE_KIND
+    yield "idempotent", "true" if is_safe else "false"
+    yield "timeout_ms", str(route.integer("timeout-ms", minimum=1))
+    yield "attempts", str(route.integer("attempts", default=1, minimum=1))
+    is_urgent = route.integer("priority", default=LAST_URGENT_RANK) <= LAST_URGENT_RANK
+    yield "priority", "urgent" if is_urgent else "bulk"
+    yield "claims", "none"
+
+
+__all__ = ["CONFIGURATION_KEY", "OPERATOR_PREFIX", "read_configuration"]
--- /dev/null
+++ b/src/briarslip/platform/dialect.py
@@ -0,0 +1,23 @@
+"""The headers by which the platform's callers and servers speak."""
+
+from __future__ import annotations
+
+from briarslip.connection.dialect import Dialect
+
+
+# The statuses that promise that a request has not run and never will.
+MISDIRECTED = 421
+
+PLATFORM_DIALECT = Dialect(
+    deadline=b"Deadline-Ms",
+    not_run=b"Not-Executed",
+    not_run_statuses=frozenset((MISDIRECTED,)),
+    request_id=b"Attempt-Id",
+    signature=b"Server-Signature",
+    expected_server=b"Expected-Instance",
+    caller_service=b"Caller-Service",
+    outcome=b"",
+    retry_after_decimals=3,
+)
+
+__all__ = ["PLATFORM_DIALECT"]
--- /dev/null
+++ b/src/briarslip/platform/document.py
@@ -0,0 +1,160 @@
+"""Typed reading of the platform's JSON documents."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+
+from result import Err
+from result import Ok
+from result import Result
+
+from briarslip.address import Address
+from briarslip.address import parse_address
+from briarslip.finding import Finding
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+T = TypeVar("T")
+
+
+class Document:
+    """A JSON object of which each value is read once, with its place.
+
+    What can't be read is noted in ``findings``, which nested documents share,
+    and a neutral value of the right type stands in, so that one reading finds
+    everything that is wrong.
+    """
+
+    def __init__(
+        self,
+        values: dict[str, Any],
+        source: str,
+        place: str = "",
+        findings: list[Finding] | None = None,
+    ) -> None:
+        self.values = values
+        self.source = source
+        self.place = place
+        self.findings: list[Finding] = [] if findings is None else findings
+
+    @classmethod
+    def from_bytes(cls, raw: bytes, source: str) -> Result[Document, Finding]:
+        """Read the bytes of one object."""
+        try:
+            values = json.loads(raw)
+        except (ValueError, RecursionError) as error:
+            return Err(Finding(source, 0, "", "", f"is not JSON: {error}"))
+        if not isinstance(values, dict):
+            return Err(Finding(source, 0, "", "", "is not a JSON object"))
+        return Ok(cls(values, source))
+
+    def refuse(self, name: str, reason: str) -> None:
+        """Note what is wrong with a field."""
+        self.findings.append(Finding(self.source, 0, self.place, name, reason))
+
+    def has(self, name: str) -> bool:
+        """Tell whether a field is given."""
+        return self.values.get(name) is not None
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Read text."""
+        value = self.values.get(name, default)
+        if isinstance(value, str):
+            return value
+        self.refuse(name, "is missing" if value is None else "is not text")
+        return ""
+
+    def word(self, name: str, words: frozenset[str]) -> str:
+        """Read one of some words."""
+        value = self.text(name)
+        if value and value not in words:
+            self.refuse(name, f"{value!r} is none of {', '.join(sorted(words))}")
+        return value
+
+    def integer(self, name: str, default: int | None = None, minimum: int = 0) -> int:
+        """Read a whole number."""
+        value = self.values.get(name, default)
+        is_whole = isinstance(value, float) and value.is_integer()
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            self.refuse(name, "is missing" if value is None else "is not a number")
+            return minimum
+        if not isinstance(value, int) and not is_whole:
+            self.refuse(name, "is not a whole number")
+            return minimum
+        if value < minimum:
+            self.refuse(name, f"{value} is below {minimum}")
+            return minimum
+        return int(value)
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """Read a number that is not negative."""
+        value = self.values.get(name, default)
+        if not isinstance(value, int | float) or isinstance(value, bool):
+            self.refuse(name, "is missing" if value is None else "is not a number")
+            return 0.0
+        if not 0 <= value < float("inf"):
+            self.refuse(name, f"{value} is out of bounds")
+            return 0.0
+        return float(value)
+
+    def address(self, name: str) -> Address:
+        """Read an ``IP:PORT``."""
+        read = parse_address(self.text(name))
+        if isinstance(read, Err):
+            if self.has(name):
+                self.refuse(name, read.err_value)
+            return Address("0.0.0.0", 0)  # stands in for none
+        return read.ok_value
+
+    def table(self, name: str) -> Document:
+        """Read a nested object."""
+        value = self.values.get(name)
+        if not isinstance(value, dict):
+            self.refuse(name, "is missing" if value is None else "is not an object")
+            value = {}
+        return self._nested(name, value)
+
+    def tables(self, name: str) -> dict[str, Document]:
+        """Read an object whose values are objects, by their keys."""
+        outer = self.table(name)
+        for key, value in outer.values.items():
+            if not isinstance(value, dict):
+                outer.refuse(key, "is not an object")
+        return {
+            key: outer._nested(key, value)
+            for key, value in outer.values.items()
+            if isinstance(value, dict)
+        }
+
+    def rows(self, name: str) -> list[Document]:
+        """Read a list of objects; a field that is not given is an empty one."""
+        value = self.values.get(name, [])
+        if not isinstance(value, list) or not all(isinstance(v, dict) for v in value):
+            self.refuse(name, "is not a list of objects")
+            return []
+        return [self._nested(f"{name}.{at}", row) for at, row in enumerate(value)]
+
+    def _nested(self, name: str, values: dict[str, Any]) -> Document:
+        place = f"{self.place}.{name}" if self.place else name
+        return Document(values, self.source, place, self.findings)
+
+
+def read_document(
+    raw: bytes, source: str, read: Callable[[Document], T]
+) -> Result[T, tuple[Finding, ...]]:
+    """Read an object whole; the error holds all findings."""
+    document = Document.from_bytes(raw, source)
+    if isinstance(document, Err):
+        return Err((document.err_value,))
+    value = read(document.ok_value)
+    findings = document.ok_value.findings
+    return Err(tuple(findings)) if findings else Ok(value)
+
+
+__all__ = ["Document", "read_document"]
--- /dev/null
+++ b/src/briarslip/platform/edges.py
@@ -0,0 +1,50 @@
+"""The edges of a daemon that runs on the users' platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briarslip.platform.configuration import OPERATOR_PREFIX
+from briarslip.platform.configuration import read_configuration
+from briarslip.platform.dialect import PLATFORM_DIALECT
+from briarslip.platform.reports import readiness_endpoints
+from briarslip.platform.reports import server_endpoints
+from briarslip.platform.rollouts import PLATFORM_WORDS
+from briarslip.platform.store import PlatformStore
+from briarslip.process.edges import Edges
+from briarslip.process.stored_configuration import StoredConfiguration
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from typing import Any
+
+    from briarslip.platform.settings import PlatformSettingsFile
+    from briarslip.version.snapshot import Snapshot
+
+
+def platform_edges(
+    file: PlatformSettingsFile, reactor: Any, rng: random.Random
+) -> Edges:
+    """Return the edges that speak the platform's names and formats."""
+    access = file.settings.platform
+    store = PlatformStore.from_address(reactor, access.address, access.timeout)
+
+    def make_source(on_snapshot: Callable[[Snapshot], None]) -> StoredConfiguration:
+        return StoredConfiguration(
+            reactor, rng, store, OPERATOR_PREFIX, read_configuration, on_snapshot
+        )
+
+    return Edges(
+        store=store,
+        server_endpoints=server_endpoints,
+        readiness_endpoints=readiness_endpoints,
+        dialect=PLATFORM_DIALECT,
+        make_source=make_source,
+        rollout_words=PLATFORM_WORDS,
+        caller_service=file.service,
+    )
+
+
+__all__ = ["platform_edges"]
--- /dev/null
+++ b/src/briarslip/platform/reports.py
@@ -0,0 +1,107 @@
+"""What backend servers say of themselves, and who asks for readiness."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from briarslip.connection.local_http import JsonReply
+from briarslip.platform.document import Document
+from briarslip.platform.document import read_document
+from briarslip.process.announcements import Announcement
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.process.member import Endpoint
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+
+    from briarslip.finding import Finding
+    from briarslip.process.edges import Endpoints
+    from briarslip.process.edges import ServerEvents
+
+
+REPORT_PATH = "/-/Instances.Heartbeat/"
+END_PATH = "/-/Instances.Deregister/"
+READY_PATH = "/-/ready"
+DRAINING = "draining"
+STATES = frozenset(("ready", DRAINING))
+MAX_SLOTS = 65535
+
+
+def read_report(
+    server_id: str, raw: bytes
+) -> Result[Announcement, tuple[Finding, ...]]:
+    """Read a server's report of itself."""
+
+    def read(document: Document) -> Announcement:
+        # Who the server is stands under "info", how it is under "status".
+        info = document.table("info")
+        status = document.table("status")
+        # Their word for how many requests the server works on at once.
+        slots = min(info.integer("capacity", minimum=1), MAX_SLOTS)
+        endpoint = Endpoint(
+            service=info.text("service"),
+            version=info.text("version"),
+            slots=slots,
+            connections=slots,
+            draining=status.word("state", STATES) == DRAINING,
+        )
+        return Announcement(
+            endpoint=endpoint,
+            address=document.address("address"),
+            server_id=server_id,
+            # Unix milliseconds of the server's start.
+            incarnation=document.integer("born", default=0),
+            sequence=status.integer("sequence"),
+        )
+
+    return read_document(raw, f"report of {server_id}", read)
+
+
+def server_endpoints(events: ServerEvents) -> Endpoints:
+    """Return the endpoints that servers call."""
+
+    def report(server_id: str, raw: bytes) -> JsonReply:
+        read = read_report(server_id, raw)
+        problem = ""
+        if isinstance(read, Err):
+            problem = "; ".join(map(str, read.err_value))
+        else:
+            problem = events.announced(read.ok_value)
+        if problem:
+            emit(Event.MESSAGE_REFUSED, peer=server_id, reason=problem)
+            return JsonReply(400, {"error": problem})
+        return JsonReply(200, {})
+
+    def end(server_id: str, raw: bytes) -> JsonReply:
+        incarnation = 0
+        if raw.strip():
+            read = read_document(
+                raw, f"end of {server_id}", lambda body: body.integer("born", default=0)
+            )
+            if isinstance(read, Err):
+                problem = "; ".join(map(str, read.err_value))
+                emit(Event.MESSAGE_REFUSED, peer=server_id, reason=problem)
+            else:
+                incarnation = read.ok_value
+        events.ended(server_id, incarnation)
+        return JsonReply(200, {})
+
+    return {("POST", REPORT_PATH): report, ("POST", END_PATH): end}
+
+
+def readiness_endpoints(is_ready: Callable[[], bool]) -> Endpoints:
+    """Return the endpoint that tells whether callers may be sent here."""
+
+    def ready(_: bytes) -> JsonReply:
+        return JsonReply(200 if is_ready() else 503, {})
+
+    return {("GET", READY_PATH): ready}
+
+
+__all__ = ["read_report", "readiness_endpoints", "server_endpoints"]
--- /dev/null
+++ b/src/briarslip/platform/rollouts.py
@@ -0,0 +1,85 @@
+"""Rollouts on the platform: the operator's orders and what became of them."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from briarslip.platform.document import Document
+from briarslip.platform.document import read_document
+from briarslip.version.record import Record
+from briarslip.version.record import RecordKey
+from briarslip.version.rollout import State
+from briarslip.version.rollout_document import RolloutWords
+from briarslip.version.rollout_document import decode_document
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from briarslip.finding import Finding
+    from briarslip.process.store import KeyValue
+    from briarslip.version.rollout_document import Document as StatusDocument
+
+
+ORDER_PREFIX = "op/rollout/"
+STATUS_PREFIX = "status/rollout/"
+ROLLOUT_SCHEMA = 2
+# The product's own report, from which daemons that start learn.
+REPORT_FIELD = "report"
+RUNNING = "running"
+WORDS = {
+    State.PENDING.value: RUNNING,
+    State.WAITING_FOR_SERVERS.value: RUNNING,
+    State.SMALL_SHARE.value: RUNNING,
+    State.RAMPING.value: RUNNING,
+    State.HELD.value: RUNNING,
+    State.DONE.value: "completed",
+    State.ROLLED_BACK.value: "rolled_back",
+}
+
+
+def read_order(item: KeyValue) -> Result[Record, tuple[Finding, ...]]:
+    """Read an operator's order; it begins with the revision that wrote it."""
+
+    def read(document: Document) -> Record:
+        milliseconds = round(document.number("duration-s") * 1000)
+        service = document.text("service")
+        fields = {
+            "service": service,
+            "version": document.text("target-version"),
+            "window_ms": str(max(1000, milliseconds)),
+            "order": str(item.mod_revision),
+        }
+        return Record(RecordKey("rollout", service, ROLLOUT_SCHEMA), fields)
+
+    return read_document(item.value, item.key, read)
+
+
+def encode_status(report: StatusDocument) -> bytes | None:
+    """Return what the operator is told, None for a state that has no word."""
+    word = WORDS.get(report["state"])
+    if word is None:
+        return None
+    document = {
+        "service": report["service"],
+        "target-version": report["version"],
+        "state": word,
+        REPORT_FIELD: report,
+    }
+    return json.dumps(document, sort_keys=True).encode()
+
+
+def decode_status(value: bytes) -> Result[StatusDocument, str]:
+    """Read back the report that stands in a status."""
+    read = read_document(value, STATUS_PREFIX, lambda d: d.table(REPORT_FIELD).values)
+    if isinstance(read, Err):
+        return Err("; ".join(map(str, read.err_value)))
+    return decode_document(json.dumps(read.ok_value).encode())
+
+
+PLATFORM_WORDS = RolloutWords(STATUS_PREFIX, encode_status, decode_status)
+
+__all__ = ["ORDER_PREFIX", "PLATFORM_WORDS", "read_order"]
--- /dev/null
+++ b/src/briarslip/platform/settings.py
@@ -0,0 +1,102 @@
+"""The platform's settings file, read into the daemon's settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from briarslip.address import Address
+from briarslip.platform.document import Document
+from briarslip.platform.document import read_document
+from briarslip.process.settings import DaemonSettings
+from briarslip.process.settings import LimitSettings
+from briarslip.process.settings import ListenSettings
+from briarslip.process.settings import LogSettings
+from briarslip.process.settings import MembershipSettings
+from briarslip.process.settings import PlatformSettings
+from briarslip.process.settings import Settings
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from briarslip.finding import Finding
+
+
+SETTINGS_VARIABLE = "BRIARSLIP_NODE_FILE"
+STORE_TIMEOUT = timedelta(seconds=2)
+DEFAULT_TIMEOUT = timedelta(seconds=5)
+HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
+CONTACTS_INTERVAL = timedelta(seconds=15)
+MAX_BODY_BYTES = 64 << 20
+# How many reports of a server may be lost or late before it counts as gone.
+REPORTS_PER_LEASE = 4
+# Share of the grace period after which a stop ends by itself, ahead of a kill.
+GRACE_SHARE = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettingsFile:
+    """The daemon's settings, and what only the adapter needs.
+
+    ``service`` is that of the backend server on this instance.
+    """
+
+    settings: Settings
+    service: str
+
+
+def read_settings(
+    raw: bytes, source: str
+) -> Result[PlatformSettingsFile, tuple[Finding, ...]]:
+    """Read a settings file; unknown fields are ignored, all faults reported."""
+    return read_document(raw, source, _settings)
+
+
+def _settings(document: Document) -> PlatformSettingsFile:
+    bind = document.table("bind")
+    bounds = document.table("bounds")
+    first_port, last_port = _ports(document)
+    host = document.text("ip")
+    heartbeat = timedelta(milliseconds=document.integer("heartbeat-ms", minimum=1))
+    grace = timedelta(seconds=bounds.number("grace-s"))
+    settings = Settings(
+        daemon=DaemonSettings(document.text("zone"), document.text("region")),
+        listen=ListenSettings(
+            callers=bind.address("outbound"),
+            peers=Address(host, first_port),
+            admin=Address(host, min(first_port + 1, last_port)),
+            announcements=bind.address("control"),
+            readiness=bind.address("ready"),
+        ),
+        platform=PlatformSettings(
+            document.table("platform").address("address"), STORE_TIMEOUT
+        ),
+        membership=MembershipSettings((), HEARTBEAT_INTERVAL, CONTACTS_INTERVAL),
+        limits=LimitSettings(
+            max_body_bytes=MAX_BODY_BYTES,
+            default_timeout=DEFAULT_TIMEOUT,
+            announcement_lease=heartbeat * REPORTS_PER_LEASE,
+            stop_grace=grace * GRACE_SHARE,
+        ),
+        log=LogSettings("json", "info"),
+    )
+    return PlatformSettingsFile(settings, document.text("service"))
+
+
+def _ports(document: Document) -> tuple[int, int]:
+    """Read the first and last port that daemons may use among themselves."""
+    given = document.values.get("internal-port-range")
+    if (
+        isinstance(given, list)
+        and len(given) == 2
+        and all(isinstance(port, int) and 0 < port < 65536 for port in given)
+        and given[0] < given[1]
+    ):
+        return given[0], given[1]
+    document.refuse("internal-port-range", "is not two ports in order")
+    return 1, 2
+
+
+__all__ = ["SETTINGS_VARIABLE", "PlatformSettingsFile", "read_settings"]
--- /dev/null
+++ b/src/briarslip/platform/store.py
@@ -0,0 +1,322 @@
+"""Client of the platform's store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from datetime import timedelta
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TypeVar
+from urllib.parse import urlencode
+
+from result import Err
+from result import Ok
+from result import Result
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
+
+from briarslip.process.store import KeyValue
+from briarslip.process.store import RangeReply
+from briarslip.process.store import StoreError
+from briarslip.process.store import SwapReply
+from briarslip.process.store import WatchClosed
+from briarslip.process.store import WatchEvent
+from briarslip.process.store_http import AnswerSink
+from briarslip.process.store_http import StoreHttp
+from briarslip.request.outcome import Outcome
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briarslip.address import Address
+    from briarslip.process.store import Watch
+    from briarslip.process.store_http import Answer
+
+
+T = TypeVar("T")
+
+OK = 200
+NOT_FOUND = 404
+GONE = 410
+CONDITION_FAILED = 412
+# Of these the platform says that nothing was done.
+NOT_APPLIED = frozenset((400, 403, 404, 405, 410, 412, 413, 429, 503))
+WATCH_WAIT = timedelta(seconds=10)
+# For the answer of a watch that has waited its whole time.
+WATCH_MARGIN = timedelta(seconds=2)
+CONNECT_SHARE = 0.5
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError, binascii.Error)
+
+
+class PlatformStore:
+    """A store client that speaks to the platform's store."""
+
+    def __init__(self, reactor: Any, http: StoreHttp, timeout: timedelta) -> None:
+        self.reactor = reactor
+        self.http = http
+        self.timeout = timeout
+
+    @classmethod
+    def from_address(
+        cls, reactor: Any, address: Address, timeout: timedelta
+    ) -> PlatformStore:
+        """Make a client of the store at an address."""
+        connect = timeout.total_seconds() * CONNECT_SHARE
+        return cls(reactor, StoreHttp(reactor, address, connect), timeout)
+
+    async def get(self, key: str) -> Result[KeyValue | None, StoreError]:
+        """Read one key."""
+        answer = await self._send("GET", "/-/kv-key", {"key": key})
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status == NOT_FOUND:
+            return Ok(None)
+        return _read(answer.ok_value, _item, is_write=False)
+
+    async def range(self, prefix: str) -> Result[RangeReply, StoreError]:
+        """Read every key under a prefix, in key order, page by page."""
+        items: list[KeyValue] = []
+        revision = 0
+        after = ""
+        while True:
+            query = {"prefix": prefix, **({"after": after} if after else {})}
+            answer = await self._send("GET", "/-/kv-range", query)
+            if isinstance(answer, Err):
+                return answer
+            page = _read(answer.ok_value, _page, is_write=False)
+            if isinstance(page, Err):
+                return page
+            found, more, current = page.ok_value
+            # Pages are no snapshot: what changes meanwhile comes by the watch.
+            revision = revision or current
+            items.extend(found)
+            if not more or not found:
+                return Ok(RangeReply(tuple(items), revision))
+            after = found[-1].key
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes | None,
+        expected_revision: int,
+        lease_id: int = 0,
+    ) -> Result[SwapReply, StoreError]:
+        """Write ``value`` if the key's revision is ``expected_revision``."""
+        message: dict[str, Any] = {
+            "precondition": [{"key": key, "revision": expected_revision}],
+            "puts": [],
+            "remove": [key] if value is None else [],
+        }
+        if value is not None:
+            text = base64.b64encode(value).decode("ascii")
+            message["puts"] = [{"key": key, "value": text, "lease": lease_id}]
+        answer = await self._send("POST", "/-/kv-txn", body=message)
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status == CONDITION_FAILED:
+            return _read(
+                answer.ok_value,
+                lambda reply: _refused(reply, key),
+                is_write=False,
+                expected=CONDITION_FAILED,
+            )
+        return _read(
+            answer.ok_value,
+            lambda reply: SwapReply(True, int(reply["revision"])),
+            is_write=True,
+        )
+
+    async def grant_lease(self, ttl: timedelta) -> Result[int, StoreError]:
+        """Grant a lease and return its id."""
+        milliseconds = round(ttl.total_seconds() * 1000)
+        answer = await self._send("POST", "/-/kv-lease", body={"ttl-ms": milliseconds})
+        if isinstance(answer, Err):
+            return answer
+        return _read(answer.ok_value, lambda r: int(r["lease"]), is_write=True)
+
+    async def keep_alive(self, lease_id: int) -> Result[timedelta | None, StoreError]:
+        """Renew a lease; return what is left of it, None if it has lapsed."""
+        answer = await self._send("POST", f"/-/kv-keep/{lease_id}", body={})
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status == NOT_FOUND:
+            return Ok(None)
+        return _read(
+            answer.ok_value,
+            lambda reply: timedelta(milliseconds=int(reply["ttl-ms"])),
+            is_write=True,
+        )
+
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreError]:
+        """Revoke a lease; one that has lapsed already counts as revoked."""
+        answer = await self._send("DELETE", f"/-/kv-lease-end/{lease_id}", body={})
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status in (OK, NOT_FOUND):
+            return Ok(None)
+        return Err(_status_error(answer.ok_value, is_write=True))
+
+    def watch(
+        self,
+        prefix: str,
+        start_revision: int,
+        on_events: Callable[[tuple[WatchEvent, ...]], None],
+        on_closed: Callable[[WatchClosed], None],
+    ) -> Watch:
+        """Watch a prefix from ``start_revision`` on (inclusive)."""
+        watch = LongPoll(self, prefix, start_revision - 1, on_events, on_closed)
+        watch.ask()
+        return watch
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: dict[str, Any] | None = None,
+    ) -> Result[Answer, StoreError]:
+        target = f"{path}?{urlencode(query)}" if query else path
+        finished = self.http.send(method, target, body)
+        finished.addTimeout(self.timeout.total_seconds(), self.reactor)
+        is_write = body is not None
+        try:
+            result = await finished
+        except DeferredTimeoutError:
+            return Err(StoreError("no answer in time", is_write))
+        if isinstance(result, Ok):
+            return Ok(result.ok_value)
+        unclear = result.err_value.outcome is not Outcome.NOT_RUN
+        return Err(StoreError(result.err_value.reason.value, is_write and unclear))
+
+
+class LongPoll:
+    """A watch: one waiting call after the other."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        prefix: str,
+        after: int,
+        on_events: Callable[[tuple[WatchEvent, ...]], None],
+        on_closed: Callable[[WatchClosed], None],
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.after = after
+        self.on_events = on_events
+        self.on_closed = on_closed
+        self.stopped = False
+        self.waiting: Deferred[Any] | None = None
+
+    def ask(self) -> None:
+        """Send the next call."""
+        query = {
+            "prefix": self.prefix,
+            "after": str(self.after),
+            "wait-ms": str(int(WATCH_WAIT.total_seconds() * 1000)),
+        }
+        sink = AnswerSink()
+        target = f"/-/kv-watch?{urlencode(query)}"
+        sink.give_up = self.store.http.stream("GET", target, None, sink)
+        self.waiting = sink.finished
+        limit = (WATCH_WAIT + WATCH_MARGIN).total_seconds()
+        sink.finished.addTimeout(limit, self.store.reactor)
+        sink.finished.addCallbacks(self._answered, self._timed_out)
+
+    def stop(self) -> None:
+        """Stop the watch; no callback runs afterwards."""
+        self.stopped = True
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            waiting.cancel()
+
+    def _timed_out(self, _: Any) -> None:
+        self._close("no answer in time")
+
+    def _answered(self, result: Result[Answer, Any]) -> None:
+        self.waiting = None
+        if self.stopped:
+            return
+        if isinstance(result, Err):
+            self._close(result.err_value.reason.value)
+            return
+        answer = result.ok_value
+        if answer.status == GONE:
+            self._close("the history is no longer kept", compacted=True)
+            return
+        read = _read(answer, _changes, is_write=False)
+        if isinstance(read, Err):
+            self._close(read.err_value.reason)
+            return
+        events, current = read.ok_value
+        self.after = max(self.after, current)
+        if events:
+            self.on_events(events)
+        if not self.stopped:
+            self.ask()
+
+    def _close(self, reason: str, *, compacted: bool = False) -> None:
+        if self.stopped:
+            return
+        self.stopped = True
+        self.waiting = None
+        self.on_closed(WatchClosed(reason, compacted))
+
+
+def _read(
+    answer: Answer,
+    read: Callable[[dict[str, Any]], T],
+    *,
+    is_write: bool,
+    expected: int = OK,
+) -> Result[T, StoreError]:
+    if answer.status != expected:
+        return Err(_status_error(answer, is_write=is_write))
+    try:
+        return Ok(read(json.loads(answer.body)))
+    except MALFORMED as error:
+        reason = f"malformed answer: {type(error).__name__}: {error}"
+        return Err(StoreError(reason, is_write))
+
+
+def _status_error(answer: Answer, *, is_write: bool) -> StoreError:
+    unclear = answer.status not in NOT_APPLIED
+    return StoreError(f"HTTP status {answer.status}", is_write and unclear)
+
+
+def _item(reply: dict[str, Any]) -> KeyValue:
+    return KeyValue(
+        key=str(reply["key"]),
+        value=base64.b64decode(reply["value"], validate=True),
+        mod_revision=int(reply["revision"]),
+        lease_id=int(reply.get("lease", 0)),
+    )
+
+
+def _page(reply: dict[str, Any]) -> tuple[list[KeyValue], bool, int]:
+    items = [_item(item) for item in reply["items"]]
+    return items, bool(reply["has-more"]), int(reply["current-rev"])
+
+
+def _refused(reply: dict[str, Any], key: str) -> SwapReply:
+    current = [_item(i) for i in reply["items"] if i.get("revision") and "value" in i]
+    found = next((item for item in current if item.key == key), None)
+    return SwapReply(False, found.mod_revision if found else 0, found)
+
+
+def _changes(reply: dict[str, Any]) -> tuple[tuple[WatchEvent, ...], int]:
+    events = tuple(_event(event) for event in reply["events"])
+    return events, int(reply["current-rev"])
+
+
+def _event(event: dict[str, Any]) -> WatchEvent:
+    if event.get("removed"):
+        return WatchEvent(str(event["key"]), None, int(event["revision"]))
+    item = _item(event)
+    return WatchEvent(item.key, item.value, item.mod_revision)
+
+
+__all__ = ["PlatformStore"]
--- a/src/briarslip/process/announcements.py
+++ b/src/briarslip/process/announcements.py
@@ -27,10 +27,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """What a backend server says of itself."""
+    """What a backend server says of itself.
+
+    ``server_id`` names it in requests that no other server may run, empty for
+    a server without a name. ``incarnation`` grows with each of its starts and
+    ``sequence`` with each announcement, both 0 where they are not told.
+    """
 
     endpoint: Endpoint
     address: Address
+    server_id: str = ""
+    incarnation: int = 0
+    sequence: int = 0
+
+    def is_older_than(self, known: Announcement) -> bool:
+        """Tell whether this one was made before another at its address."""
+        mine = (self.incarnation, self.sequence)
+        return self.incarnation > 0 and mine < (known.incarnation, known.sequence)
 
 
 def parse_announcement(
--- a/src/briarslip/process/bootstrap.py
+++ b/src/briarslip/process/bootstrap.py
@@ -19,7 +19,7 @@
 
     from briarslip.address import Address
     from briarslip.process.clock import Clock
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
     from briarslip.version.configuration_codec import VersionReply
 
 
@@ -37,7 +37,8 @@
     asked too, since a whole zone may have been replaced.
     ``ask`` sends a member a query, whose reply goes to ``take_reply``.
     ``own_last_version`` returns what peers have told of this address unasked.
-    ``on_known`` is told the minimum version, which may still grow.
+    ``on_known`` is told the minimum version, which may still grow. Without a
+    ``platform`` only members are asked.
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         reactor: Any,
         clock: Clock,
         rng: random.Random,
-        platform: PlatformClient,
+        platform: StoreClient | None,
         members: Callable[[], tuple[Sequence[Address], Sequence[Address]]],
         ask: Callable[[Address], None],
         own_last_version: Callable[[], int],
@@ -92,16 +93,16 @@
             *self._sample(far, FAR_MEMBERS_ASKED),
         ):
             self.ask(member)
-        if self.head is None and not self.reading:
+        if self.platform is not None and self.head is None and not self.reading:
             self.reading = True
-            Deferred.fromCoroutine(self._read_head())
+            Deferred.fromCoroutine(self._read_head(self.platform))
         self._decide()
 
     def _sample(self, members: Sequence[Address], count: int) -> list[Address]:
         return self.rng.sample(sorted(members), min(count, len(members)))
 
-    async def _read_head(self) -> None:
-        head = await read_head(self.platform)
+    async def _read_head(self, platform: StoreClient) -> None:
+        head = await read_head(platform)
         self.reading = False
         if isinstance(head, Err) or self.done:
             return
--- a/src/briarslip/process/change_status.py
+++ b/src/briarslip/process/change_status.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
     from briarslip.version.acceptance import Acceptance
 
 
@@ -38,7 +38,7 @@
     What has been written is remembered, to save calls.
     """
 
-    def __init__(self, platform: PlatformClient) -> None:
+    def __init__(self, platform: StoreClient) -> None:
         self.platform = platform
         self.written: dict[str, bytes] = {}
         self.incomplete: dict[str, float] = {}
--- a/src/briarslip/process/change_writer.py
+++ b/src/briarslip/process/change_writer.py
@@ -25,9 +25,9 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from briarslip.process.platform import KeyValue
-    from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import PlatformError
+    from briarslip.process.store import KeyValue
+    from briarslip.process.store import StoreClient
+    from briarslip.process.store import StoreError
     from briarslip.version.record import RecordKey
 
 
@@ -104,7 +104,7 @@
 
 
 async def write_change(
-    platform: PlatformClient,
+    platform: StoreClient,
     records: Sequence[RecordWrite],
     new_id: Callable[[], str],
 ) -> Result[WrittenChange, ChangeError]:
@@ -149,7 +149,7 @@
 
 
 async def _stands(
-    platform: PlatformClient, record: RecordWrite, found: KeyValue | None
+    platform: StoreClient, record: RecordWrite, found: KeyValue | None
 ) -> bool:
     """Tell whether a record is in force already as it is asked for."""
     if found is None:
@@ -165,7 +165,7 @@
 
 
 async def _write_all(
-    platform: PlatformClient, change: Change, planned: Sequence[_Planned]
+    platform: StoreClient, change: Change, planned: Sequence[_Planned]
 ) -> Result[WrittenChange, ChangeError]:
     written: list[tuple[_Planned, int]] = []
     for plan in planned:
@@ -183,8 +183,8 @@
 
 
 async def _write_one(
-    platform: PlatformClient, plan: _Planned, value: bytes, change: Change
-) -> Result[int, PlatformError]:
+    platform: StoreClient, plan: _Planned, value: bytes, change: Change
+) -> Result[int, StoreError]:
     """Return the revision written, 0 if another writer was first."""
     reply = await settled_swap(platform, str(plan.key), value, plan.revision)
     if isinstance(reply, Err):
@@ -203,7 +203,7 @@
 
 
 async def _undo(
-    platform: PlatformClient, written: Sequence[tuple[_Planned, int]]
+    platform: StoreClient, written: Sequence[tuple[_Planned, int]]
 ) -> tuple[RecordKey, ...]:
     """Put the earlier values back; return the keys where that was not possible.
 
@@ -218,7 +218,7 @@
     return tuple(left)
 
 
-async def _move_marker(platform: PlatformClient, change_id: str) -> None:
+async def _move_marker(platform: StoreClient, change_id: str) -> None:
     """Rewrite the marker; when that fails another writer has just done so."""
     current = await platform.get(MARKER_KEY)
     if not isinstance(current, Err):
--- a/src/briarslip/process/claim_lease.py
+++ b/src/briarslip/process/claim_lease.py
@@ -12,8 +12,8 @@
 
 if TYPE_CHECKING:
     from briarslip.process.clock import Clock
-    from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import PlatformError
+    from briarslip.process.store import StoreClient
+    from briarslip.process.store import StoreError
 
 
 LEASE_SECONDS = 3600.0
@@ -28,14 +28,14 @@
     lease costs two platform calls an hour. Leases are never renewed.
     """
 
-    def __init__(self, platform: PlatformClient, clock: Clock) -> None:
+    def __init__(self, platform: StoreClient, clock: Clock) -> None:
         self.platform = platform
         self.clock = clock
         self.lock = DeferredLock()
         self.lease = 0
         self.granted: dict[int, float] = {}
 
-    async def take(self) -> Result[int, PlatformError]:
+    async def take(self) -> Result[int, StoreError]:
         """Return the lease for a new claim, granting one if need be."""
         if self._usable():
             return Ok(self.lease)
@@ -49,7 +49,7 @@
         granted = self.granted.get(self.lease)
         return granted is not None and self.clock.monotonic() < granted + USE_SECONDS
 
-    async def _grant(self) -> Result[int, PlatformError]:
+    async def _grant(self) -> Result[int, StoreError]:
         asked = self.clock.monotonic()
         reply = await self.platform.grant_lease(timedelta(seconds=LEASE_SECONDS))
         if isinstance(reply, Ok):
--- a/src/briarslip/process/claims.py
+++ b/src/briarslip/process/claims.py
@@ -38,8 +38,8 @@
 
     from briarslip.address import Address
     from briarslip.process.clock import Clock
-    from briarslip.process.platform import KeyValue
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import KeyValue
+    from briarslip.process.store import StoreClient
     from briarslip.request.call import Call
     from briarslip.request.call import ResponseSink
     from briarslip.request.claim import ClaimRequest
@@ -69,7 +69,7 @@
 
     def __init__(
         self,
-        platform: PlatformClient,
+        platform: StoreClient,
         clock: Clock,
         rng: random.Random,
         call_later: CallLater,
--- a/src/briarslip/process/contacts.py
+++ b/src/briarslip/process/contacts.py
@@ -8,6 +8,8 @@
 
 from briarslip import fields
 from briarslip.address import Address
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.process.zone_digest import carriers
 
 
@@ -17,15 +19,16 @@
 
     from result import Result
 
+    from briarslip.process.member import Member
     from briarslip.process.membership import Membership
-    from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import PlatformError
+    from briarslip.process.store import StoreClient
+    from briarslip.process.store import StoreError
 
 
 CONTACTS_PREFIX = "contacts/"
 CONTACTS_PER_ZONE = 3
 LEAST_LIVE_CONTACTS = 2
-FIRST_CHECK_SECONDS = 10.0
+FIRST_CHECK_SECONDS = 2.0
 CHECK_SECONDS = 120.0
 
 Contacts = tuple[Address, ...]
@@ -64,17 +67,32 @@
     return (kept + added)[:CONTACTS_PER_ZONE]
 
 
-async def read_zone_contacts(platform: PlatformClient, zone: str) -> Contacts:
-    """Read one zone's contacts; none if the platform does not answer."""
-    found = await platform.get(contacts_key(zone))
-    if isinstance(found, Err) or found.ok_value is None:
+async def find_contacts(platform: StoreClient, own: Member) -> Contacts:
+    """Read the own zone's contacts; none if the platform does not answer.
+
+    A daemon that finds too few adds itself, so that the first ones of a zone
+    find each other. Whoever loses the swap reads again at its next attempt.
+    """
+    key = contacts_key(own.availability_zone)
+    found = await platform.get(key)
+    if isinstance(found, Err):
+        emit(Event.STORE_FAILED, reason=found.err_value.reason)
         return ()
-    return decode_contacts(found.ok_value.value)
+    item = found.ok_value
+    contacts = decode_contacts(item.value) if item else ()
+    if len(contacts) < LEAST_LIVE_CONTACTS and own.address not in contacts:
+        revision = item.mod_revision if item else 0
+        written = await platform.swap(
+            key, encode_contacts((*contacts, own.address)), revision
+        )
+        if isinstance(written, Err):
+            emit(Event.STORE_FAILED, reason=written.err_value.reason)
+    return contacts
 
 
 async def check_contacts(
-    platform: PlatformClient, table: Membership
-) -> Result[Mapping[str, Contacts], PlatformError]:
+    platform: StoreClient, table: Membership
+) -> Result[Mapping[str, Contacts], StoreError]:
     """Read every zone's contacts and rewrite the own zone's if need be.
 
     A lost swap means that another daemon has just written them.
@@ -109,6 +127,6 @@
     "contacts_to_write",
     "decode_contacts",
     "encode_contacts",
+    "find_contacts",
     "keeps_contacts",
-    "read_zone_contacts",
 ]
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -2,26 +2,25 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 from typing import Any
 
-from result import Err
-
 from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.connection.caller_limits import CallerLimits
 from briarslip.connection.deadline_wheel import DeadlineWheel
 from briarslip.connection.frame import Hello
 from briarslip.connection.frame import Topic
-from briarslip.connection.local_http import JsonReply
 from briarslip.connection.local_http import LocalHttpFactory
 from briarslip.connection.peer_links import PeerLinks
 from briarslip.process.admin import admin_endpoints
-from briarslip.process.announcements import parse_announcement
 from briarslip.process.announcements import too_many_servers
 from briarslip.process.claims import PlatformClaims
 from briarslip.process.clock import SystemClock
 from briarslip.process.distribution_task import DistributionTask
-from briarslip.process.etcd_gateway import EtcdGatewayClient
+from briarslip.process.edges import Edges
+from briarslip.process.edges import ServerEvents
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.local_servers import MAX_SERVERS
@@ -29,6 +28,7 @@
 from briarslip.process.member import Member
 from briarslip.process.member import Status
 from briarslip.process.membership_task import MembershipTask
+from briarslip.process.rollout_deadlines import RolloutDeadlines
 from briarslip.process.rollout_report import RolloutReporter
 from briarslip.process.rollout_task import RolloutTask
 from briarslip.process.service_levels import ServiceLevels
@@ -45,38 +45,52 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from datetime import timedelta
 
     from briarslip.address import Address
     from briarslip.connection.frame import ControlFrame
+    from briarslip.process.announcements import Announcement
     from briarslip.process.clock import Clock
     from briarslip.process.settings import Settings
     from briarslip.request.call import Call
     from briarslip.request.call import ResponseSink
     from briarslip.request.sample import Sample
-    from briarslip.version.record import Route
 
 
 HOUSEKEEPING_SECONDS = 0.5
+# A daemon that no other one answers for so long serves alone.
+ALONE_SECONDS = 3.0
+RETRY_AFTER_SECONDS = 0.2
 
 
 class Daemon:
     """Connects the parts of the process and owns its listening sockets."""
 
     def __init__(
-        self, settings: Settings, reactor: Any, clock: Clock, rng: random.Random
+        self,
+        settings: Settings,
+        reactor: Any,
+        clock: Clock,
+        rng: random.Random,
+        edges: Edges,
     ) -> None:
         self.settings = settings
+        self.edges = edges
+        self.rng = rng
         self.reactor = reactor
         self.clock = clock
+        self.started_at = clock.monotonic()
         self.shutdown = Shutdown(
-            reactor, clock, self.largest_timeout, self.remaining, self.enter_phase
+            reactor,
+            clock,
+            self.largest_timeout,
+            self.remaining,
+            self.enter_phase,
+            _seconds_or_endless(settings.limits.stop_grace),
         )
         own_address = settings.listen.peers
         zone = settings.daemon.availability_zone
-        platform = settings.platform
-        self.platform = EtcdGatewayClient.from_address(
-            reactor, platform.address.host, platform.address.port, platform.timeout
-        )
+        self.platform = edges.store
         self.servers = LocalServers(
             reactor,
             clock,
@@ -84,6 +98,7 @@
             self.update_membership,
             self.excluded,
             lambda own, backend: self.rollouts.collector.watch(own, backend),
+            edges.dialect,
         )
         self.claims = PlatformClaims(
             self.platform,
@@ -108,6 +123,7 @@
             lambda peer, version: self.distribution.heard_version(peer, version),
             self.platform,
             self.links.send_control,
+            settings.membership.contacts_interval.total_seconds(),
         )
         self.distribution = DistributionTask(
             reactor,
@@ -121,7 +137,9 @@
             self.update_membership,
             self.membership.last_heard_version,
             lambda: self.membership.minimum_version,
+            edges.make_source,
         )
+        deadlines = RolloutDeadlines(reactor, clock, rng, self.platform)
         self.rollouts = RolloutTask(
             reactor,
             clock,
@@ -130,6 +148,7 @@
             lambda: self.distribution.table,
             lambda: self.membership.live,
             self.links.send_control,
+            deadlines.with_deadline,
         )
         self.rollout_reporter = RolloutReporter(
             reactor,
@@ -137,16 +156,24 @@
             rng,
             self.rollouts,
             lambda: self.distribution.snapshot.version,
+            edges.rollout_words,
         )
         self.service_levels = ServiceLevels(clock)
         self.forwarder = Forwarder(clock, rng, self._dependencies())
-        limits = settings.limits
-        self.callers = CallerHttpFactory(reactor, self.forwarder, limits.max_body_bytes)
+        self.callers = CallerHttpFactory(
+            reactor,
+            self.forwarder,
+            self.caller_limits,
+            edges.dialect,
+            edges.dialect.caller_service_line(edges.caller_service),
+            self.retry_after,
+        )
 
     @classmethod
     def from_settings(cls, settings: Settings, reactor: Any) -> Daemon:
-        """Build a daemon on the system's clock and random source."""
-        return cls(settings, reactor, SystemClock(), random.Random())
+        """Build a daemon on the system's clock, with the product's own edges."""
+        edges = Edges.from_settings(settings, reactor)
+        return cls(settings, reactor, SystemClock(), random.Random(), edges)
 
     @property
     def draining(self) -> bool:
@@ -186,12 +213,14 @@
         self.membership.start()
         self._listen(listen.peers, self.links.server_factory())
         self.caller_port = self._listen(listen.callers, self.callers)
+        events = ServerEvents(self.take_announcement, self.servers.end)
         self._listen(
             listen.announcements,
-            LocalHttpFactory(
-                self.reactor, {("PUT", "/v1/announcement"): self.take_announcement}
-            ),
+            LocalHttpFactory(self.reactor, self.edges.server_endpoints(events)),
         )
+        if listen.readiness is not None:
+            endpoints = self.edges.readiness_endpoints(lambda: self.is_ready)
+            self._listen(listen.readiness, LocalHttpFactory(self.reactor, endpoints))
         self._listen(
             listen.admin, LocalHttpFactory(self.reactor, admin_endpoints(self))
         )
@@ -225,9 +254,9 @@
             return lambda: None
         return admission(call, sink)
 
-    def version_for(self, route: Route) -> str:
-        """Return the service version a call of this route must go to, if any."""
-        return self.rollouts.version_for(route)
+    def version_for(self, service: str) -> str:
+        """Return the version of a service that a call must go to, if any."""
+        return self.rollouts.version_for(service)
 
     def excluded(self, service: str) -> frozenset[str]:
         """Return the versions of a service that must get no work."""
@@ -246,15 +275,30 @@
         elif frame.topic is Topic.EVIDENCE:
             self.rollouts.take_message(sender, frame.payload)
 
-    def take_announcement(self, body: bytes) -> JsonReply:
-        """Take what a backend server beside this daemon says of itself."""
-        parsed = parse_announcement(body)
-        if isinstance(parsed, Err):
-            return JsonReply(400, {"findings": [str(f) for f in parsed.err_value]})
-        if not self.servers.take(parsed.ok_value):
-            finding = too_many_servers(MAX_SERVERS)
-            return JsonReply(400, {"findings": [str(finding)]})
-        return JsonReply(200, {"taken": True})
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        if self.draining or not self.distribution.snapshot.version:
+            return False
+        alone_for = self.clock.monotonic() - self.started_at
+        return self.membership.joined or alone_for >= ALONE_SECONDS
+
+    def caller_limits(self) -> CallerLimits:
+        """Return the bounds on callers, as the operators set them if they did."""
+        record = self.distribution.table.caller_limits
+        if record is None:
+            return CallerLimits(body_bytes=self.settings.limits.max_body_bytes)
+        return CallerLimits.from_record(record)
+
+    def retry_after(self) -> float:
+        """Return after how many seconds a caller that was refused may return."""
+        return RETRY_AFTER_SECONDS * self.rng.uniform(0.5, 1.5)
+
+    def take_announcement(self, announcement: Announcement) -> str:
+        """Take what a server beside this daemon says; return what is wrong."""
+        if self.servers.take(announcement):
+            return ""
+        return str(too_many_servers(MAX_SERVERS))
 
     def drain(self) -> None:
         """Stop gracefully."""
@@ -285,4 +329,8 @@
                 self.reactor.stop()
 
 
+def _seconds_or_endless(limit: timedelta | None) -> float:
+    return math.inf if limit is None else limit.total_seconds()
+
+
 __all__ = ["Daemon"]
--- a/src/briarslip/process/distribution_task.py
+++ b/src/briarslip/process/distribution_task.py
@@ -51,8 +51,10 @@
     from briarslip.address import Address
     from briarslip.finding import Finding
     from briarslip.process.clock import Clock
+    from briarslip.process.configuration_source import ConfigurationSource
+    from briarslip.process.configuration_source import SourceFactory
     from briarslip.process.member import Member
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
     from briarslip.version.configuration_codec import ConfigurationMessage
     from briarslip.version.routing_table import RoutingTable
     from briarslip.version.snapshot import Snapshot
@@ -69,7 +71,8 @@
     ``on_version`` runs after another version has become active.
     ``last_heard_version`` returns what an address was last heard to run, also
     before it was replaced; ``own_last_version`` returns the same of this one,
-    as peers have told.
+    as peers have told. ``make_source`` makes what brings the configuration
+    in place of the relay; peers still pass it on.
     """
 
     def __init__(
@@ -77,7 +80,7 @@
         reactor: Any,
         clock: Clock,
         rng: random.Random,
-        platform: PlatformClient,
+        platform: StoreClient,
         own_address: Address,
         availability_zone: str,
         members: Callable[[], tuple[Member, ...]],
@@ -85,6 +88,7 @@
         on_version: Callable[[], None],
         last_heard_version: Callable[[Address], int],
         own_last_version: Callable[[], int],
+        make_source: SourceFactory | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -104,20 +108,24 @@
         self.wake_call: Any = None
         self.chosen_since: float | None = None
         self.started = False
-        self.relay = Relay(
-            reactor,
-            clock,
-            rng,
-            platform,
-            lambda: self.state.snapshot,
-            self.take_snapshot,
-            self._offer_to_other_zones,
-        )
+        self.relay: ConfigurationSource
+        if make_source is None:
+            self.relay = Relay(
+                reactor,
+                clock,
+                rng,
+                platform,
+                lambda: self.state.snapshot,
+                self.take_snapshot,
+                self._offer_to_other_zones,
+            )
+        else:
+            self.relay = make_source(self._take_newest)
         self.bootstrap = Bootstrap(
             reactor,
             clock,
             rng,
-            platform,
+            platform if make_source is None else None,
             self._other_members,
             lambda peer: self._send(peer, VersionQuery()),
             own_last_version,
@@ -214,6 +222,11 @@
         before = self.snapshot.version
         self._installed(before, install(self.state, snapshot))
 
+    def _take_newest(self, snapshot: Snapshot) -> None:
+        """Run a snapshot of which the source says that it is the newest."""
+        self._minimum_version_known(snapshot.version)
+        self.take_snapshot(snapshot)
+
     def _minimum_version_known(self, version: int) -> None:
         before = self.snapshot.version
         if before:
--- /dev/null
+++ b/src/briarslip/process/edges.py
@@ -0,0 +1,91 @@
+"""What ties a daemon to the deployment that it runs in."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from briarslip.connection.dialect import OWN_DIALECT
+from briarslip.connection.dialect import Dialect
+from briarslip.connection.local_http import JsonReply
+from briarslip.process.announcements import parse_announcement
+from briarslip.process.etcd_gateway import EtcdGatewayClient
+from briarslip.version.rollout_document import OWN_WORDS
+from briarslip.version.rollout_document import RolloutWords
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from typing import Any
+
+    from briarslip.process.announcements import Announcement
+    from briarslip.process.configuration_source import SourceFactory
+    from briarslip.process.settings import Settings
+    from briarslip.process.store import StoreClient
+
+    Endpoints = Mapping[tuple[str, str], Callable[..., JsonReply]]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEvents:
+    """What a daemon does with what its backend servers say.
+
+    ``announced`` returns what is wrong with an announcement, empty if nothing.
+    ``ended`` takes a server's id and incarnation.
+    """
+
+    announced: Callable[[Announcement], str]
+    ended: Callable[[str, int], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Edges:
+    """How a daemon speaks with store, servers, callers and operators.
+
+    ``make_source`` makes what brings the configuration, None for the records
+    of operators in the store. ``rollout_words`` writes for operators what
+    became of their rollouts. ``caller_service`` is the service whose
+    server and callers use this daemon. ``server_endpoints`` and
+    ``readiness_endpoints`` answer the servers and whoever sends callers here.
+    """
+
+    store: StoreClient
+    server_endpoints: Callable[[ServerEvents], Endpoints]
+    readiness_endpoints: Callable[[Callable[[], bool]], Endpoints]
+    dialect: Dialect = OWN_DIALECT
+    make_source: SourceFactory | None = None
+    rollout_words: RolloutWords = OWN_WORDS
+    caller_service: str = ""
+
+    @classmethod
+    def from_settings(cls, settings: Settings, reactor: Any) -> Edges:
+        """Make the product's own edges: etcd's gateway and JSON announcements."""
+        platform = settings.platform
+        return cls(
+            store=EtcdGatewayClient.from_address(
+                reactor, platform.address.host, platform.address.port, platform.timeout
+            ),
+            server_endpoints=_announcement_endpoint,
+            readiness_endpoints=_readiness_endpoint,
+        )
+
+
+def _announcement_endpoint(events: ServerEvents) -> Endpoints:
+    def announce(body: bytes) -> JsonReply:
+        parsed = parse_announcement(body)
+        if parsed.is_err():
+            return JsonReply(400, {"findings": [str(f) for f in parsed.unwrap_err()]})
+        problem = events.announced(parsed.unwrap())
+        if problem:
+            return JsonReply(400, {"findings": [problem]})
+        return JsonReply(200, {"taken": True})
+
+    return {("PUT", "/v1/announcement"): announce}
+
+
+def _readiness_endpoint(ready: Callable[[], bool]) -> Endpoints:
+    return {("GET", "/v1/ready"): lambda _: JsonReply(200 if ready() else 503, {})}
+
+
+__all__ = ["Edges", "ServerEvents"]
--- a/src/briarslip/process/etcd_gateway.py
+++ b/src/briarslip/process/etcd_gateway.py
@@ -16,27 +16,27 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
 from briarslip.address import Address
-from briarslip.process.etcd_http import GatewayHttp
 from briarslip.process.etcd_messages import encode
 from briarslip.process.etcd_messages import prefix_range
 from briarslip.process.etcd_messages import range_reply
 from briarslip.process.etcd_messages import swap_reply
 from briarslip.process.etcd_messages import time_left
 from briarslip.process.etcd_watch import GatewayWatch
-from briarslip.process.platform import KeyValue
-from briarslip.process.platform import PlatformError
-from briarslip.process.platform import RangeReply
-from briarslip.process.platform import SwapReply
-from briarslip.process.platform import WatchClosed
-from briarslip.process.platform import WatchEvent
+from briarslip.process.store import KeyValue
+from briarslip.process.store import RangeReply
+from briarslip.process.store import StoreError
+from briarslip.process.store import SwapReply
+from briarslip.process.store import WatchClosed
+from briarslip.process.store import WatchEvent
+from briarslip.process.store_http import StoreHttp
 from briarslip.request.outcome import Outcome
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briarslip.process.etcd_http import Answer
-    from briarslip.process.platform import Watch
+    from briarslip.process.store import Watch
+    from briarslip.process.store_http import Answer
 
 
 T = TypeVar("T")
@@ -71,10 +71,10 @@
         return False
 
 
-def _status_error(answer: Answer, *, is_write: bool) -> PlatformError:
+def _status_error(answer: Answer, *, is_write: bool) -> StoreError:
     text = answer.body[:200].decode("utf-8", "replace").strip()
     unclear = answer.status not in NEVER_APPLIED_STATUSES
-    return PlatformError(f"HTTP status {answer.status}: {text}", is_write and unclear)
+    return StoreError(f"HTTP status {answer.status}: {text}", is_write and unclear)
 
 
 def _describe(problem: BaseException) -> str:
@@ -88,7 +88,7 @@
     """
 
     def __init__(
-        self, reactor: Any, http: GatewayHttp, timeout: timedelta, silence: timedelta
+        self, reactor: Any, http: StoreHttp, timeout: timedelta, silence: timedelta
     ) -> None:
         self.reactor = reactor
         self.http = http
@@ -109,16 +109,16 @@
         A watch that brings no line for ``silence`` counts as closed.
         """
         connect = timeout.total_seconds() * CONNECT_SHARE
-        http = GatewayHttp(reactor, Address(host, port), connect)
+        http = StoreHttp(reactor, Address(host, port), connect)
         return cls(reactor, http, timeout, silence)
 
-    async def get(self, key: str) -> Result[KeyValue | None, PlatformError]:
+    async def get(self, key: str) -> Result[KeyValue | None, StoreError]:
         """Read one key."""
         message = {"key": encode(key.encode())}
         reply = await self._call("kv/range", message, range_reply, is_write=False)
         return reply.map(lambda found: found.items[0] if found.items else None)
 
-    async def range(self, prefix: str) -> Result[RangeReply, PlatformError]:
+    async def range(self, prefix: str) -> Result[RangeReply, StoreError]:
         """Read every key under a prefix, in key order."""
         start, end = prefix_range(prefix)
         message = {"key": encode(start), "range_end": encode(end)}
@@ -130,7 +130,7 @@
         value: bytes | None,
         expected_revision: int,
         lease_id: int = 0,
-    ) -> Result[SwapReply, PlatformError]:
+    ) -> Result[SwapReply, StoreError]:
         """Write ``value`` if the key's mod revision is ``expected_revision``."""
         name = encode(key.encode())
         compare = {
@@ -150,7 +150,7 @@
         }
         return await self._call("kv/txn", message, swap_reply, is_write=True)
 
-    async def grant_lease(self, ttl: timedelta) -> Result[int, PlatformError]:
+    async def grant_lease(self, ttl: timedelta) -> Result[int, StoreError]:
         """Grant a lease, in whole seconds rounded up, and return its id."""
         seconds = max(1, math.ceil(ttl.total_seconds()))
         return await self._call(
@@ -160,14 +160,12 @@
             is_write=True,
         )
 
-    async def keep_alive(
-        self, lease_id: int
-    ) -> Result[timedelta | None, PlatformError]:
+    async def keep_alive(self, lease_id: int) -> Result[timedelta | None, StoreError]:
         """Renew a lease; return what is left of it, None if it has lapsed."""
         message = {"ID": str(lease_id)}
         return await self._call("lease/keepalive", message, time_left, is_write=True)
 
-    async def revoke_lease(self, lease_id: int) -> Result[None, PlatformError]:
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreError]:
         """Revoke a lease; one that has lapsed already counts as revoked."""
         answer = await self._exchange(
             "lease/revoke", {"ID": str(lease_id)}, is_write=True
@@ -195,7 +193,7 @@
         }
         watch = GatewayWatch(self.reactor, self.silence, on_events, on_closed)
         message = {"create_request": create}
-        watch.start(lambda: self.http.stream("watch", message, watch))
+        watch.start(lambda: self.http.stream("POST", "/v3/watch", message, watch))
         return watch
 
     async def _call(
@@ -205,7 +203,7 @@
         read: Callable[[dict[str, Any]], T],
         *,
         is_write: bool,
-    ) -> Result[T, PlatformError]:
+    ) -> Result[T, StoreError]:
         answer = await self._exchange(path, message, is_write=is_write)
         if isinstance(answer, Err):
             return answer
@@ -214,24 +212,22 @@
         try:
             return Ok(read(json.loads(answer.ok_value.body)))
         except (KeyError, IndexError, TypeError, ValueError, AttributeError) as problem:
-            return Err(
-                PlatformError(f"malformed answer: {_describe(problem)}", is_write)
-            )
+            return Err(StoreError(f"malformed answer: {_describe(problem)}", is_write))
 
     async def _exchange(
         self, path: str, message: dict[str, Any], *, is_write: bool
-    ) -> Result[Answer, PlatformError]:
-        answer = self.http.post(path, message)
+    ) -> Result[Answer, StoreError]:
+        answer = self.http.send("POST", f"/v3/{path}", message)
         answer.addTimeout(self.timeout.total_seconds(), self.reactor)
         try:
             result = await answer
         except DeferredTimeoutError:
-            return Err(PlatformError("no answer in time", is_write))
+            return Err(StoreError("no answer in time", is_write))
         if isinstance(result, Ok):
             return Ok(result.ok_value)
         failure = result.err_value
         unclear = failure.outcome is not Outcome.NOT_RUN
-        return Err(PlatformError(failure.reason.value, is_write and unclear))
+        return Err(StoreError(failure.reason.value, is_write and unclear))
 
 
 __all__ = [
--- a/src/briarslip/process/etcd_messages.py
+++ b/src/briarslip/process/etcd_messages.py
@@ -6,10 +6,10 @@
 from datetime import timedelta
 from typing import Any
 
-from briarslip.process.platform import KeyValue
-from briarslip.process.platform import RangeReply
-from briarslip.process.platform import SwapReply
-from briarslip.process.platform import WatchEvent
+from briarslip.process.store import KeyValue
+from briarslip.process.store import RangeReply
+from briarslip.process.store import SwapReply
+from briarslip.process.store import WatchEvent
 
 
 def encode(raw: bytes) -> str:
--- a/src/briarslip/process/etcd_watch.py
+++ b/src/briarslip/process/etcd_watch.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from briarslip.process.etcd_messages import watch_event
-from briarslip.process.platform import WatchClosed
+from briarslip.process.store import WatchClosed
 
 
 if TYPE_CHECKING:
@@ -17,7 +17,7 @@
 
     from twisted.internet.base import DelayedCall
 
-    from briarslip.process.platform import WatchEvent
+    from briarslip.process.store import WatchEvent
     from briarslip.request.call import Load
     from briarslip.request.call import ResponseHead
     from briarslip.request.outcome import Failure
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -60,7 +60,7 @@
     ROLLOUT_REPORTED = (503, Level.INFO, "rollout's state is on the platform")
     ROLLOUTS_SYNCED = (504, Level.INFO, "decisions on rollouts are known")
     ROLLOUT_HELD = (505, Level.WARNING, "rollout is held by its evidence")
-    PLATFORM_FAILED = (601, Level.WARNING, "platform call failed")
+    STORE_FAILED = (601, Level.WARNING, "call to the store failed")
     LINK_STALLED = (701, Level.WARNING, "peer link went silent and is replaced")
 
     def __init__(self, number: int, level: Level, text: str) -> None:
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
 from briarslip.connection.backend_pool import BackendPool
 from briarslip.connection.deadline_wheel import DeadlineWheel
+from briarslip.connection.dialect import OWN_DIALECT
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.request.admission import Admission
@@ -16,6 +19,7 @@
     from collections.abc import Callable
 
     from briarslip.address import Address
+    from briarslip.connection.dialect import Dialect
     from briarslip.process.announcements import Announcement
     from briarslip.process.clock import Clock
     from briarslip.process.member import Endpoint
@@ -23,6 +27,8 @@
 
 
 MAX_SERVERS = 6
+# Servers that have ended, remembered so that late announcements are told apart.
+MAX_ENDED = 64
 
 
 class LocalServer:
@@ -36,14 +42,23 @@
         clock: Clock,
         excluded: Callable[[str], frozenset[str]],
         watch: Callable[[Callable[[], Endpoint], Dispatch], Dispatch],
+        dialect: Dialect,
     ) -> None:
         self.announcement = announcement
+        self.expected_line = dialect.expected_server_line(announcement.server_id)
         self.heard = now
         slots = announcement.endpoint.slots
-        self.pool = BackendPool(reactor, announcement.address, slots)
+        self.pool = BackendPool(reactor, announcement.address, slots, dialect=dialect)
         watched = watch(lambda: self.announcement.endpoint, self.pool)
         call_later = DeadlineWheel(reactor, clock).call_later
-        self.admission = Admission(clock, slots, watched, call_later, excluded)
+        self.admission = Admission(
+            clock, slots, watched, call_later, excluded, self.hand_over_lines
+        )
+        self.dialect = dialect
+
+    def hand_over_lines(self, remaining: float) -> bytes:
+        """Return the header lines that a call gets on its way to the server."""
+        return self.dialect.deadline_line(remaining) + self.expected_line
 
 
 class LocalServers:
@@ -57,8 +72,10 @@
         on_change: Callable[[], None],
         excluded: Callable[[str], frozenset[str]],
         watch: Callable[[Callable[[], Endpoint], Dispatch], Dispatch],
+        dialect: Dialect = OWN_DIALECT,
     ) -> None:
         self.reactor = reactor
+        self.dialect = dialect
         self.clock = clock
         self.lease_seconds = lease_seconds
         self.on_change = on_change
@@ -66,6 +83,7 @@
         self.watch = watch
         self.servers: dict[Address, LocalServer] = {}
         self.retired: list[LocalServer] = []
+        self.ended: OrderedDict[str, int] = OrderedDict()
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
@@ -79,20 +97,46 @@
         return sum(server.admission.in_flight for server in servers)
 
     def take(self, announcement: Announcement) -> bool:
-        """Take or renew a server's announcement; False if there are too many."""
+        """Take or renew a server's announcement; False if there are too many.
+
+        One that was overtaken on its way says nothing new.
+        """
         server = self.servers.get(announcement.address)
+        if server is not None and announcement.is_older_than(server.announcement):
+            return True
+        if announcement.incarnation <= self.ended.get(announcement.server_id, -1):
+            return True
         if server is None and len(self.servers) >= MAX_SERVERS:
             return False
         if server is None or _is_another(server.announcement, announcement):
             self._replace(announcement)
         else:
             server.heard = self.clock.monotonic()
-            is_changed = server.announcement != announcement
+            is_changed = server.announcement.endpoint != announcement.endpoint
             server.announcement = announcement
+            if announcement.endpoint.draining:
+                server.admission.close()
+            else:
+                server.admission.closed = False
             if is_changed:
                 self.on_change()
         return True
 
+    def end(self, server_id: str, incarnation: int = 0) -> None:
+        """Give a server that ends no new work; what it runs goes on."""
+        self.ended[server_id] = incarnation
+        for server in self.servers.values():
+            announcement = server.announcement
+            if announcement.server_id != server_id:
+                continue
+            self.ended[server_id] = max(incarnation, announcement.incarnation)
+            endpoint = replace(announcement.endpoint, draining=True)
+            server.announcement = replace(announcement, endpoint=endpoint)
+            server.admission.close()
+            self.on_change()
+        while len(self.ended) > MAX_ENDED:
+            self.ended.popitem(last=False)
+
     def expire(self) -> None:
         """Forget the servers whose lease has lapsed."""
         now = self.clock.monotonic()
@@ -113,6 +157,7 @@
             self.clock,
             self.excluded,
             self.watch,
+            self.dialect,
         )
         emit(Event.SERVER_ANNOUNCED, server=announcement.address)
         self.on_change()
@@ -122,6 +167,7 @@
         server = self.servers.pop(address, None)
         if server is not None:
             server.pool.close()
+            server.admission.close()
             self.retired.append(server)
 
     def admission(self, service: str, version: str) -> Admission | None:
@@ -138,13 +184,15 @@
 
 
 def _is_another(known: Announcement, given: Announcement) -> bool:
-    """Tell whether a server has another version or size than the one known."""
+    """Tell whether another server, or another start of it, is at the address."""
     before, now = known.endpoint, given.endpoint
-    return (before.service, before.version, before.slots) != (
-        now.service,
-        now.version,
-        now.slots,
-    )
+    return (
+        before.service,
+        before.version,
+        before.slots,
+        known.server_id,
+        known.incarnation,
+    ) != (now.service, now.version, now.slots, given.server_id, given.incarnation)
 
 
 __all__ = ["MAX_SERVERS", "LocalServer", "LocalServers"]
--- a/src/briarslip/process/membership_task.py
+++ b/src/briarslip/process/membership_task.py
@@ -16,8 +16,8 @@
 from briarslip.process.contacts import CHECK_SECONDS
 from briarslip.process.contacts import FIRST_CHECK_SECONDS
 from briarslip.process.contacts import check_contacts
+from briarslip.process.contacts import find_contacts
 from briarslip.process.contacts import keeps_contacts
-from briarslip.process.contacts import read_zone_contacts
 from briarslip.process.dissemination import MAX_DATAGRAM_BYTES
 from briarslip.process.events import Event
 from briarslip.process.events import emit
@@ -43,7 +43,7 @@
     from briarslip.process.member import Member
     from briarslip.process.membership_messages import Datagram
     from briarslip.process.membership_messages import Send
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
 
 
 TICKS_PER_INTERVAL = 5
@@ -64,8 +64,9 @@
         seeds: tuple[Address, ...],
         interval_seconds: float,
         on_version: Callable[[Address, int], None],
-        platform: PlatformClient,
+        platform: StoreClient,
         send: Callable[[Address, Topic, bytes], None],
+        check_seconds: float = CHECK_SECONDS,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -75,6 +76,7 @@
         self.on_version = on_version
         self.platform = platform
         self.send_control = send
+        self.check_seconds = check_seconds
         self.state = Protocol.from_member(
             self_member, seeds, rng, interval_seconds, clock.monotonic()
         )
@@ -188,12 +190,11 @@
         self.state.bootstrap.contacts_wanted = False
 
     async def _read_contacts(self) -> None:
-        zone = self.state.own.availability_zone
-        contacts = await read_zone_contacts(self.platform, zone)
+        contacts = await find_contacts(self.platform, self.state.own)
         self.state.bootstrap.contacts = (*self.seeds, *contacts)
 
     def _check_contacts(self) -> None:
-        delay = CHECK_SECONDS * self.rng.uniform(0.8, 1.2)
+        delay = self.check_seconds * self.rng.uniform(0.8, 1.2)
         self.reactor.callLater(delay, self._check_contacts)
         if keeps_contacts(self.state.table) and not self.is_reading_contacts:
             self._start_reading(self._keep_contacts())
@@ -201,7 +202,7 @@
     async def _keep_contacts(self) -> None:
         found = await check_contacts(self.platform, self.state.table)
         if isinstance(found, Err):
-            emit(Event.PLATFORM_FAILED, reason=found.err_value.reason)
+            emit(Event.STORE_FAILED, reason=found.err_value.reason)
             return
         table = self.state.table
         strangers = [
--- a/src/briarslip/process/publisher.py
+++ b/src/briarslip/process/publisher.py
@@ -11,7 +11,7 @@
 
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.process.platform import PlatformError
+from briarslip.process.store import StoreError
 from briarslip.process.version_store import WHOLE_INTERVAL_VERSIONS
 from briarslip.process.version_store import delete_old_versions
 from briarslip.process.version_store import move_head
@@ -29,9 +29,9 @@
     from collections.abc import Iterable
 
     from briarslip.process.change_status import ChangeStatuses
-    from briarslip.process.platform import KeyValue
-    from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import RangeReply
+    from briarslip.process.store import KeyValue
+    from briarslip.process.store import RangeReply
+    from briarslip.process.store import StoreClient
     from briarslip.process.version_store import Head
     from briarslip.version.acceptance import Acceptance
     from briarslip.version.record import RecordKey
@@ -58,11 +58,11 @@
     running_version: int
 
 
-PublishError = PlatformError | LostHead | HeadBehind
+PublishError = StoreError | LostHead | HeadBehind
 
 
 async def publish(
-    platform: PlatformClient,
+    platform: StoreClient,
     statuses: ChangeStatuses,
     running: Snapshot,
     now: float,
@@ -98,7 +98,7 @@
 
 
 async def _head_not_behind(
-    platform: PlatformClient, running: Snapshot
+    platform: StoreClient, running: Snapshot
 ) -> Result[Head, PublishError]:
     found = await read_head(platform)
     if isinstance(found, Err):
@@ -110,7 +110,7 @@
 
 
 async def _put_in_force(
-    platform: PlatformClient, head: Head, base: Snapshot, acceptance: Acceptance
+    platform: StoreClient, head: Head, base: Snapshot, acceptance: Acceptance
 ) -> Result[None, PublishError]:
     snapshot = acceptance.snapshot
     changes = list(acceptance.accepted)
@@ -124,7 +124,7 @@
 
 
 async def _delete_removed(
-    platform: PlatformClient, base: Snapshot, stored: RangeReply
+    platform: StoreClient, base: Snapshot, stored: RangeReply
 ) -> None:
     """Delete keys of records whose removal has long been in force.
 
@@ -146,7 +146,7 @@
 
 
 async def _repeat_statuses(
-    platform: PlatformClient, statuses: ChangeStatuses, head: Head, now: float
+    platform: StoreClient, statuses: ChangeStatuses, head: Head, now: float
 ) -> None:
     """Report the head's changes: its publisher may have died before that."""
     entry = await read_entry(platform, head.version, head.digest)
--- a/src/briarslip/process/relay.py
+++ b/src/briarslip/process/relay.py
@@ -14,9 +14,9 @@
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.job import Job
-from briarslip.process.platform_watch import PlatformWatch
 from briarslip.process.publisher import HeadBehind
 from briarslip.process.publisher import publish
+from briarslip.process.store_watch import StoreWatch
 from briarslip.process.version_store import HEAD_KEY
 from briarslip.process.version_store import parse_head
 from briarslip.process.version_store import read_version
@@ -31,11 +31,11 @@
     from result import Result
 
     from briarslip.process.clock import Clock
-    from briarslip.process.platform import KeyValue
-    from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import PlatformError
-    from briarslip.process.platform import WatchEvent
     from briarslip.process.publisher import PublishError
+    from briarslip.process.store import KeyValue
+    from briarslip.process.store import StoreClient
+    from briarslip.process.store import StoreError
+    from briarslip.process.store import WatchEvent
     from briarslip.process.version_store import Head
     from briarslip.version.record import RecordKey
     from briarslip.version.snapshot import Snapshot
@@ -60,7 +60,7 @@
         reactor: Any,
         clock: Clock,
         rng: random.Random,
-        platform: PlatformClient,
+        platform: StoreClient,
         running: Callable[[], Snapshot],
         on_snapshot: Callable[[Snapshot], None],
         on_check: Callable[[], None],
@@ -85,8 +85,8 @@
 
     def _watch(
         self, prefix: str, on_events: Callable[[tuple[WatchEvent, ...]], None]
-    ) -> PlatformWatch:
-        return PlatformWatch(
+    ) -> StoreWatch:
+        return StoreWatch(
             self.reactor, self.rng, self.platform, prefix, on_events, self._resync
         )
 
@@ -127,7 +127,7 @@
         return await self._take_head(items[0] if items else None)
 
     async def _take_head(self, item: KeyValue | None) -> bool:
-        head: Result[Head, PlatformError] = parse_head(item)
+        head: Result[Head, StoreError] = parse_head(item)
         if isinstance(head, Err):
             emit(Event.HEAD_REFUSED, reason=head.err_value.reason)
             return False
--- a/src/briarslip/process/rollout_report.py
+++ b/src/briarslip/process/rollout_report.py
@@ -16,10 +16,8 @@
 from briarslip.version.evidence_codec import RolloutState
 from briarslip.version.evidence_codec import from_milliseconds
 from briarslip.version.rollout import State
-from briarslip.version.rollout_document import ROLLOUT_STATUS_PREFIX
+from briarslip.version.rollout_document import OWN_WORDS
 from briarslip.version.rollout_document import decision_from_document
-from briarslip.version.rollout_document import decode_document
-from briarslip.version.rollout_document import encode_document
 from briarslip.version.rollout_document import next_document
 from briarslip.version.rollout_document import removed_document
 from briarslip.version.rollout_document import rollout_document
@@ -31,11 +29,12 @@
 
     from result import Result
 
-    from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import PlatformError
     from briarslip.process.rollout_task import RolloutTask
+    from briarslip.process.store import StoreClient
+    from briarslip.process.store import StoreError
     from briarslip.version.rollout import RolloutStatus
     from briarslip.version.rollout_document import Document
+    from briarslip.version.rollout_document import RolloutWords
 
 
 REPORT_SECONDS = 1.0
@@ -56,16 +55,18 @@
     def __init__(
         self,
         reactor: Any,
-        platform: PlatformClient,
+        platform: StoreClient,
         rng: random.Random,
         task: RolloutTask,
         configuration_version: Callable[[], int],
+        words: RolloutWords = OWN_WORDS,
     ) -> None:
         self.reactor = reactor
         self.platform = platform
         self.rng = rng
         self.task = task
         self.configuration_version = configuration_version
+        self.words = words
         self.reported: dict[str, tuple[str, str]] = {}
         self.documents: dict[str, Document] = {}
         self.began = task.clock.monotonic()
@@ -110,7 +111,7 @@
         )
         written = await self._write(mine)
         if isinstance(written, Err):
-            emit(Event.PLATFORM_FAILED, reason=written.err_value.reason)
+            emit(Event.STORE_FAILED, reason=written.err_value.reason)
             return
         self.documents[status.rollout.name] = written.ok_value
         self.reported[status.rollout.name] = (status.id.digest, status.state.value)
@@ -126,20 +127,23 @@
             del self.documents[name]
             self.reported.pop(name, None)
 
-    async def _write(self, mine: Document) -> Result[Document, PlatformError]:
+    async def _write(self, mine: Document) -> Result[Document, StoreError]:
         """Return the document that stands on the platform in the end."""
-        key = f"{ROLLOUT_STATUS_PREFIX}{mine['rollout']}"
+        key = f"{self.words.prefix}{mine['rollout']}"
         while True:
             found = await self.platform.get(key)
             if isinstance(found, Err):
                 return found
             item = found.ok_value
-            current = decode_document(item.value).unwrap_or(None) if item else None
+            current = self.words.decode(item.value).unwrap_or(None) if item else None
             document = next_document(current, mine)
             if document is None:
                 return Ok(current or mine)
+            value = self.words.encode(document)
+            if value is None:
+                return Ok(document)
             revision = item.mod_revision if item else 0
-            swapped = await self.platform.swap(key, encode_document(document), revision)
+            swapped = await self.platform.swap(key, value, revision)
             if isinstance(swapped, Err):
                 return swapped
             if swapped.ok_value.swapped:
@@ -155,11 +159,11 @@
         waited = self.task.clock.monotonic() - self.began
         if waited < SYNC_WAIT_SECONDS or not self._reads():
             return
-        found = await self.platform.range(ROLLOUT_STATUS_PREFIX)
+        found = await self.platform.range(self.words.prefix)
         if isinstance(found, Err):
-            emit(Event.PLATFORM_FAILED, reason=found.err_value.reason)
+            emit(Event.STORE_FAILED, reason=found.err_value.reason)
             return
-        decoded = (decode_document(item.value) for item in found.ok_value.items)
+        decoded = (self.words.decode(item.value) for item in found.ok_value.items)
         documents = tuple(d.ok_value for d in decoded if isinstance(d, Ok))
         self._learn(documents, whole=True)
 
--- a/src/briarslip/process/rollout_state.py
+++ b/src/briarslip/process/rollout_state.py
@@ -9,6 +9,7 @@
 from briarslip.process.events import emit
 from briarslip.version.decision import Decisions
 from briarslip.version.decision import RolloutId
+from briarslip.version.record import NOT_AGREED
 from briarslip.version.rollout import TERMINAL
 from briarslip.version.rollout import RolloutStatus
 from briarslip.version.rollout import State
@@ -42,15 +43,24 @@
 )
 
 
+def _as_written(rollout: Rollout) -> Rollout:
+    return rollout
+
+
 class RolloutBoard:
-    """Plans of traffic by service and the state of each rollout."""
+    """Plans of traffic by service and the state of each rollout.
+
+    ``with_deadline`` returns a rollout with the deadline agreed on.
+    """
 
     def __init__(
         self,
         clock: Clock,
         table: Callable[[], RoutingTable],
         members: Callable[[], tuple[Member, ...]],
+        with_deadline: Callable[[Rollout], Rollout] = _as_written,
     ) -> None:
+        self.with_deadline = with_deadline
         self.clock = clock
         self.table = table
         self.members = members
@@ -69,7 +79,7 @@
         members = self.members()
         for member in members:
             self.zones_heard[member.availability_zone] = now
-        rollouts = tuple(self.table().rollouts.values())
+        rollouts = tuple(map(self.with_deadline, self.table().rollouts.values()))
         services = {rollout.service for rollout in rollouts}
         services |= {d.service for d in self.decisions.rolled_back.values()}
         servers = _servers(members, services)
@@ -107,7 +117,8 @@
             rollout_id = RolloutId.from_rollout(rollout)
             known = rollout_id in self.decisions.started
             there = bool(servers[rollout.service].get(rollout.version))
-            if self.decisions.ready and there and not known:
+            is_agreed = rollout.deadline != NOT_AGREED
+            if self.decisions.ready and there and is_agreed and not known:
                 started.append((rollout_id, self._first_start(rollout, now)))
                 self.decisions.start(*started[-1])
             self.previous[rollout.name] = rollout
--- a/src/briarslip/process/rollout_task.py
+++ b/src/briarslip/process/rollout_task.py
@@ -40,7 +40,7 @@
     from briarslip.process.member import Member
     from briarslip.version.evidence import Report
     from briarslip.version.evidence_codec import EvidenceMessage
-    from briarslip.version.record import Route
+    from briarslip.version.record import Rollout
     from briarslip.version.rollout import RolloutStatus
     from briarslip.version.routing_table import RoutingTable
 
@@ -69,6 +69,7 @@
         table: Callable[[], RoutingTable],
         members: Callable[[], tuple[Member, ...]],
         send: Callable[[Address, Topic, bytes], None],
+        with_deadline: Callable[[Rollout], Rollout] | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -79,6 +80,8 @@
         self.send = send
         self.peers = RolloutPeers(own.address, own.availability_zone, members)
         self.board = RolloutBoard(clock, table, members)
+        if with_deadline is not None:
+            self.board.with_deadline = with_deadline
         self.collector = EvidenceCollector(
             clock, str(own.address), own.availability_zone, own.incarnation
         )
@@ -97,9 +100,9 @@
         """Begin the slices."""
         self._end_slice()
 
-    def version_for(self, route: Route) -> str:
+    def version_for(self, service: str) -> str:
         """Return the service version a call must go to, empty for any."""
-        plan = self.board.plans.get(route.service)
+        plan = self.board.plans.get(service)
         return "" if plan is None else plan.choose(self.rng.random())
 
     def excluded(self, service: str) -> frozenset[str]:
--- a/src/briarslip/process/settings.py
+++ b/src/briarslip/process/settings.py
@@ -17,6 +17,7 @@
 from briarslip.finding import Finding
 from briarslip.ini import IniSection
 from briarslip.ini import parse_ini
+from briarslip.process.contacts import CHECK_SECONDS
 
 
 if TYPE_CHECKING:
@@ -39,12 +40,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ListenSettings:
-    """The addresses the daemon listens on; peers use TCP and UDP."""
+    """The addresses the daemon listens on; peers use TCP and UDP.
+
+    ``readiness`` answers whether callers may be sent here.
+    """
 
     callers: Address
     peers: Address
     admin: Address
     announcements: Address
+    readiness: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,19 +62,28 @@
 
 @dataclass(frozen=True, slots=True)
 class MembershipSettings:
-    """Membership among the daemons."""
+    """Membership among the daemons.
+
+    Every ``contacts_interval`` a few of them check the contacts in the store.
+    """
 
     seeds: tuple[Address, ...]
     heartbeat_interval: timedelta
+    contacts_interval: timedelta = timedelta(seconds=CHECK_SECONDS)
 
 
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
-    """Bounds on what one daemon takes on."""
+    """Bounds on what one daemon takes on.
+
+    A stop that takes longer than ``stop_grace`` is cut short; None leaves each
+    request its whole deadline.
+    """
 
     max_body_bytes: int
     default_timeout: timedelta
     announcement_lease: timedelta
+    stop_grace: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,9 +129,12 @@
     ),
     "listen": (
         ListenSettings,
-        tuple(
-            FieldSpec(name, fields.address)
-            for name in ("callers", "peers", "admin", "announcements")
+        (
+            *(
+                FieldSpec(name, fields.address)
+                for name in ("callers", "peers", "admin", "announcements")
+            ),
+            FieldSpec("readiness", fields.address, None),
         ),
     ),
     "platform": (
@@ -129,6 +146,7 @@
         (
             FieldSpec("seeds", fields.listed(fields.address), ()),
             _duration("heartbeat_interval_ms", 500),
+            _duration("contacts_interval_ms", int(CHECK_SECONDS * 1000)),
         ),
     ),
     "limits": (
@@ -137,6 +155,7 @@
             FieldSpec("max_body_bytes", fields.integer(0, 1 << 30), 8 << 20),
             _duration("default_timeout_ms", 5000),
             _duration("announcement_lease_ms", 5000),
+            FieldSpec("stop_grace_ms", fields.milliseconds(1, MAX_DURATION_MS), None),
         ),
     ),
     "log": (
--- a/src/briarslip/process/settled_swap.py
+++ b/src/briarslip/process/settled_swap.py
@@ -8,20 +8,20 @@
 from result import Ok
 from result import Result
 
-from briarslip.process.platform import SwapReply
+from briarslip.process.store import SwapReply
 
 
 if TYPE_CHECKING:
-    from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import PlatformError
+    from briarslip.process.store import StoreClient
+    from briarslip.process.store import StoreError
 
 
 ATTEMPTS = 5
 
 
 async def settled_swap(
-    platform: PlatformClient, key: str, value: bytes | None, expected_revision: int
-) -> Result[SwapReply, PlatformError]:
+    platform: StoreClient, key: str, value: bytes | None, expected_revision: int
+) -> Result[SwapReply, StoreError]:
     """Swap, and after an unclear answer try the same swap again.
 
     The swap can take effect once only, and a delayed first attempt then stands
--- a/src/briarslip/process/shutdown.py
+++ b/src/briarslip/process/shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -62,7 +63,8 @@
 class Shutdown:
     """Walks through the phases of a stop.
 
-    ``enter`` is told of each phase; ``remaining`` counts what is left.
+    ``enter`` is told of each phase; ``remaining`` counts what is left. The
+    stop ends after ``grace_seconds``, whatever is left.
     """
 
     def __init__(
@@ -72,14 +74,17 @@
         bound: Callable[[], float],
         remaining: Callable[[], Remaining],
         enter: Callable[[Phase], None],
+        grace_seconds: float = math.inf,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.bound = bound
         self.remaining = remaining
         self.enter = enter
+        self.grace_seconds = grace_seconds
         self.phase = Phase.RUNNING
         self.since = 0.0
+        self.begun = 0.0
 
     @property
     def draining(self) -> bool:
@@ -95,6 +100,7 @@
         """Begin to stop; later calls change nothing."""
         if not self.draining:
             emit(Event.DAEMON_DRAINING)
+            self.begun = self.clock.monotonic()
             self._enter(Phase.NOTICE)
             self._poll()
 
@@ -104,9 +110,12 @@
         self.enter(phase)
 
     def _poll(self) -> None:
-        since = self.clock.monotonic() - self.since
+        now = self.clock.monotonic()
+        since = now - self.since
         left = self.remaining()
         phase = next_phase(self.phase, since, self.bound(), left)
+        if now - self.begun >= self.grace_seconds:
+            phase = Phase.STOPPED
         if phase is not self.phase:
             self._enter(phase)
         if phase is Phase.STOPPED:
--- a/src/briarslip/process/platform.py
+++ b/src/briarslip/process/store.py
@@ -71,7 +71,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlatformError:
+class StoreError:
     """A failed call.
 
     ``maybe_applied`` is true when a write may have taken effect although no
@@ -89,13 +89,13 @@
         """Stop the watch; no callback runs afterwards."""
 
 
-class PlatformClient(Protocol):
+class StoreClient(Protocol):
     """Access to the key-value service. Keys are text, values are bytes."""
 
-    async def get(self, key: str) -> Result[KeyValue | None, PlatformError]:
+    async def get(self, key: str) -> Result[KeyValue | None, StoreError]:
         """Read one key."""
 
-    async def range(self, prefix: str) -> Result[RangeReply, PlatformError]:
+    async def range(self, prefix: str) -> Result[RangeReply, StoreError]:
         """Read every key under a prefix, in key order."""
 
     async def swap(
@@ -104,21 +104,19 @@
         value: bytes | None,
         expected_revision: int,
         lease_id: int = 0,
-    ) -> Result[SwapReply, PlatformError]:
+    ) -> Result[SwapReply, StoreError]:
         """Write ``value`` if the key's mod revision is ``expected_revision``.
 
         Revision 0 means that the key must not exist. ``value`` None deletes.
         """
 
-    async def grant_lease(self, ttl: timedelta) -> Result[int, PlatformError]:
+    async def grant_lease(self, ttl: timedelta) -> Result[int, StoreError]:
         """Grant a lease and return its id."""
 
-    async def keep_alive(
-        self, lease_id: int
-    ) -> Result[timedelta | None, PlatformError]:
+    async def keep_alive(self, lease_id: int) -> Result[timedelta | None, StoreError]:
         """Renew a lease; return what is left of it, None if it has lapsed."""
 
-    async def revoke_lease(self, lease_id: int) -> Result[None, PlatformError]:
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreError]:
         """Revoke a lease and delete the keys attached to it."""
 
     def watch(
@@ -136,9 +134,9 @@
 
 __all__ = [
     "KeyValue",
-    "PlatformClient",
-    "PlatformError",
     "RangeReply",
+    "StoreClient",
+    "StoreError",
     "SwapReply",
     "Watch",
     "WatchClosed",
--- a/src/briarslip/process/etcd_http.py
+++ b/src/briarslip/process/store_http.py
@@ -1,4 +1,4 @@
-"""Requests to the JSON gateway of etcd over HTTP/1.1.
+"""Requests to a store over HTTP/1.1, with JSON bodies.
 
 The daemon's own connections serve here too: Twisted's HTTP client would add
 1.3 MB of resident memory.
@@ -67,8 +67,8 @@
         self.finished.callback(Err(failure))
 
 
-class GatewayHttp:
-    """The connections to one gateway; ``connect_timeout`` is in seconds."""
+class StoreHttp:
+    """The connections to one store; ``connect_timeout`` is in seconds."""
 
     def __init__(self, reactor: Any, address: Address, connect_timeout: float) -> None:
         self.reactor = reactor
@@ -78,27 +78,34 @@
         # A watch that opens on a connection long idle could fail with it.
         self.watch_pool = BackendPool(reactor, address, 0, connect_timeout)
 
-    def post(
-        self, path: str, message: dict[str, Any]
+    def send(
+        self, method: str, target: str, message: dict[str, Any] | None = None
     ) -> Deferred[Result[Answer, Failure]]:
         """Send a request and return its whole answer."""
         sink = AnswerSink()
         self.pool.drop_idle(self.reactor.seconds() - REUSABLE_IDLE_SECONDS)
-        sink.give_up = self.pool(self._call(path, message), sink)
+        sink.give_up = self.pool(self._call(method, target, message), sink)
         return sink.finished
 
     def stream(
-        self, path: str, message: dict[str, Any], sink: ResponseSink
+        self,
+        method: str,
+        target: str,
+        message: dict[str, Any] | None,
+        sink: ResponseSink,
     ) -> Callable[[], None]:
-        """Send a request whose answer has no end; return how to give it up."""
-        return self.watch_pool(self._call(path, message), sink)
+        """Send a request that is answered late, or without an end.
 
-    def _call(self, path: str, message: dict[str, Any]) -> Call:
+        Return how to give it up.
+        """
+        return self.watch_pool(self._call(method, target, message), sink)
+
+    def _call(self, method: str, target: str, message: dict[str, Any] | None) -> Call:
         return Call(
-            method="POST",
-            target=f"/v3/{path}",
+            method=method,
+            target=target,
             headers=self.headers,
-            body=json.dumps(message).encode(),
+            body=b"" if message is None else json.dumps(message).encode(),
             service="",
             service_version="",
             route="",
@@ -111,4 +118,4 @@
         )
 
 
-__all__ = ["Answer", "GatewayHttp"]
+__all__ = ["Answer", "StoreHttp"]
--- a/src/briarslip/process/platform_watch.py
+++ b/src/briarslip/process/store_watch.py
@@ -12,17 +12,17 @@
     import random
     from collections.abc import Callable
 
-    from briarslip.process.platform import PlatformClient
-    from briarslip.process.platform import Watch
-    from briarslip.process.platform import WatchClosed
-    from briarslip.process.platform import WatchEvent
+    from briarslip.process.store import StoreClient
+    from briarslip.process.store import Watch
+    from briarslip.process.store import WatchClosed
+    from briarslip.process.store import WatchEvent
 
 
 BACKOFF_BASE_SECONDS = 0.25
 BACKOFF_CAP_SECONDS = 4.0
 
 
-class PlatformWatch:
+class StoreWatch:
     """Watches a prefix without a gap.
 
     It goes on from the revision after the last one seen. When the platform no
@@ -34,7 +34,7 @@
         self,
         reactor: Any,
         rng: random.Random,
-        platform: PlatformClient,
+        platform: StoreClient,
         prefix: str,
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_lost: Callable[[], None],
@@ -89,4 +89,4 @@
         self.reactor.callLater(delay, self._open, self.generation)
 
 
-__all__ = ["PlatformWatch"]
+__all__ = ["StoreWatch"]
--- /dev/null
+++ b/src/briarslip/process/stored_configuration.py
@@ -0,0 +1,105 @@
+"""A configuration that operators keep whole in the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from result import Err
+
+from briarslip.finding import report
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.process.job import Job
+from briarslip.process.store import KeyValue
+from briarslip.process.store_watch import StoreWatch
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from result import Result
+
+    from briarslip.finding import Finding
+    from briarslip.process.store import StoreClient
+    from briarslip.process.store import WatchEvent
+    from briarslip.version.snapshot import Snapshot
+
+    ReadItems = Callable[
+        [Mapping[str, KeyValue]], Result[Snapshot | None, tuple[Finding, ...]]
+    ]
+
+
+class StoredConfiguration:
+    """Watches the operators' keys and reads them into snapshots.
+
+    Every daemon watches, whether it is chosen or not: a change is then in
+    force one answer of the store later, whoever fails. ``read`` turns the
+    items under ``prefix`` into a snapshot, None while there is none.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        store: StoreClient,
+        prefix: str,
+        read: ReadItems,
+        on_snapshot: Callable[[Snapshot], None],
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.read = read
+        self.on_snapshot = on_snapshot
+        self.active = False
+        self.rank = 0
+        self.started = False
+        self.items: dict[str, KeyValue] = {}
+        self.watch = StoreWatch(
+            reactor, rng, store, prefix, self._changed, self._resync
+        )
+        self.reading = Job(reactor, rng, self._read_all)
+
+    def set_active(self, active: bool) -> None:
+        """Begin to watch at the first call."""
+        self.active = active
+        if not self.started:
+            self.started = True
+            self._resync()
+
+    def _resync(self) -> None:
+        """Read everything again, then watch from there on."""
+        self.watch.stop()
+        self.reading.run()
+
+    async def _read_all(self) -> bool:
+        found = await self.store.range(self.prefix)
+        if isinstance(found, Err):
+            emit(Event.STORE_FAILED, reason=found.err_value.reason)
+            return False
+        self.items = {item.key: item for item in found.ok_value.items}
+        self.watch.start(found.ok_value.revision + 1)
+        self._publish()
+        return True
+
+    def _changed(self, events: tuple[WatchEvent, ...]) -> None:
+        for event in events:
+            if event.value is None:
+                self.items.pop(event.key, None)
+            else:
+                self.items[event.key] = KeyValue(
+                    event.key, event.value, event.mod_revision
+                )
+        self._publish()
+
+    def _publish(self) -> None:
+        snapshot = self.read(self.items)
+        if isinstance(snapshot, Err):
+            emit(Event.VERSION_REFUSED, findings=report(snapshot.err_value))
+        elif snapshot.ok_value is not None:
+            self.on_snapshot(snapshot.ok_value)
+
+
+__all__ = ["StoredConfiguration"]
--- a/src/briarslip/process/version_store.py
+++ b/src/briarslip/process/version_store.py
@@ -17,8 +17,8 @@
 from result import Result
 
 from briarslip.malformed import MALFORMED_ERRORS
-from briarslip.process.platform import PlatformError
 from briarslip.process.settled_swap import settled_swap
+from briarslip.process.store import StoreError
 from briarslip.version.configuration_codec import Whole
 from briarslip.version.configuration_codec import compress
 from briarslip.version.configuration_codec import decompress
@@ -30,8 +30,8 @@
 
 
 if TYPE_CHECKING:
-    from briarslip.process.platform import KeyValue
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import KeyValue
+    from briarslip.process.store import StoreClient
     from briarslip.version.snapshot import Snapshot
 
 
@@ -80,7 +80,7 @@
 NO_HEAD = Head(0, EMPTY_SNAPSHOT.digest, 0)
 
 
-def parse_head(found: KeyValue | None) -> Result[Head, PlatformError]:
+def parse_head(found: KeyValue | None) -> Result[Head, StoreError]:
     """Read the head key; without one no version has been published."""
     if found is None:
         return Ok(NO_HEAD)
@@ -88,18 +88,18 @@
         document = json.loads(found.value)
         version, digest = int(document["version"]), str(document["digest"])
     except MALFORMED_ERRORS as error:
-        return Err(PlatformError(f"head can't be read: {error!r}"))
+        return Err(StoreError(f"head can't be read: {error!r}"))
     return Ok(Head(version, digest, found.mod_revision))
 
 
-async def read_head(platform: PlatformClient) -> Result[Head, PlatformError]:
+async def read_head(platform: StoreClient) -> Result[Head, StoreError]:
     """Return the head."""
     return (await platform.get(HEAD_KEY)).and_then(parse_head)
 
 
 async def read_version(
-    platform: PlatformClient, head: Head, known: Snapshot
-) -> Result[Snapshot, PlatformError]:
+    platform: StoreClient, head: Head, known: Snapshot
+) -> Result[Snapshot, StoreError]:
     """Return a published snapshot with its digest checked.
 
     The steps are read backwards until one applies to ``known``, or until a
@@ -121,18 +121,18 @@
             return whole.and_then(lambda base: _apply_steps(base, steps))
         steps.append(found.delta)
         version, digest = found.base_version, found.base_digest
-    return Err(PlatformError(f"version {head.version} is too far from a whole one"))
+    return Err(StoreError(f"version {head.version} is too far from a whole one"))
 
 
 async def read_entry(
-    platform: PlatformClient, version: int, digest: str
-) -> Result[VersionEntry, PlatformError]:
+    platform: StoreClient, version: int, digest: str
+) -> Result[VersionEntry, StoreError]:
     """Read what stands at one version."""
     found = await platform.get(_entry_key(version, digest))
     if isinstance(found, Err):
         return found
     if found.ok_value is None:
-        return Err(PlatformError(f"version {version} is missing"))
+        return Err(StoreError(f"version {version} is missing"))
     try:
         document = json.loads(found.ok_value.value)
         base_version, base_digest = document["base"]
@@ -144,13 +144,13 @@
             tuple(str(change) for change in document["changes"]),
         )
     except MALFORMED_ERRORS as error:
-        return Err(PlatformError(f"version {version} can't be read: {error!r}"))
+        return Err(StoreError(f"version {version} can't be read: {error!r}"))
     return Ok(entry)
 
 
 async def write_version(
-    platform: PlatformClient, base: Snapshot, snapshot: Snapshot, changes: list[str]
-) -> Result[None, PlatformError]:
+    platform: StoreClient, base: Snapshot, snapshot: Snapshot, changes: list[str]
+) -> Result[None, StoreError]:
     """Write a version beside the others; only the head puts it in force."""
     delta = compress(delta_between(base, snapshot).encode())
     is_small = len(delta) <= MAX_VALUE_BYTES
@@ -172,8 +172,8 @@
 
 
 async def move_head(
-    platform: PlatformClient, head: Head, snapshot: Snapshot
-) -> Result[bool, PlatformError]:
+    platform: StoreClient, head: Head, snapshot: Snapshot
+) -> Result[bool, StoreError]:
     """Put a version in force; false if another publisher moved the head."""
     body = {"version": snapshot.version, "digest": snapshot.digest}
     value = json.dumps(body, sort_keys=True).encode()
@@ -182,8 +182,8 @@
 
 
 async def delete_old_versions(
-    platform: PlatformClient, head_version: int
-) -> Result[int, PlatformError]:
+    platform: StoreClient, head_version: int
+) -> Result[int, StoreError]:
     """Delete versions that no reader needs; return how many keys went."""
     found = await platform.range(VERSIONS_PREFIX)
     if isinstance(found, Err):
@@ -202,22 +202,22 @@
 
 
 async def _read_chunks(
-    platform: PlatformClient, version: int, digest: str, count: int
-) -> Result[Snapshot, PlatformError]:
+    platform: StoreClient, version: int, digest: str, count: int
+) -> Result[Snapshot, StoreError]:
     parts: list[bytes] = []
     for number in range(count):
         found = await platform.get(f"{_entry_key(version, digest)}/{number}")
         if isinstance(found, Err):
             return found
         if found.ok_value is None:
-            return Err(PlatformError(f"version {version} lacks chunk {number}"))
+            return Err(StoreError(f"version {version} lacks chunk {number}"))
         parts.append(found.ok_value.value)
-    return read_whole(Whole(digest, b"".join(parts))).map_err(PlatformError)
+    return read_whole(Whole(digest, b"".join(parts))).map_err(StoreError)
 
 
 async def _write_content(
-    platform: PlatformClient, key: str, value: bytes
-) -> Result[None, PlatformError]:
+    platform: StoreClient, key: str, value: bytes
+) -> Result[None, StoreError]:
     """Write a key whose content follows from its name.
 
     Another publisher may have written it; what differs is damaged, and is
@@ -233,16 +233,16 @@
     return Ok(None)
 
 
-def _apply_steps(base: Snapshot, steps: list[bytes]) -> Result[Snapshot, PlatformError]:
+def _apply_steps(base: Snapshot, steps: list[bytes]) -> Result[Snapshot, StoreError]:
     """Apply compressed deltas, the last one of the list first."""
     snapshot = base
     for step in reversed(steps):
         delta = decompress(step).and_then(decode_delta)
         if isinstance(delta, Err):
-            return Err(PlatformError(delta.err_value))
+            return Err(StoreError(delta.err_value))
         applied = apply_delta(snapshot, delta.ok_value)
         if isinstance(applied, Err):
-            return Err(PlatformError(applied.err_value))
+            return Err(StoreError(applied.err_value))
         snapshot = applied.ok_value
     return Ok(snapshot)
 
--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -8,6 +8,7 @@
 from briarslip.request.admitted_call import AdmittedCall
 from briarslip.request.call import Load
 from briarslip.request.outcome import Reason
+from briarslip.request.propagation import deadline_line
 from briarslip.request.reserve import Reserve
 from briarslip.request.service_time import ServiceTimes
 
@@ -46,12 +47,15 @@
         backend: Dispatch,
         call_later: CallLater,
         excluded: Callable[[str], frozenset[str]] = _none_excluded,
+        hand_over_lines: Callable[[float], bytes] = deadline_line,
     ) -> None:
         self.clock = clock
         self.slots = slots
         self.backend = backend
         self.call_later = call_later
         self.excluded = excluded
+        self.hand_over_lines = hand_over_lines
+        self.closed = False
         self.reserve = Reserve(slots, clock.monotonic())
         self.times = ServiceTimes()
         self.in_flight = 0
@@ -85,12 +89,22 @@
             admitted.set_timer()
         return admitted.cancel
 
+    def close(self) -> None:
+        """Take no more calls and refuse those that wait; the others go on."""
+        self.closed = True
+        for queue in (self.urgent, self.bulk):
+            while queue:
+                admitted, _ = queue.popitem(last=False)
+                admitted.refuse(Reason.DRAINING)
+
     def queue(self, call: Call) -> OrderedDict[AdmittedCall, None]:
         """Return the queue of a call's priority."""
         return self.urgent if call.urgent else self.bulk
 
     def _refusal(self, call: Call) -> Reason | None:
         """Return why a call can't wait here, None if it can."""
+        if self.closed:
+            return Reason.DRAINING
         if self.is_excluded(call):
             return Reason.VERSION_EXCLUDED
         if len(self.queue(call)) >= self.slots * QUEUE_LENGTH_PER_SLOT:
--- a/src/briarslip/request/admitted_call.py
+++ b/src/briarslip/request/admitted_call.py
@@ -8,7 +8,6 @@
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
-from briarslip.request.propagation import deadline_line
 
 
 if TYPE_CHECKING:
@@ -43,7 +42,7 @@
         """Hand the call to the backend server."""
         self.began = self.admission.clock.monotonic()
         version = self.call.service_version
-        call = self.call.sent_as(version, deadline_line(remaining))
+        call = self.call.sent_as(version, self.admission.hand_over_lines(remaining))
         self.cancel_backend = self.admission.backend(call, self)
 
     def refuse(self, reason: Reason) -> None:
--- a/src/briarslip/request/dependencies.py
+++ b/src/briarslip/request/dependencies.py
@@ -18,7 +18,6 @@
     from briarslip.request.claim import Claims
     from briarslip.request.sample import Sample
     from briarslip.request.timer import CallLater
-    from briarslip.version.record import Route
     from briarslip.version.routing_table import RoutingTable
 
 
@@ -30,8 +29,8 @@
 class Dependencies:
     """The functions of the daemon that a forwarder calls.
 
-    ``version_for`` returns the service version that a call must go to, empty
-    for any. ``excluded`` returns the versions of a service that must get no
+    ``version_for`` returns the version of a service that a call must go to,
+    empty for any. ``excluded`` returns the versions of a service that must get no
     work. ``local`` returns what serves a service and version here, if anything
     does. ``focus`` returns the only servers that a version's calls go to, None
     for all of them. ``record`` takes the end of each attempt.
@@ -43,7 +42,7 @@
     members: Callable[[], Iterable[Member]]
     local: Callable[[str, str], Dispatch | None]
     remote: Callable[[Address, Call, ResponseSink], Callable[[], None]]
-    version_for: Callable[[Route], str]
+    version_for: Callable[[str], str]
     record: Callable[[Sample], None]
     excluded: Callable[[str], frozenset[str]]
     call_later: CallLater
--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -21,8 +21,10 @@
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
 from briarslip.request.propagation import context_lines
-from briarslip.request.retry import MAX_ATTEMPTS
+from briarslip.request.retry import MAX_HOPS
+from briarslip.request.retry import NEVER_OFFERED
 from briarslip.request.retry import is_retryable
+from briarslip.version.record import MAX_ATTEMPTS
 
 
 if TYPE_CHECKING:
@@ -48,7 +50,12 @@
     """
 
     def __init__(
-        self, forwarder: Forwarder, call: Call, retried: bool, sink: ResponseSink
+        self,
+        forwarder: Forwarder,
+        call: Call,
+        retried: bool,
+        sink: ResponseSink,
+        max_attempts: int = MAX_ATTEMPTS,
     ) -> None:
         self.forwarder = forwarder
         self.call = call
@@ -56,7 +63,9 @@
         self.sink = sink
         self.attempt: Attempt | None = None
         self.tried: set[Server] = set()
+        self.max_attempts = max_attempts
         self.attempts = 0
+        self.hops = 0
         self.may_have_run = False
         self.head_sent = False
         self.answer: StoredAnswer | None = None
@@ -132,6 +141,7 @@
 
     def _send(self, server: Server, retried: bool) -> None:
         self.attempts += 1
+        self.hops += 1
         self.tried.add(server)
         call = self.call
         context = context_lines(call.depth, call.urgent, retried)
@@ -147,11 +157,18 @@
         if (
             self.head_sent
             or self.retried
-            or self.attempts >= MAX_ATTEMPTS
+            or self.hops >= MAX_HOPS
             or self.call.deadline <= self.forwarder.clock.monotonic()
             or not is_retryable(failure, self.call.idempotent)
         ):
             return False
+        if failure.reason in NEVER_OFFERED and failure.outcome is Outcome.NOT_RUN:
+            # No server has seen the request.
+            self.attempts -= 1
+            budget = self.forwarder.budget
+            return self._choose() is not None and budget.take_refused(failure.reason)
+        if self.attempts >= self.max_attempts:
+            return False
         return self._choose() is not None and self.forwarder.budget.take()
 
     def retry(self) -> None:
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -19,6 +19,7 @@
 from briarslip.request.propagation import read_context
 from briarslip.request.retry import RetryBudget
 from briarslip.request.service_time import ServiceTimes
+from briarslip.request.traffic_split import choose_part
 
 
 if TYPE_CHECKING:
@@ -47,6 +48,7 @@
     depth: int
     timeout: float | None
     flow: Flow = field(default_factory=Flow, compare=False)
+    host: str = ""
 
 
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
@@ -73,7 +75,7 @@
         table = self.dependencies.table()
         if not table.version:
             return _refuse(sink, Reason.NO_CONFIGURATION)
-        route = table.match(request.target, request.method)
+        route = table.match(request.target, request.method, request.host)
         if route is None:
             return _refuse(sink, Reason.NO_ROUTE)
         context = read_context(request.headers)
@@ -82,7 +84,7 @@
         call = self._call(request, route, context)
         if not self.outstanding.pool(call.urgent).enter(call.service):
             return _refuse(sink, Reason.TOO_MANY_OUTSTANDING)
-        exchange = Exchange(self, call, context.retried, sink)
+        exchange = Exchange(self, call, context.retried, sink, route.attempts)
         exchange.start(context.key, route.claims)
         return exchange.cancel
 
@@ -90,13 +92,14 @@
         timeout = route.timeout.total_seconds()
         if request.timeout is not None:
             timeout = min(timeout, request.timeout)
+        service = choose_part(route, self.rng.random())
         return Call(
             method=request.method,
             target=request.target,
             headers=context.headers,
             body=request.body,
-            service=route.service,
-            service_version=self.dependencies.version_for(route),
+            service=service,
+            service_version=self.dependencies.version_for(service),
             route=route.name,
             urgent=route.priority == "urgent" and not context.bulk,
             idempotent=route.idempotent or request.method in IDEMPOTENT_METHODS,
--- a/src/briarslip/request/retry.py
+++ b/src/briarslip/request/retry.py
@@ -17,7 +17,14 @@
 INNER_SHARE = 0.008
 FIRST_TOKENS = 1.0
 MAX_TOKENS = 3.0
-MAX_ATTEMPTS = 3
+# Daemons that one request may be sent to, those that refuse it included.
+MAX_HOPS = 4
+# The server does not serve any more; the view here was late.
+STALE_VIEW = frozenset((Reason.DRAINING, Reason.NO_SERVER, Reason.VERSION_EXCLUDED))
+# Refusals of the server's daemon: the request has not reached the server.
+NEVER_OFFERED = STALE_VIEW | {Reason.CONNECT_FAILED, Reason.QUEUE_FULL}
+REFUSED_SHARE = 0.06
+MAX_REFUSED_TOKENS = 10.0
 FINAL_REASONS = frozenset(
     (
         Reason.BAD_REQUEST,
@@ -36,18 +43,35 @@
     A retried call, and all that is nested in it, neither pays in nor takes
     out. So the retries below one outer call are at most the sum of the shares
     over its depths, 2.5% + 7 x 0.8%, plus the bucket's content at the start.
+    Retries of requests that were refused before any server saw them burden no
+    server twice and have a bucket of their own.
     """
 
     def __init__(self) -> None:
         self.tokens = FIRST_TOKENS
+        self.refused_tokens = MAX_REFUSED_TOKENS
 
     def pay_in(self, depth: int, retried: bool) -> None:
         """Count a call at its first attempt; the outermost has depth 1."""
         if retried or depth > MAX_DEPTH:
             return
+        refused = self.refused_tokens + REFUSED_SHARE
+        self.refused_tokens = min(MAX_REFUSED_TOKENS, refused)
         share = OUTER_SHARE if depth <= 1 else INNER_SHARE
         self.tokens = min(MAX_TOKENS, self.tokens + share)
 
+    def take_refused(self, reason: Reason) -> bool:
+        """Take out a retry of a request that no server has seen.
+
+        Where only the view here was late, the next server is sure to differ.
+        """
+        if reason in STALE_VIEW:
+            return True
+        if self.refused_tokens < 1.0:
+            return False
+        self.refused_tokens -= 1.0
+        return True
+
     def take(self) -> bool:
         """Take one retry out if there is one."""
         if self.tokens < 1.0:
@@ -63,4 +87,11 @@
     return failure.outcome is Outcome.NOT_RUN or idempotent
 
 
-__all__ = ["FIRST_TOKENS", "MAX_ATTEMPTS", "MAX_TOKENS", "RetryBudget", "is_retryable"]
+__all__ = [
+    "FIRST_TOKENS",
+    "MAX_HOPS",
+    "MAX_TOKENS",
+    "NEVER_OFFERED",
+    "RetryBudget",
+    "is_retryable",
+]
--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import UTC
 from datetime import datetime
 from datetime import timedelta
 from functools import lru_cache
@@ -35,10 +36,17 @@
 MAX_SCHEMA = 1 << 31
 MAX_SCHEMA_DIGITS = len(str(MAX_SCHEMA))
 MAX_TIMEOUT_MS = 600_000
+MAX_ATTEMPTS = 3
+MOST_ATTEMPTS_ALLOWED = 16
+MAX_BODY_BYTES = 1 << 30
+MAX_ORDER = (1 << 63) - 1
+MAX_WEIGHT = 1_000_000
 MAX_WINDOW_MS = 7 * 24 * 3_600_000
 RETRY_NOT_RUN = "not-run"
 RETRY_UNKNOWN = "unknown"
 PARSED_RECORDS = 4096
+# Stands for a deadline that the daemons have not agreed on yet.
+NOT_AGREED = datetime.max.replace(tzinfo=UTC)
 
 
 class RecordKey(NamedTuple):
@@ -59,11 +67,23 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A service's part of a route's requests, by weight."""
+
+    service: str
+    weight: int
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """Which requests go to which service, and how.
 
-    ``path_prefix`` ends at a segment's border; no ``methods`` means any.
+    ``path_prefix`` ends at a segment's border; no ``methods`` means any. A
+    route with a ``host`` serves only that one, and its prefix is taken to the
+    letter. ``attempts`` is how many servers one request may be run on.
+    ``parts`` shares the requests among services by weight; without parts all
+    go to ``service``.
     """
 
     name: str
@@ -74,11 +94,24 @@
     idempotent: bool
     claims: str
     methods: frozenset[str] = frozenset()
+    host: str = ""
+    attempts: int = MAX_ATTEMPTS
+    parts: tuple[Part, ...] = ()
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The services that requests may go to."""
+        return tuple(part.service for part in self.parts) or (self.service,)
 
 
 @dataclass(frozen=True, slots=True)
 class Rollout:
-    """A move of a service's traffic to a new version by a deadline."""
+    """A move of a service's traffic to a new version by a deadline.
+
+    An operator gives either the deadline or only the ``window``, which then
+    begins with the ``order``, the store's revision of the operator's word; the
+    deadline of such a rollout is agreed on by the daemons.
+    """
 
     name: str
     service: str
@@ -86,6 +119,7 @@
     deadline: datetime
     window: timedelta
     max_traffic_share: float
+    order: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +133,18 @@
     latency: timedelta
 
 
-Form = Service | Route | Rollout | Objective
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what callers send; ``CallerLimits`` says what each means."""
+
+    name: str
+    head_bytes: int
+    body_bytes: int
+    read: timedelta
+    idle: timedelta
+
+
+Form = Service | Route | Rollout | Objective | Limits
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +186,34 @@
     return Err(f"{value!r} is not a method in capitals")
 
 
+def _literal_prefix(value: str) -> Result[str, str]:
+    """Read a path prefix that begins and ends with a slash."""
+    prefix = value.strip()
+    if not prefix.startswith("/") or not prefix.endswith("/"):
+        return Err(f"{value!r} does not begin and end with '/'")
+    if any(c in "?#" or c.isspace() for c in prefix):
+        return Err(f"{value!r} is not a path")
+    return Ok(prefix)
+
+
+def _host(value: str) -> Result[str, str]:
+    """Read a host as it stands in a request, without a port."""
+    host = value.strip().lower()
+    if not host or any(c in "/?#@" or c.isspace() for c in host):
+        return Err(f"{value!r} is not a host")
+    return Ok(host)
+
+
+def _part(value: str) -> Result[Part, str]:
+    """Read ``service weight``."""
+    service, _, weight = value.strip().partition(" ")
+    read = fields.name(service)
+    if isinstance(read, Err):
+        return read
+    number = fields.integer(0, MAX_WEIGHT)(weight)
+    return number.map(lambda given: Part(read.ok_value, given))
+
+
 def _route_from_schema_2(values: dict[str, Any]) -> dict[str, Any]:
     converted = dict(values)
     converted["path_prefix"] = converted.pop("match_path")
@@ -180,6 +253,19 @@
         ),
         _route_from_schema_2,
     ),
+    ("route", 3): KindSpec(
+        Route,
+        (
+            *_ROUTE_FIELDS,
+            FieldSpec("host", _host),
+            FieldSpec("path_prefix", _literal_prefix),
+            FieldSpec("idempotent", fields.boolean, False),
+            FieldSpec(
+                "attempts", fields.integer(1, MOST_ATTEMPTS_ALLOWED), MAX_ATTEMPTS
+            ),
+            FieldSpec("parts", fields.listed(_part), ()),
+        ),
+    ),
     ("rollout", 1): KindSpec(
         Rollout,
         (
@@ -194,6 +280,26 @@
             FieldSpec("max_traffic_share", fields.share(0.0, 0.05), 0.05),
         ),
     ),
+    ("rollout", 2): KindSpec(
+        Rollout,
+        (
+            FieldSpec("service", fields.name),
+            FieldSpec("version", fields.name),
+            FieldSpec("window_ms", fields.milliseconds(1000, MAX_WINDOW_MS)),
+            FieldSpec("order", fields.integer(1, MAX_ORDER)),
+            FieldSpec("max_traffic_share", fields.share(0.0, 0.05), 0.05),
+        ),
+        lambda values: {**values, "deadline": NOT_AGREED},
+    ),
+    ("limits", 1): KindSpec(
+        Limits,
+        (
+            FieldSpec("head_bytes", fields.integer(1, MAX_BODY_BYTES)),
+            FieldSpec("body_bytes", fields.integer(0, MAX_BODY_BYTES)),
+            FieldSpec("read_ms", fields.milliseconds(1, MAX_TIMEOUT_MS)),
+            FieldSpec("idle_ms", fields.milliseconds(1, MAX_TIMEOUT_MS)),
+        ),
+    ),
     ("objective", 1): KindSpec(
         Objective,
         (
@@ -302,9 +408,13 @@
 
 __all__ = [
     "KINDS",
+    "MAX_ATTEMPTS",
+    "NOT_AGREED",
     "RECORDS_PREFIX",
     "Form",
+    "Limits",
     "Objective",
+    "Part",
     "Record",
     "RecordKey",
     "Rollout",
--- a/src/briarslip/version/rollout_document.py
+++ b/src/briarslip/version/rollout_document.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -20,6 +21,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from datetime import datetime
 
@@ -119,6 +121,18 @@
     return mine
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutWords:
+    """How operators are told of rollouts: where, and in which form.
+
+    ``encode`` returns None for what they are not told.
+    """
+
+    prefix: str
+    encode: Callable[[Document], bytes | None]
+    decode: Callable[[bytes], Result[Document, str]]
+
+
 def decode_document(value: bytes) -> Result[Document, str]:
     """Read a document; the error is a reason."""
     try:
@@ -154,10 +168,14 @@
     )
 
 
+OWN_WORDS = RolloutWords(ROLLOUT_STATUS_PREFIX, encode_document, decode_document)
+
 __all__ = [
+    "OWN_WORDS",
     "REMOVED",
     "ROLLOUT_STATUS_PREFIX",
     "Document",
+    "RolloutWords",
     "decision_from_document",
     "decode_document",
     "encode_document",
--- a/src/briarslip/version/route_index.py
+++ b/src/briarslip/version/route_index.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from briarslip.version.record import Route
 
@@ -18,6 +19,23 @@
 ANY_METHOD = ""
 
 
+@dataclass(slots=True)
+class RouteIndex:
+    """The routes by path, and those of single hosts by host and prefix."""
+
+    root: RouteNode = field(default_factory=lambda: RouteNode())
+    hosts: dict[str, dict[str, Route]] = field(default_factory=dict)
+
+    def find(self, host: str, target: str, method: str) -> Route | None:
+        """Return the route of a request, one of its host before others."""
+        prefixes = self.hosts.get(host) or self.hosts.get(host.partition(":")[0])
+        if prefixes is not None:
+            route = _longest_prefix(prefixes, target.partition("?")[0])
+            if route is not None:
+                return route
+        return find_route(self.root, target, method)
+
+
 @dataclass(slots=True)
 class RouteNode:
     """A path segment: the routes that end here, by method, and what follows."""
@@ -26,16 +44,30 @@
     children: dict[str, RouteNode] = field(default_factory=dict)
 
 
-def index_routes(routes: Iterable[Route]) -> RouteNode:
+def index_routes(routes: Iterable[Route]) -> RouteIndex:
     """Return the index of routes that do not overlap."""
-    root = RouteNode()
+    index = RouteIndex()
     for route in routes:
-        node = root
+        if route.host:
+            index.hosts.setdefault(route.host, {})[route.path_prefix] = route
+            continue
+        node = index.root
         for segment in _segments(route.path_prefix):
             node = node.children.setdefault(segment, RouteNode())
         for method in route.methods or (ANY_METHOD,):
             node.routes[method] = route
-    return root
+    return index
+
+
+def _longest_prefix(prefixes: Mapping[str, Route], path: str) -> Route | None:
+    """Return the route whose prefix, which ends with a slash, begins the path."""
+    end = path.rfind("/")
+    while end >= 0:
+        route = prefixes.get(path[: end + 1])
+        if route is not None:
+            return route
+        end = path.rfind("/", 0, end)
+    return None
 
 
 def find_route(root: RouteNode, target: str, method: str) -> Route | None:
@@ -57,10 +89,10 @@
 
 def overlaps(routes: Iterable[Route]) -> Iterable[Finding]:
     """Yield a finding for each route that another one of its path shadows."""
-    seen: dict[tuple[str, str], str] = {}
+    seen: dict[tuple[str, str, str], str] = {}
     for route in sorted(routes, key=lambda r: r.name):
         for method in sorted(route.methods) or (ANY_METHOD,):
-            other = seen.setdefault((route.path_prefix, method), route.name)
+            other = seen.setdefault((route.host, route.path_prefix, method), route.name)
             if other != route.name:
                 reason = f"matches the same requests as route {other!r}"
                 yield Finding(f"route {route.name}", 0, "", "path", reason)
@@ -72,4 +104,4 @@
     return stripped.split("/") if stripped else []
 
 
-__all__ = ["RouteNode", "find_route", "index_routes", "overlaps"]
+__all__ = ["RouteIndex", "RouteNode", "find_route", "index_routes", "overlaps"]
--- a/src/briarslip/version/routing_table.py
+++ b/src/briarslip/version/routing_table.py
@@ -12,13 +12,13 @@
 
 from briarslip.finding import Finding
 from briarslip.version.record import SPECS
+from briarslip.version.record import Limits
 from briarslip.version.record import Objective
 from briarslip.version.record import Rollout
 from briarslip.version.record import Route
 from briarslip.version.record import Service
 from briarslip.version.record import parse_record
-from briarslip.version.route_index import RouteNode
-from briarslip.version.route_index import find_route
+from briarslip.version.route_index import RouteIndex
 from briarslip.version.route_index import index_routes
 from briarslip.version.route_index import overlaps
 
@@ -34,6 +34,10 @@
     from briarslip.version.snapshot import Snapshot
 
 
+# The name of the record that bounds what callers send.
+CALLERS = "callers"
+
+
 @dataclass(frozen=True, slots=True)
 class RoutingTable:
     """Routes, services, rollouts and objectives of one version.
@@ -48,7 +52,8 @@
     routes: tuple[Route, ...]
     rollouts: Mapping[str, Rollout]
     objectives: Mapping[str, Objective]
-    index: RouteNode = field(default_factory=RouteNode)
+    limits: Mapping[str, Limits] = field(default_factory=dict)
+    index: RouteIndex = field(default_factory=RouteIndex)
     kept: tuple[Finding, ...] = ()
 
     @classmethod
@@ -64,13 +69,19 @@
             routes=tuple(sorted(routes, key=lambda route: route.name)),
             rollouts={f.name: f for f in known if isinstance(f, Rollout)},
             objectives={f.name: f for f in known if isinstance(f, Objective)},
+            limits={f.name: f for f in known if isinstance(f, Limits)},
             index=index_routes(routes),
             kept=kept,
         )
 
-    def match(self, target: str, method: str) -> Route | None:
+    def match(self, target: str, method: str, host: str = "") -> Route | None:
         """Return the route of a request, if there is one."""
-        return find_route(self.index, target, method)
+        return self.index.find(host, target, method)
+
+    @property
+    def caller_limits(self) -> Limits | None:
+        """The bounds on callers, None where the operators set none."""
+        return self.limits.get(CALLERS)
 
     @property
     def forms(self) -> Mapping[tuple[str, str], Form]:
@@ -80,6 +91,7 @@
             ("route", self.routes),
             ("rollout", self.rollouts.values()),
             ("objective", self.objectives.values()),
+            ("limits", self.limits.values()),
         )
         return {(kind, form.name): form for kind, forms in groups for form in forms}
 
@@ -168,9 +180,13 @@
     forms = tuple(forms)
     services = {form.name for form in forms if isinstance(form, Service)}
     for form in forms:
-        if not isinstance(form, Service) and form.service not in services:
-            kind = type(form).__name__.lower()
-            yield _no_service(f"{kind} {form.name}", form.service)
+        if isinstance(form, Service | Limits):
+            continue
+        named = form.services if isinstance(form, Route) else (form.service,)
+        for service in named:
+            if service not in services:
+                kind = type(form).__name__.lower()
+                yield _no_service(f"{kind} {form.name}", service)
 
 
 def _no_service(source: str, service: str) -> Finding:
--- a/src/briarslip/version/traffic_share.py
+++ b/src/briarslip/version/traffic_share.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.rendezvous import ranked
+from briarslip.version.record import NOT_AGREED
 
 
 if TYPE_CHECKING:
@@ -37,10 +38,13 @@
 
     ``started`` is when the rollout and servers of its version were first
     seen together. A rollout seen late runs in the time that is left, but in
-    no less than ``MIN_SPAN_SECONDS``.
+    no less than ``MIN_SPAN_SECONDS`` or half of its window.
     """
+    if rollout.deadline == NOT_AGREED:
+        return -1.0
     begin = max(rollout.deadline - rollout.window, started)
-    span = max((rollout.deadline - begin).total_seconds(), MIN_SPAN_SECONDS)
+    least = min(MIN_SPAN_SECONDS, rollout.window.total_seconds() / 2)
+    span = max((rollout.deadline - begin).total_seconds(), least)
     return (now - begin).total_seconds() / span
 
 
--- a/standins/local_platform.py
+++ b/standins/local_platform.py
@@ -14,12 +14,12 @@
 
 from briarslip.process.etcd_gateway import DEFAULT_TIMEOUT
 from briarslip.process.etcd_messages import prefix_range
-from briarslip.process.platform import KeyValue
-from briarslip.process.platform import PlatformError
-from briarslip.process.platform import RangeReply
-from briarslip.process.platform import SwapReply
-from briarslip.process.platform import WatchClosed
-from briarslip.process.platform import WatchEvent
+from briarslip.process.store import KeyValue
+from briarslip.process.store import RangeReply
+from briarslip.process.store import StoreError
+from briarslip.process.store import SwapReply
+from briarslip.process.store import WatchClosed
+from briarslip.process.store import WatchEvent
 from standins.platform_store import WRITE_KINDS
 from standins.platform_store import LeaseNotFoundError
 
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briarslip.process.platform import Watch
+    from briarslip.process.store import Watch
     from standins.platform_store import PlatformStandIn
     from standins.platform_store import StandInWatch
 
@@ -58,7 +58,7 @@
             callback(argument)
 
 
-class LocalPlatformClient:
+class LocalStoreClient:
     """A platform client for tests in virtual time.
 
     Calls return at once unless ``delay_ms`` is set on the state. A frozen
@@ -75,11 +75,11 @@
         self.call_later = call_later
         self.timeout = timeout
 
-    async def get(self, key: str) -> Result[KeyValue | None, PlatformError]:
+    async def get(self, key: str) -> Result[KeyValue | None, StoreError]:
         """Read one key."""
         return await self._call("range", lambda: self.state.get(key))
 
-    async def range(self, prefix: str) -> Result[RangeReply, PlatformError]:
+    async def range(self, prefix: str) -> Result[RangeReply, StoreError]:
         """Read every key under a prefix, in key order."""
         return await self._call(
             "range",
@@ -94,26 +94,24 @@
         value: bytes | None,
         expected_revision: int,
         lease_id: int = 0,
-    ) -> Result[SwapReply, PlatformError]:
+    ) -> Result[SwapReply, StoreError]:
         """Write ``value`` if the key's mod revision is ``expected_revision``."""
         return await self._call(
             "txn", lambda: self.state.swap(key, value, expected_revision, lease_id)
         )
 
-    async def grant_lease(self, ttl: timedelta) -> Result[int, PlatformError]:
+    async def grant_lease(self, ttl: timedelta) -> Result[int, StoreError]:
         """Grant a lease, in whole seconds rounded up, and return its id."""
         whole = timedelta(seconds=max(1, math.ceil(ttl.total_seconds())))
         return await self._call("lease_grant", lambda: self.state.grant_lease(whole))
 
-    async def keep_alive(
-        self, lease_id: int
-    ) -> Result[timedelta | None, PlatformError]:
+    async def keep_alive(self, lease_id: int) -> Result[timedelta | None, StoreError]:
         """Renew a lease; return what is left of it, None if it has lapsed."""
         return await self._call(
             "lease_keepalive", lambda: self.state.keep_alive(lease_id)
         )
 
-    async def revoke_lease(self, lease_id: int) -> Result[None, PlatformError]:
+    async def revoke_lease(self, lease_id: int) -> Result[None, StoreError]:
         """Revoke a lease; one that has lapsed already counts as revoked."""
         reply = await self._call(
             "lease_revoke", lambda: self.state.lapse_lease(lease_id)
@@ -147,30 +145,28 @@
 
     async def _call(
         self, kind: str, operation: Callable[[], T]
-    ) -> Result[T, PlatformError]:
+    ) -> Result[T, StoreError]:
         is_write = kind in WRITE_KINDS
         self.state.counts[kind] += 1
         if self.state.outage:
             # As over the wire, where a closed connection tells nothing.
-            return Err(PlatformError("outage", is_write))
+            return Err(StoreError("outage", is_write))
         delay = timedelta(milliseconds=self.state.delay_ms)
         if delay > self.timeout:
             self.call_later(delay.total_seconds(), self._finish, kind, operation)
             await self._sleep(self.timeout)
-            return Err(PlatformError("timed out", is_write))
+            return Err(StoreError("timed out", is_write))
         if delay:
             await self._sleep(delay)
         return self._finish(kind, operation)
 
-    def _finish(
-        self, kind: str, operation: Callable[[], T]
-    ) -> Result[T, PlatformError]:
+    def _finish(self, kind: str, operation: Callable[[], T]) -> Result[T, StoreError]:
         try:
             value = operation()
         except LeaseNotFoundError:
-            return Err(PlatformError("lease not found"))
+            return Err(StoreError("lease not found"))
         if self.state.take_lost_answer(kind):
-            return Err(PlatformError("answer lost", maybe_applied=True))
+            return Err(StoreError("answer lost", maybe_applied=True))
         return Ok(value)
 
     async def _sleep(self, length: timedelta) -> None:
@@ -179,4 +175,4 @@
         await waiting
 
 
-__all__ = ["LocalPlatformClient"]
+__all__ = ["LocalStoreClient"]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -28,8 +28,8 @@
 if TYPE_CHECKING:
     from twisted.internet.base import DelayedCall
 
-    from briarslip.process.platform import KeyValue
-    from briarslip.process.platform import WatchEvent
+    from briarslip.process.store import KeyValue
+    from briarslip.process.store import WatchEvent
 
 
 PROGRESS_INTERVAL = timedelta(seconds=1)
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -22,7 +22,7 @@
 from briarslip.version.rollout_document import Document
 from briarslip.version.rollout_document import decode_document
 from briarslip.version.routing_table import RoutingTable
-from standins.local_platform import LocalPlatformClient
+from standins.local_platform import LocalStoreClient
 from standins.platform_store import PlatformStandIn
 from standins.virtual_time import VirtualTime
 
@@ -124,7 +124,7 @@
             lambda: self.members_of(member),
             lambda peer, _topic, payload: self._send(member, peer, payload),
         )
-        platform = LocalPlatformClient(self.platform, self.time.call_later)
+        platform = LocalStoreClient(self.platform, self.time.call_later)
         reporter = RolloutReporter(
             reactor, platform, rng, task, lambda: self.configuration_version
         )
@@ -197,7 +197,7 @@
         near = [n for n in self.nodes if self._reaches(node.member, n.member)]
         servers: dict[str, list[Node]] = {}
         for _ in range(CALLS_PER_STEP):
-            version = node.task.version_for(ROUTE)
+            version = node.task.version_for(ROUTE.service)
             if version not in servers:
                 allowed = node.task.focus("holds", version)
                 servers[version] = [
--- a/standins/virtual_platform.py
+++ b/standins/virtual_platform.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from standins.local_platform import LocalPlatformClient
+from standins.local_platform import LocalStoreClient
 from standins.platform_store import PlatformStandIn
 
 
@@ -28,7 +28,7 @@
     def __init__(self, history_limit: int = 10_000) -> None:
         self.clock: Any = Clock()
         self.store = PlatformStandIn(self.clock, history_limit)
-        self.client = LocalPlatformClient(self.store, self.clock.callLater)
+        self.client = LocalStoreClient(self.store, self.clock.callLater)
 
     def run(self, work: Coroutine[Any, Any, T]) -> T:
         """Run a coroutine to its end, advancing the clock as needed."""
--- a/tests/connection/test_caller_http.py
+++ b/tests/connection/test_caller_http.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.connection.caller_limits import CallerLimits
 from briarslip.request.call import ResponseHead
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
@@ -38,7 +39,9 @@
     def setUp(self) -> None:
         self.clock = FakeClock()
         self.forwarded = Dispatched()
-        self.factory = CallerHttpFactory(self.clock, self.forwarded, MAX_BODY_BYTES)
+        self.factory = CallerHttpFactory(
+            self.clock, self.forwarded, lambda: CallerLimits(body_bytes=MAX_BODY_BYTES)
+        )
         self.connection: Any = self.factory.buildProtocol(None)
         self.transport = FakeTransport()
         self.connection.makeConnection(self.transport)
--- /dev/null
+++ b/tests/connection/test_dialect.py
@@ -0,0 +1,203 @@
+"""Tests of the headers of a deployment, at both ends."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionLost
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure as TwistedFailure
+
+from briarslip.address import Address
+from briarslip.connection.backend_pool import BackendPool
+from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.connection.caller_limits import CallerLimits
+from briarslip.connection.dialect import Dialect
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
+from tests.connection.support import FakeClock
+from tests.connection.support import FakeSink
+from tests.connection.support import FakeTransport
+from tests.connection.support import call
+
+
+DIALECT = Dialect(
+    deadline=b"Left-Ms",
+    not_run=b"Untouched",
+    not_run_statuses=frozenset((421,)),
+    request_id=b"Call-Id",
+    signature=b"Signed",
+    expected_server=b"Only",
+    caller_service=b"From",
+    outcome=b"",
+    retry_after_decimals=3,
+)
+CALL_ID = b"Call-Id: 77\r\n"
+
+
+def answer(
+    status: int = 200, headers: bytes = b"Signed: x\r\n", ident: int = 77
+) -> bytes:
+    """Return a whole answer of a server."""
+    head = b"HTTP/1.1 %d X\r\nCall-Id: %d\r\nContent-Length: 2\r\n" % (status, ident)
+    return head + headers + b"\r\nok"
+
+
+class ServerEndTest(unittest.TestCase):
+    """Only an answer to this very request of this very server is passed on."""
+
+    def setUp(self) -> None:
+        self.reactor: Any = MemoryReactorClock()
+        self.pool = BackendPool(
+            self.reactor, Address("127.0.0.1", 8000), 10, dialect=DIALECT
+        )
+
+    def receive(self, data: bytes) -> tuple[FakeSink, Any]:
+        """Send a request and receive some bytes."""
+        sink = FakeSink()
+        self.pool(call(headers=CALL_ID), sink)
+        connection = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        connection.makeConnection(FakeTransport())
+        connection.dataReceived(data)
+        return sink, connection
+
+    def test_answer(self) -> None:
+        sink, connection = self.receive(answer())
+        self.assertEqual(
+            (b"ok", 1, Outcome.RAN), (sink.data, sink.ended, sink.heads[0].outcome)
+        )
+        self.assertIn(connection, self.pool.idle)
+
+    def test_refusals_that_say_not_run(self) -> None:
+        for given in (answer(503, b"Untouched: 1\r\n"), answer(421, b"")):
+            self.setUp()
+            sink, _ = self.receive(given)
+            self.assertIs(Outcome.NOT_RUN, sink.heads[0].outcome)
+        self.setUp()
+        sink, _ = self.receive(answer(503))
+        self.assertIs(Outcome.RAN, sink.heads[0].outcome)
+
+    def test_success_without_signature_is_no_answer(self) -> None:
+        sink, connection = self.receive(answer(headers=b""))
+        self.assertEqual([], sink.heads)
+        self.assertTrue(connection.transport.aborted)
+        connection.connectionLost(TwistedFailure(ConnectionLost()))
+        self.assertIs(Outcome.UNKNOWN, sink.failures[0].outcome)
+
+    def test_answer_to_another_request_is_passed_over(self) -> None:
+        sink, connection = self.receive(answer(ident=76) + answer())
+        self.assertEqual((b"ok", 1), (sink.data, sink.ended))
+        self.assertEqual(1, len(sink.heads))
+        self.assertNotIn(connection, self.pool.idle)
+
+    def test_only_answers_to_others_is_a_failure(self) -> None:
+        sink, connection = self.receive(answer(ident=76))
+        self.assertEqual([], sink.heads)
+        connection.connectionLost(TwistedFailure(ConnectionDone()))
+        self.assertIs(Outcome.UNKNOWN, sink.failures[0].outcome)
+
+    def test_a_second_answer_ends_the_connection(self) -> None:
+        sink, connection = self.receive(answer() + answer())
+        self.assertEqual((b"ok", 1), (sink.data, sink.ended))
+        self.assertNotIn(connection, self.pool.idle)
+        late, connection = self.receive(answer())
+        connection.dataReceived(answer())
+        self.assertTrue(connection.transport.aborted)
+        self.assertEqual(1, late.ended)
+
+    def test_body_without_length_ends_with_its_connection(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nCall-Id: 77\r\nSigned: x\r\n\r\npart"
+        sink, connection = self.receive(head)
+        connection.connectionLost(TwistedFailure(ConnectionDone()))
+        self.assertEqual((b"part", 1), (sink.data, sink.ended))
+        sink, connection = self.receive(head)
+        connection.connectionLost(TwistedFailure(ConnectionLost()))
+        self.assertEqual((0, 1), (sink.ended, len(sink.failures)))
+
+
+class CallerEndTest(unittest.TestCase):
+    """Callers are understood and told in the same words."""
+
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.requests: list[Any] = []
+        self.limits = CallerLimits(100, 50, 3.0, 15.0)
+        self.factory = CallerHttpFactory(
+            self.clock,
+            self.forward,
+            lambda: self.limits,
+            DIALECT,
+            b"From: holds\r\n",
+            lambda: 0.25,
+        )
+        self.factory.startFactory()
+        self.connection = self.factory.buildProtocol(None)
+        self.connection.makeConnection(FakeTransport())
+
+    def forward(self, request: Any, sink: Any) -> Any:
+        """Keep a request."""
+        self.requests.append((request, sink))
+        return lambda: None
+
+    def test_request(self) -> None:
+        head = (
+            b"GET /a HTTP/1.1\r\nHost: H.x\r\nLeft-Ms: 1500\r\nOnly: i\r\nFrom: me\r\n"
+        )
+        self.connection.dataReceived(head + CALL_ID + b"\r\n")
+        request, _ = self.requests[0]
+        self.assertEqual(("h.x", 1.5), (request.host, request.timeout))
+        self.assertIn(CALL_ID, request.headers)
+        self.assertIn(b"From: holds\r\n", request.headers)
+        for name in (b"Only", b"me\r\n", b"Left-Ms"):
+            self.assertNotIn(name, request.headers)
+
+    def test_absolute_form(self) -> None:
+        self.connection.dataReceived(b"GET http://h.x/a?b HTTP/1.1\r\nHost: y\r\n\r\n")
+        request, _ = self.requests[0]
+        self.assertEqual(("h.x", "/a?b"), (request.host, request.target))
+
+    def test_refusal_that_is_not_run_says_when_to_come_back(self) -> None:
+        self.connection.dataReceived(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        for reason in (Reason.QUEUE_FULL, Reason.DEADLINE, Reason.NO_CONFIGURATION):
+            self.requests[-1][1].failed(Failure(Outcome.NOT_RUN, reason), None)
+            sent = self.connection.transport.take()
+            self.assertTrue(sent.startswith(b"HTTP/1.1 503"), sent)
+            self.assertIn(b"Retry-After: 0.250\r\n", sent)
+            self.connection.dataReceived(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+
+    def test_what_may_have_run_is_never_called_not_run(self) -> None:
+        for reason, status in (
+            (Reason.DEADLINE, b"504"),
+            (Reason.CONNECTION_LOST, b"502"),
+        ):
+            self.connection.dataReceived(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            self.requests[-1][1].failed(Failure(Outcome.UNKNOWN, reason), None)
+            sent = self.connection.transport.take()
+            self.assertTrue(sent.startswith(b"HTTP/1.1 " + status), sent)
+            self.assertNotIn(b"Retry-After", sent)
+
+    def test_limits(self) -> None:
+        self.connection.dataReceived(b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 100)
+        self.assertIn(b" 431 ", self.connection.transport.take())
+        self.setUp()
+        self.connection.dataReceived(
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 51\r\n\r\n"
+        )
+        self.assertIn(b" 413 ", self.connection.transport.take())
+        self.setUp()
+        self.connection.dataReceived(b"GET /a HTTP/1.1\r\n")
+        self.clock.pump([0.5] * 8)
+        self.assertIn(b" 408 ", self.connection.transport.take())
+
+    def test_kept_connections_outlast_the_idle_limit_of_callers(self) -> None:
+        self.clock.pump([0.5] * 25)
+        self.assertFalse(self.connection.transport.disconnecting)
+        self.clock.pump([0.5] * 8)
+        self.assertTrue(self.connection.transport.disconnecting)
+
+
+if __name__ == "__main__":
+    unittest.main()
