--- a/tests/console/test_rollouts.py
+++ b/tests/console/test_rollouts.py
@@ -13,7 +13,7 @@
 from briarslip.console.commands.rollouts import describe
 from briarslip.console.commands.rollouts import read_platform
 from briarslip.version.rollout_document import ROLLOUT_STATUS_PREFIX
-from standins.local_platform import LocalPlatformClient
+from standins.local_platform import LocalStoreClient
 from standins.platform_store import PlatformStandIn
 
 
@@ -44,7 +44,7 @@
     def setUp(self) -> None:
         clock = Clock()
         self.platform = PlatformStandIn(clock)
-        self.client = LocalPlatformClient(self.platform, clock.callLater)
+        self.client = LocalStoreClient(self.platform, clock.callLater)
 
     def read(self) -> Result[list[dict[str, Any]], str]:
         found: list[Any] = []
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_reports.py
@@ -0,0 +1,106 @@
+"""Tests of what backend servers say of themselves."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+from result import Err
+
+from briarslip.address import Address
+from briarslip.platform.reports import read_report
+from briarslip.platform.reports import readiness_endpoints
+from briarslip.platform.reports import server_endpoints
+from briarslip.process.announcements import Announcement
+from briarslip.process.edges import ServerEvents
+from tests.platform.support import report
+from tests.platform.test_configuration import JSON_VALUES
+
+
+class ReportTest(unittest.TestCase):
+    """A report names a server, or it names none."""
+
+    def test_report(self) -> None:
+        found = read_report("i-7", json.dumps(report()).encode()).unwrap()
+        self.assertEqual(Address("10.128.0.9", 8080), found.address)
+        endpoint = found.endpoint
+        self.assertEqual(
+            ("holds", "v1", 12, False),
+            (endpoint.service, endpoint.version, endpoint.slots, endpoint.draining),
+        )
+        self.assertEqual(
+            ("i-7", 1_700_000_000_000, 4),
+            (found.server_id, found.incarnation, found.sequence),
+        )
+
+    def test_malformed_reports_name_no_server(self) -> None:
+        for broken in (
+            report(address="here"),
+            report(info={}),
+            report(status={"state": "asleep", "sequence": 1}),
+            report(status={"state": "ready", "sequence": "1"}),
+            report(born="today"),
+        ):
+            with self.subTest(broken):
+                read = read_report("i-7", json.dumps(broken).encode())
+                assert isinstance(read, Err)
+                self.assertTrue(read.err_value[0].field)
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(strategies.sampled_from(sorted(report())), JSON_VALUES)
+    def test_any_field_is_read_or_refused(self, field: str, value: Any) -> None:
+        raw = json.dumps(report(**{field: value})).encode()
+        read = read_report("i-7", raw)
+        if read.is_ok():
+            self.assertIsInstance(read.unwrap(), Announcement)
+
+
+class EndpointTest(unittest.TestCase):
+    """Servers are acknowledged once the daemon has acted."""
+
+    def setUp(self) -> None:
+        self.announced: list[Announcement] = []
+        self.ended: list[tuple[str, int]] = []
+        self.problem = ""
+        self.endpoints = server_endpoints(
+            ServerEvents(self.take, lambda name, born: self.ended.append((name, born)))
+        )
+
+    def take(self, announcement: Announcement) -> str:
+        """Note an announcement."""
+        self.announced.append(announcement)
+        return self.problem
+
+    def call(self, path: str, raw: bytes) -> int:
+        """Call an endpoint for the server i-7."""
+        return self.endpoints["POST", path]("i-7", raw).status
+
+    def test_report(self) -> None:
+        path = "/-/Instances.Heartbeat/"
+        raw = json.dumps(report()).encode()
+        self.assertEqual(200, self.call(path, raw))
+        self.assertEqual(400, self.call(path, b"{}"))
+        self.problem = "too many"
+        self.assertEqual(400, self.call(path, raw))
+        self.assertEqual(2, len(self.announced))
+
+    def test_end_with_and_without_a_body(self) -> None:
+        path = "/-/Instances.Deregister/"
+        self.assertEqual(200, self.call(path, b""))
+        self.assertEqual(200, self.call(path, b'{"born": 12}'))
+        self.assertEqual(200, self.call(path, b"\xff"))
+        self.assertEqual([("i-7", 0), ("i-7", 12), ("i-7", 0)], self.ended)
+
+    def test_readiness(self) -> None:
+        for is_ready, status in ((True, 200), (False, 503)):
+            endpoints = readiness_endpoints(lambda answer=is_ready: answer)  # type: ignore[misc]
+            reply = endpoints["GET", "/-/ready"](b"")
+            self.assertEqual(status, reply.status)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,61 @@
+"""Tests of the platform's settings file."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from datetime import timedelta
+from typing import Any
+
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies
+from result import Err
+
+from briarslip.address import Address
+from briarslip.platform.settings import read_settings
+from tests.platform.support import settings
+from tests.platform.test_configuration import JSON_VALUES
+
+
+def raw(**changes: Any) -> bytes:
+    """Return a settings file."""
+    return json.dumps(settings(**changes)).encode()
+
+
+class SettingsTest(unittest.TestCase):
+    """Settings are read whole, and what is wrong is said with its field."""
+
+    def test_settings(self) -> None:
+        file = read_settings(raw(unknown=[1]), "s").unwrap()
+        listen = file.settings.listen
+        self.assertEqual(Address("10.1.0.8", 8304), listen.callers)
+        self.assertEqual(Address("10.1.0.8", 7620), listen.peers)
+        self.assertEqual(Address("10.1.0.8", 8306), listen.announcements)
+        self.assertEqual(Address("10.1.0.8", 8302), listen.readiness)
+        self.assertEqual("klang", file.settings.daemon.availability_zone)
+        self.assertEqual("holds", file.service)
+        grace = file.settings.limits.stop_grace
+        assert grace is not None
+        self.assertLess(grace, timedelta(seconds=6))
+
+    def test_faults_are_named(self) -> None:
+        for field, value in (
+            ("ip", 3),
+            ("internal-port-range", [2, 1]),
+            ("heartbeat-ms", 0),
+            ("bounds", None),
+        ):
+            with self.subTest(field):
+                read = read_settings(raw(**{field: value}), "s")
+                assert isinstance(read, Err)
+                self.assertIn(field, {finding.field for finding in read.err_value})
+
+    @examples(max_examples=200, derandomize=True, deadline=None)
+    @given(strategies.sampled_from(sorted(settings())), JSON_VALUES)
+    def test_any_field_is_read_or_refused(self, field: str, value: Any) -> None:
+        read_settings(raw(**{field: value}), "s")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/process/test_change_writer.py
+++ b/tests/process/test_change_writer.py
@@ -17,8 +17,8 @@
 from briarslip.process.change_writer import RecordWrite
 from briarslip.process.change_writer import WriteFailed
 from briarslip.process.change_writer import write_change
-from briarslip.process.platform import PlatformError
 from briarslip.process.publisher import publish
+from briarslip.process.store import StoreError
 from briarslip.version.snapshot import EMPTY_SNAPSHOT
 from standins.virtual_platform import HookedClient
 from standins.virtual_platform import VirtualPlatform
@@ -115,7 +115,7 @@
                         self.world.client, [route("r", "a", "/other")], self.new_id
                     )
                 )
-                return Err(PlatformError("lost", True))
+                return Err(StoreError("lost", True))
             return reply
 
         client: Any = lost
--- a/tests/process/test_etcd_gateway.py
+++ b/tests/process/test_etcd_gateway.py
@@ -19,11 +19,11 @@
 from twisted.web import client as web_client
 
 from briarslip.process.etcd_gateway import EtcdGatewayClient
-from briarslip.process.platform import KeyValue
-from briarslip.process.platform import PlatformError
-from briarslip.process.platform import WatchClosed
-from briarslip.process.platform import WatchEvent
-from standins.local_platform import LocalPlatformClient
+from briarslip.process.store import KeyValue
+from briarslip.process.store import StoreError
+from briarslip.process.store import WatchClosed
+from briarslip.process.store import WatchEvent
+from standins.local_platform import LocalStoreClient
 from standins.platform import make_site
 from standins.platform_store import PlatformStandIn
 from tests.support.reactor import run
@@ -36,7 +36,7 @@
 
     from twisted.python.failure import Failure
 
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
 
 
 TIMEOUT = timedelta(seconds=1)
@@ -53,7 +53,7 @@
     def __init__(
         self,
         state: PlatformStandIn,
-        client: PlatformClient,
+        client: StoreClient,
         sleep: Callable[[float], Awaitable[None]],
         port: int = 0,
     ) -> None:
@@ -101,7 +101,7 @@
     async def sleep(seconds: float) -> None:
         clock.advance(seconds)
 
-    yield Setting(state, LocalPlatformClient(state, clock.callLater), sleep)
+    yield Setting(state, LocalStoreClient(state, clock.callLater), sleep)
 
 
 class SharedCases:
@@ -260,7 +260,7 @@
         run(whole)
 
     def test_refused_connection_never_applied(self) -> None:
-        async def whole(reactor: Any) -> PlatformError:
+        async def whole(reactor: Any) -> StoreError:
             async with gateway(reactor) as at:
                 client = at.client
             return (await client.swap("k", b"", 0)).unwrap_err()
@@ -349,7 +349,7 @@
     def test_delay_beyond_timeout(self) -> None:
         clock = Clock()
         state = PlatformStandIn(clock)
-        client = LocalPlatformClient(state, clock.callLater, TIMEOUT)
+        client = LocalStoreClient(state, clock.callLater, TIMEOUT)
         state.delay_ms = 1500
         done: list[Any] = []
         Deferred.fromCoroutine(client.swap("k", b"", 0)).addBoth(done.append)
--- a/tests/process/test_events.py
+++ b/tests/process/test_events.py
@@ -19,7 +19,7 @@
         stream = io.StringIO()
         with handler_from_settings(settings, stream).applicationbound():
             emit(Event.VERSION_ACTIVE, version=3)
-            emit(Event.PLATFORM_FAILED, reason="a\nb")
+            emit(Event.STORE_FAILED, reason="a\nb")
         return stream.getvalue().splitlines()
 
     def test_json_is_one_object_a_line(self) -> None:
@@ -30,7 +30,7 @@
     def test_text_is_one_line_an_event(self) -> None:
         first, second = self.lines(LogSettings("text", "info"))
         self.assertIn("301 configuration version is active version=3", first)
-        self.assertIn("601 platform call failed", second)
+        self.assertIn("601 call to the store failed", second)
 
     def test_level_leaves_lesser_events_out(self) -> None:
         self.assertEqual(len(self.lines(LogSettings("json", "warning"))), 1)
--- a/tests/process/test_publisher.py
+++ b/tests/process/test_publisher.py
@@ -13,10 +13,10 @@
 
 from briarslip.process import publisher
 from briarslip.process.change_status import ChangeStatuses
-from briarslip.process.platform import PlatformError
 from briarslip.process.publisher import HeadBehind
 from briarslip.process.publisher import LostHead
 from briarslip.process.publisher import publish
+from briarslip.process.store import StoreError
 from briarslip.process.version_store import HEAD_KEY
 from briarslip.process.version_store import VERSIONS_PREFIX
 from briarslip.process.version_store import read_head
@@ -35,8 +35,8 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from briarslip.process.platform import KeyValue
     from briarslip.process.publisher import PublishError
+    from briarslip.process.store import KeyValue
     from briarslip.version.snapshot import Snapshot
 
 
@@ -225,7 +225,7 @@
 
     def test_no_status_is_written_that_would_stay_for_ever(self) -> None:
         change = self.operator.apply(service("a"))
-        refused = Err(PlatformError("no lease"))
+        refused = Err(StoreError("no lease"))
         grant = mock.AsyncMock(return_value=refused)
         with mock.patch.object(self.world.client, "grant_lease", grant):
             self.publish()
--- a/tests/process/test_rollout_task.py
+++ b/tests/process/test_rollout_task.py
@@ -293,7 +293,7 @@
         daemons = fleet()
         node = daemons.nodes[0]
         node.task.take_message(daemons.nodes[1].member.address, b"\xff\x07nonsense")
-        self.assertEqual(node.task.version_for(ROUTE), "")
+        self.assertEqual(node.task.version_for(ROUTE.service), "")
 
     def test_hold_ends_by_itself(self) -> None:
         daemons = fleet()
--- a/tests/process/test_etcd_http.py
+++ b/tests/process/test_store_http.py
@@ -14,13 +14,13 @@
 
 from briarslip.address import Address
 from briarslip.connection.backend_pool import REUSABLE_IDLE_SECONDS
-from briarslip.process.etcd_http import GatewayHttp
 from briarslip.process.etcd_watch import GatewayWatch
+from briarslip.process.store_http import StoreHttp
 from tests.connection.support import FakeTransport
 
 
 if TYPE_CHECKING:
-    from briarslip.process.platform import WatchClosed
+    from briarslip.process.store import WatchClosed
 
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
@@ -28,12 +28,12 @@
 SILENCE = timedelta(seconds=5)
 
 
-class GatewayHttpTest(unittest.TestCase):
+class StoreHttpTest(unittest.TestCase):
     """Requests over a reactor in memory."""
 
     def setUp(self) -> None:
         self.reactor: Any = MemoryReactorClock()
-        self.http = GatewayHttp(self.reactor, Address("127.0.0.1", 2379), 0.5)
+        self.http = StoreHttp(self.reactor, Address("127.0.0.1", 2379), 0.5)
         self.closed: list[WatchClosed] = []
 
     def accept(self, number: int = -1) -> Any:
@@ -45,31 +45,31 @@
     def watch(self) -> Any:
         """Open a watch and return its connection."""
         watch = GatewayWatch(self.reactor, SILENCE, lambda _: None, self.closed.append)
-        watch.start(lambda: self.http.stream("watch", {}, watch))
+        watch.start(lambda: self.http.stream("POST", "/v3/watch", {}, watch))
         return self.accept()
 
     def test_connection_is_reused(self) -> None:
-        self.http.post("kv/range", {})
+        self.http.send("POST", "/v3/kv/range", {})
         connection = self.accept()
         self.assertEqual(0.5, self.reactor.tcpClients[0][3])
         for _ in range(2):
             connection.dataReceived(HEAD + b"{}")
-            self.http.post("kv/txn", {})
+            self.http.send("POST", "/v3/kv/txn", {})
         sent = connection.transport.take()
         self.assertIn(b"POST /v3/kv/txn HTTP/1.1\r\nHost: 127.0.0.1:2379\r\n", sent)
         self.assertEqual(1, len(self.reactor.tcpClients))
 
     def test_connections_of_a_burst_are_closed(self) -> None:
         for _ in range(20):
-            self.http.post("kv/range", {})
+            self.http.send("POST", "/v3/kv/range", {})
         made = [self.accept(number) for number in range(20)]
         for connection in made:
             connection.dataReceived(HEAD + b"{}")
         self.reactor.advance(REUSABLE_IDLE_SECONDS / 2)
-        self.http.post("kv/range", {})
+        self.http.send("POST", "/v3/kv/range", {})
         made[-1].dataReceived(HEAD + b"{}")
         self.reactor.advance(REUSABLE_IDLE_SECONDS * 0.75)
-        self.http.post("kv/range", {})
+        self.http.send("POST", "/v3/kv/range", {})
         self.assertEqual([], self.http.pool.idle)
         self.assertEqual(20, len(self.reactor.tcpClients))
 
--- a/tests/process/test_platform_watch.py
+++ b/tests/process/test_store_watch.py
@@ -6,23 +6,23 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from briarslip.process.platform_watch import BACKOFF_CAP_SECONDS
-from briarslip.process.platform_watch import PlatformWatch
+from briarslip.process.store_watch import BACKOFF_CAP_SECONDS
+from briarslip.process.store_watch import StoreWatch
 from standins.virtual_platform import VirtualPlatform
 
 
 if TYPE_CHECKING:
-    from briarslip.process.platform import WatchEvent
+    from briarslip.process.store import WatchEvent
 
 
-class PlatformWatchTest(unittest.TestCase):
+class StoreWatchTest(unittest.TestCase):
     """No event is missed, and a dead platform is not pressed."""
 
     def setUp(self) -> None:
         self.world = VirtualPlatform(history_limit=5)
         self.seen: list[int] = []
         self.lost = 0
-        self.watch = PlatformWatch(
+        self.watch = StoreWatch(
             self.world.clock,
             random.Random(1),
             self.world.client,
--- a/tests/support/claims.py
+++ b/tests/support/claims.py
@@ -14,7 +14,7 @@
 from briarslip.process.claims import PlatformClaims
 from briarslip.request.claim import ClaimRequest
 from briarslip.request.claim import HeldClaim
-from standins.local_platform import LocalPlatformClient
+from standins.local_platform import LocalStoreClient
 from standins.platform_store import PlatformStandIn
 from standins.virtual_time import VirtualTimer
 from tests.request.support import NOT_RUN
@@ -63,7 +63,7 @@
         self.paused = False
         self.rng = random.Random(SEED + own_address.port)
         self.held_back: list[Callable[[], None]] = []
-        self.client = LocalPlatformClient(state, time.call_later)
+        self.client = LocalStoreClient(state, time.call_later)
         self.claims = PlatformClaims(
             PausableClient(self),
             time,
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -9,7 +9,7 @@
 
 from bench.fleet import Fleet
 from briarslip.process.change_writer import write_change
-from standins.local_platform import LocalPlatformClient
+from standins.local_platform import LocalStoreClient
 from tests.support.records import ids
 
 
@@ -31,7 +31,7 @@
 
     def apply(self, *writes: RecordWrite) -> None:
         """Write a change, without waiting for it to be in force."""
-        client = LocalPlatformClient(self.fleet.platform, self.fleet.clock.callLater)
+        client = LocalStoreClient(self.fleet.platform, self.fleet.clock.callLater)
         done: list[Any] = []
         work = write_change(client, writes, self.new_id)
         Deferred.fromCoroutine(work).addBoth(done.append)
--- a/tests/support/records.py
+++ b/tests/support/records.py
@@ -21,7 +21,7 @@
 
     from briarslip.process.change_writer import ChangeError
     from briarslip.process.change_writer import WrittenChange
-    from briarslip.process.platform import PlatformClient
+    from briarslip.process.store import StoreClient
     from standins.virtual_platform import VirtualPlatform
 
 
@@ -60,7 +60,7 @@
         self,
         world: VirtualPlatform,
         new_id: Callable[[], str],
-        client: PlatformClient | None = None,
+        client: StoreClient | None = None,
     ) -> None:
         self.world = world
         self.new_id = new_id
--- a/tests/version/test_route_index.py
+++ b/tests/version/test_route_index.py
@@ -38,7 +38,7 @@
     def test_prefix_ends_at_a_segment(self) -> None:
         root = index_routes([made("hold", "/hold"), made("lot", "/hold/lot")])
         found = {
-            path: getattr(find_route(root, path, "GET"), "name", "")
+            path: getattr(find_route(root.root, path, "GET"), "name", "")
             for path in (
                 "/hold",
                 "/hold/",
@@ -51,13 +51,13 @@
 
     def test_query_is_no_part_of_the_path(self) -> None:
         root = index_routes([made("r", "/x/y")])
-        self.assertIsNone(find_route(root, "/x?/y", "GET"))
-        self.assertIsNotNone(find_route(root, "/x/y?q", "GET"))
+        self.assertIsNone(find_route(root.root, "/x?/y", "GET"))
+        self.assertIsNotNone(find_route(root.root, "/x/y?q", "GET"))
 
     def test_methods_fall_back_to_a_shorter_path(self) -> None:
         root = index_routes([made("any", "/x"), made("put", "/x/y", "PUT")])
         for method, name in (("PUT", "put"), ("GET", "any")):
-            found = find_route(root, "/x/y/z", method)
+            found = find_route(root.root, "/x/y/z", method)
             self.assertEqual(found.name if found else "", name)
 
     def test_agrees_with_a_scan(self) -> None:
@@ -72,7 +72,7 @@
             path = "/" + "/".join(rng.choices(segments, k=rng.randrange(1, 7)))
             for method in ("GET", "POST"):
                 self.assertEqual(
-                    find_route(root, path, method), reference(routes, path, method)
+                    find_route(root.root, path, method), reference(routes, path, method)
                 )
 
     def test_routes_that_match_the_same_are_found(self) -> None:
