--- a/src/briarslip/console/daemon.py
+++ b/src/briarslip/console/daemon.py
@@ -14,6 +14,7 @@
 
 from briarslip.finding import report
 from briarslip.process.settings import Settings
+from briarslip.process.settings_reading import Reading
 
 
 if TYPE_CHECKING:
@@ -47,13 +48,15 @@
     if options.check:
         print(f"{path}: settings are good")
         return 0
-    return _run(settings.ok_value)
+    return _run(settings.ok_value, path)
 
 
 def stop_before_start() -> None:
     """Let a signal end the process at once while nothing has been taken on."""
     for number in STOP_SIGNALS:
         signal.signal(number, _end)
+    # The settings are about to be read anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -65,14 +68,34 @@
     return parser
 
 
-def _run(settings: Settings) -> int:
+def _run(settings: Settings, path: Path) -> int:
     from briarslip.process.daemon import Daemon
 
-    return run_daemon(lambda r: Daemon.from_settings(settings, r), settings.log)
+    return run_daemon(
+        lambda reactor: Daemon.from_settings(settings, reactor),
+        settings.log,
+        lambda: _read_again(path, settings),
+    )
+
+
+def _read_again(path: Path, running: Settings) -> Reading:
+    """Read the settings file again and tell what a restart would change."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Reading(str(error))
+    return Reading.from_result(Settings.from_ini(text, str(path)), running)
 
 
-def run_daemon(make_daemon: Callable[[Any], Daemon], log: LogSettings) -> int:
-    """Run a daemon, made for the reactor it is given; return the exit status."""
+def run_daemon(
+    make_daemon: Callable[[Any], Daemon],
+    log: LogSettings,
+    read_again: Callable[[], Reading],
+) -> int:
+    """Run a daemon, made for the reactor it is given; return the exit status.
+
+    ``read_again`` reads the settings file when SIGHUP asks for it.
+    """
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
@@ -94,12 +117,26 @@
     reactor.callWhenRunning(gc.freeze)
     for number in STOP_SIGNALS:
         signal.signal(number, lambda *_: reactor.callFromThread(daemon.drain))
+    signal.signal(
+        signal.SIGHUP, lambda *_: reactor.callFromThread(_log_reading, read_again)
+    )
     reactor.run(installSignalHandlers=False)
     for failure in failures:
         print(f"briarslipd: {failure}", file=sys.stderr)
     return EXIT_CANNOT_LISTEN if failures else 0
 
 
+def _log_reading(read_again: Callable[[], Reading]) -> None:
+    from briarslip.process.events import Event
+    from briarslip.process.events import emit
+
+    reading = read_again()
+    if reading.problem:
+        emit(Event.SETTINGS_REFUSED, findings=reading.problem)
+    else:
+        emit(Event.SETTINGS_READ, changed=list(reading.changed))
+
+
 def _end(*_: object) -> NoReturn:
     raise SystemExit(0)
 
--- a/src/briarslip/platform/__main__.py
+++ b/src/briarslip/platform/__main__.py
@@ -18,6 +18,7 @@
 from briarslip.platform.settings import SETTINGS_VARIABLE
 from briarslip.platform.settings import read_settings
 from briarslip.process.clock import SystemClock
+from briarslip.process.settings_reading import Reading
 
 
 if TYPE_CHECKING:
@@ -39,6 +40,13 @@
         return EXIT_BAD_SETTINGS
     file = read.ok_value
 
+    def read_again() -> Reading:
+        try:
+            read = read_settings(path.read_bytes(), str(path))
+        except OSError as error:
+            return Reading(str(error))
+        return Reading.from_result(read.map(lambda new: new.settings), file.settings)
+
     def make_daemon(reactor: Any) -> Daemon:
         from briarslip.platform.edges import platform_edges
         from briarslip.process.daemon import Daemon
@@ -47,7 +55,7 @@
         edges = platform_edges(file, reactor, rng)
         return Daemon(file.settings, reactor, SystemClock(), rng, edges)
 
-    return run_daemon(make_daemon, file.settings.log)
+    return run_daemon(make_daemon, file.settings.log, read_again)
 
 
 if __name__ == "__main__":
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -36,6 +36,8 @@
     DAEMON_STARTED = (101, Level.INFO, "daemon started")
     DAEMON_DRAINING = (102, Level.INFO, "daemon is draining")
     DAEMON_STOPPED = (103, Level.INFO, "daemon stopped")
+    SETTINGS_READ = (104, Level.INFO, "settings file was read again")
+    SETTINGS_REFUSED = (105, Level.ERROR, "settings file is faulty")
     SERVER_ANNOUNCED = (201, Level.INFO, "backend server announced itself")
     SERVER_EXPIRED = (202, Level.WARNING, "backend server stopped announcing itself")
     MEMBER_DEAD = (203, Level.WARNING, "member of the zone is held to be dead")
--- /dev/null
+++ b/src/briarslip/process/settings_reading.py
@@ -0,0 +1,46 @@
+"""What reading the settings file again has found."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import fields
+from typing import TYPE_CHECKING
+
+from result import Err
+
+from briarslip.finding import report
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from briarslip.finding import Finding
+    from briarslip.process.settings import Settings
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """A reading of the file: what is wrong with it, or what has changed.
+
+    ``changed`` names the sections that differ from those the daemon runs with;
+    they come into force with its next start.
+    """
+
+    problem: str = ""
+    changed: tuple[str, ...] = ()
+
+    @classmethod
+    def from_result(
+        cls, read: Result[Settings, tuple[Finding, ...]], running: Settings
+    ) -> Reading:
+        """Compare settings that were read with those that run."""
+        if isinstance(read, Err):
+            return cls(report(read.err_value))
+        names = (field.name for field in fields(running))
+        new = read.ok_value
+        return cls(
+            changed=tuple(n for n in names if getattr(new, n) != getattr(running, n))
+        )
+
+
+__all__ = ["Reading"]
--- a/tests/console/test_daemon.py
+++ b/tests/console/test_daemon.py
@@ -74,3 +74,20 @@
             process.send_signal(signal.SIGTERM)
             process.communicate(timeout=SECONDS)
         self.assertEqual(process.returncode, 0)
+
+    def test_hangup_reads_the_settings_again_and_ends_nothing(self) -> None:
+        self.path.write_text(settings())
+        process = self.start()
+        assert process.stderr is not None
+        self.assertIn(" 101 ", process.stderr.readline())
+        for text, event in (("[", " 105 "), (settings(zone="johor"), " 104 ")):
+            self.path.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            line = ""
+            while " 104 " not in line and " 105 " not in line:
+                line = process.stderr.readline()
+            self.assertIn(event, line)
+        self.assertIn("daemon", line)
+        process.send_signal(signal.SIGTERM)
+        process.communicate(timeout=SECONDS)
+        self.assertEqual(process.returncode, 0)
--- a/tests/process/test_local_servers.py
+++ b/tests/process/test_local_servers.py
@@ -95,3 +95,45 @@
     def test_servers_beyond_the_limit_are_refused(self) -> None:
         taken = [self.servers.take(announcement(9000 + n)) for n in range(8)]
         self.assertEqual([True] * MAX_SERVERS + [False] * 2, taken)
+
+    def report(
+        self, incarnation: int, sequence: int, name: str = "i", draining: bool = False
+    ) -> bool:
+        """Take a report of a server that tells its start."""
+        made = endpoint("holds", draining=draining)
+        where = Address("127.0.0.1", 9000)
+        return self.servers.take(Announcement(made, where, name, incarnation, sequence))
+
+    def test_report_that_was_overtaken_says_nothing(self) -> None:
+        self.report(5, 1)
+        self.report(5, 3, draining=True)
+        self.report(5, 2)
+        self.assertIsNone(self.servers.admission("holds", ""))
+        self.report(5, 4)
+        self.assertIsNotNone(self.servers.admission("holds", ""))
+
+    def test_report_of_an_earlier_start_does_not_replace_the_later(self) -> None:
+        self.report(9, 1, name="new")
+        admission = self.servers.admission("holds", "")
+        self.report(5, 7, name="old", draining=True)
+        self.assertIs(admission, self.servers.admission("holds", ""))
+
+    def test_start_under_the_same_name_is_another_server(self) -> None:
+        self.report(5, 70)
+        before = self.servers.admission("holds", "")
+        self.report(6, 1)
+        self.assertIsNot(before, self.servers.admission("holds", ""))
+
+    def test_server_that_has_ended_gets_nothing_whatever_arrives_late(self) -> None:
+        self.report(5, 1)
+        self.servers.end("i")
+        self.assertIsNone(self.servers.admission("holds", ""))
+        self.report(5, 2)
+        self.assertIsNone(self.servers.admission("holds", ""))
+        self.report(6, 1)
+        self.assertIsNotNone(self.servers.admission("holds", ""))
+
+    def test_end_before_any_report_is_remembered(self) -> None:
+        self.servers.end("i", 5)
+        self.report(5, 9)
+        self.assertIsNone(self.servers.admission("holds", ""))
