A change of the configuration that the store's watch leaves out still arrives

Ruled out: the daemon was not cut off and read version 8 at its start in time. Change: only an answer with events moves the watch; a record's content stands for its origin; a step also removes the records that it forgets.

--- a/src/briarslip/platform/configuration.py
+++ b/src/briarslip/platform/configuration.py
@@ -59,7 +59,7 @@
         if key.startswith(ORDER_PREFIX):
             version = max(version, order.mod_revision)
             _add_order(found, order)
-    return Ok(Snapshot(version, found, {}))
+    return Ok(Snapshot.from_records(version, found))
 
 
 def _add_order(records: Records, item: KeyValue) -> None:
--- a/src/briarslip/platform/store.py
+++ b/src/briarslip/platform/store.py
@@ -252,8 +252,10 @@
             self._close(read.err_value.reason)
             return
         events, current = read.ok_value
-        self.after = max(self.after, current)
         if events:
+            # An answer without events may leave out what a dropped history
+            # held, so only one with events tells how far the watch has come.
+            self.after = max(self.after, current)
             self.on_events(events)
         if not self.stopped:
             self.ask()
--- a/src/briarslip/version/delta.py
+++ b/src/briarslip/version/delta.py
@@ -108,6 +108,7 @@
     origins = {**base.origins, **delta.origins}
     for key in delta.forgotten:
         origins.pop(key, None)
+        records.pop(key, None)
     snapshot = Snapshot(delta.version, records, origins)
     if snapshot.digest != delta.digest:
         return Err(f"version {delta.version} does not have its digest")
--- a/src/briarslip/version/snapshot.py
+++ b/src/briarslip/version/snapshot.py
@@ -25,6 +25,9 @@
     from briarslip.version.record import RecordKey
 
 
+ORIGIN_BYTES = 8
+
+
 class Origin(NamedTuple):
     """The write that a record was accepted from."""
 
@@ -47,6 +50,17 @@
     records: Mapping[RecordKey, Record]
     origins: Mapping[RecordKey, Origin]
 
+    @classmethod
+    def from_records(
+        cls, version: int, records: Mapping[RecordKey, Record]
+    ) -> Snapshot:
+        """Return a snapshot of records that were not accepted one by one.
+
+        Their content stands for their origin.
+        """
+        origins = {key: _content_origin(record) for key, record in records.items()}
+        return cls(version, records, origins)
+
     @cached_property
     def digest(self) -> str:
         """The SHA-256 of the encoded snapshot, in hexadecimal."""
@@ -61,6 +75,12 @@
         return json.dumps(body, sort_keys=True, separators=(",", ":")).encode()
 
 
+def _content_origin(record: Record) -> Origin:
+    text = repr(sorted(record.fields.items()))
+    digest = hashlib.blake2b(text.encode(), digest_size=ORIGIN_BYTES)
+    return Origin(digest.hexdigest(), 0)
+
+
 EMPTY_SNAPSHOT = Snapshot(0, {}, {})
 
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -15,6 +15,8 @@
 
 from briarslip.platform.configuration import CONFIGURATION_KEY
 from briarslip.platform.configuration import read_configuration
+from briarslip.version.delta import apply_delta
+from briarslip.version.delta import delta_between
 from briarslip.version.record import Limits
 from briarslip.version.record import Part
 from briarslip.version.record import RecordKey
@@ -125,6 +127,20 @@
         snapshot = read_configuration(items(item(CONFIGURATION_KEY, document)))
         self.assertTrue(compile_snapshot(snapshot.unwrap()).is_err())  # type: ignore[arg-type]  # there is one
 
+    def test_peers_can_pass_on_what_has_changed(self) -> None:
+        before = read_configuration(items(item(CONFIGURATION_KEY, configuration())))
+        document = configuration()
+        document["routes"]["r-hold"]["service"] = "lots"
+        del document["routes"]["r-shelf"]
+        stored = (item(CONFIGURATION_KEY, document, 8), item("op/rollout/lots", {}, 9))
+        after = read_configuration(items(*stored))
+        base, changed = before.unwrap(), after.unwrap()
+        assert base is not None
+        assert changed is not None
+        delta = delta_between(base, changed)
+        self.assertEqual(1, len(delta.records))
+        self.assertEqual(changed.digest, apply_delta(base, delta).unwrap().digest)
+
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(strategies.binary(max_size=40), JSON_VALUES)
     def test_any_bytes_are_read_or_refused(self, raw: bytes, value: Any) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -167,6 +167,27 @@
 
         within(steps)
 
+    def test_an_answer_without_events_does_not_move_the_watch_on(self) -> None:
+        async def steps(world: World) -> None:
+            seen = Seen()
+            world.store.put("k/a", b"1")
+            asked: list[str] = []
+            call = world.store.call
+
+            def deaf(method: str, path: str, query: Any, body: Any) -> Any:
+                asked.append(query.get("after", ""))
+                if len(asked) == 1:
+                    return Reply(200, {"events": [], "current-rev": 2})
+                return call(method, path, query, body)
+
+            world.store.call = deaf  # type: ignore[method-assign]  # hears nothing
+            world.client.watch("k/", 2, seen.take, seen.closed.append)
+            await world.sleep(0.1)
+            self.assertEqual("1", asked[1])
+            self.assertEqual([b"1"], [event.value for event in seen.events])
+
+        within(steps)
+
     def test_watch_tells_of_dropped_history_and_of_its_loss(self) -> None:
         async def steps(world: World) -> None:
             seen = Seen()
