Calls that can still be answered in time go first; refusals say when there is room

Change: a waiting line by target and deadline; a call's age is learned from its deadline; late calls wait half of their time at most; Retry-After is the measured wait, spread.

--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -15,7 +15,7 @@
 from briarslip.connection.caller_exchange import CallerExchange
 from briarslip.connection.caller_exchange import error_answer
 from briarslip.connection.caller_limits import DEFAULT_LIMITS
-from briarslip.connection.caller_limits import DEFAULT_RETRY_AFTER_SECONDS
+from briarslip.connection.caller_limits import default_retry_after
 from briarslip.connection.dialect import OWN_DIALECT
 from briarslip.connection.http_head import HEAD_END
 from briarslip.connection.http_head import parse_request_head
@@ -235,7 +235,8 @@
     """Builds the connections of callers and closes those that stand still.
 
     ``added_headers`` are put on each request. ``retry_after`` returns after how
-    many seconds a caller whose request was refused should come back.
+    many seconds a caller whose request was refused should come back, given when
+    there may be room.
     """
 
     noisy = False
@@ -247,7 +248,7 @@
         limits: Callable[[], CallerLimits] = lambda: DEFAULT_LIMITS,
         dialect: Dialect = OWN_DIALECT,
         added_headers: bytes = b"",
-        retry_after: Callable[[], float] = lambda: DEFAULT_RETRY_AFTER_SECONDS,
+        retry_after: Callable[[float | None], float] = default_retry_after,
     ) -> None:
         self.reactor = reactor
         self.forward = forward
--- a/src/briarslip/connection/caller_limits.py
+++ b/src/briarslip/connection/caller_limits.py
@@ -40,4 +40,10 @@
 
 DEFAULT_LIMITS = CallerLimits()
 
-__all__ = ["DEFAULT_LIMITS", "DEFAULT_RETRY_AFTER_SECONDS", "CallerLimits"]
+
+def default_retry_after(seconds: float | None) -> float:
+    """Return when a caller should come back, given when there may be room."""
+    return DEFAULT_RETRY_AFTER_SECONDS if seconds is None else seconds
+
+
+__all__ = ["DEFAULT_LIMITS", "CallerLimits", "default_retry_after"]
--- a/src/briarslip/connection/frame.py
+++ b/src/briarslip/connection/frame.py
@@ -42,7 +42,8 @@
 class RequestFrame:
     """A request with the first part of its body.
 
-    ``timeout_ms`` is what is left of the deadline.
+    ``timeout_ms`` is what is left of the deadline, ``target_ms`` of the time
+    within which the caller would like its answer, None where it has no target.
     """
 
     stream: int
@@ -58,6 +59,7 @@
     headers: bytes
     body: bytes
     last: bool
+    target_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,13 +87,17 @@
 
 @dataclass(frozen=True, slots=True)
 class FailureFrame:
-    """The end of an answer that is not whole."""
+    """The end of an answer that is not whole.
+
+    ``retry_after_ms`` is 0 where it is not known.
+    """
 
     stream: int
     outcome: Outcome
     reason: str
     in_flight: int
     slots: int
+    retry_after_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +179,8 @@
     body.idempotent = frame.idempotent
     body.depth = frame.depth
     body.last = frame.last
+    if frame.target_ms is not None:
+        body.targetMs = frame.target_ms + 1
     body.lines = (
         f"{frame.service}\n{frame.service_version}\n{frame.route}\n"
         f"{frame.method}\n{frame.target}"
@@ -218,6 +226,7 @@
     body.reason = frame.reason
     body.inFlight = frame.in_flight
     body.slots = frame.slots
+    body.retryAfterMs = frame.retry_after_ms
 
 
 def _encode_control(message: Any, frame: ControlFrame) -> None:
@@ -284,6 +293,7 @@
         headers=body.headers,
         body=body.body,
         last=body.last,
+        target_ms=body.targetMs - 1 if body.targetMs else None,
     )
 
 
@@ -309,7 +319,14 @@
 def _decode_failure(message: Any) -> FailureFrame:
     body = message.failure
     outcome = OUTCOMES[body.outcome.raw]
-    return FailureFrame(body.stream, outcome, body.reason, body.inFlight, body.slots)
+    return FailureFrame(
+        body.stream,
+        outcome,
+        body.reason,
+        body.inFlight,
+        body.slots,
+        body.retryAfterMs,
+    )
 
 
 def _decode_control(message: Any) -> ControlFrame:
--- a/src/briarslip/connection/link_stream.py
+++ b/src/briarslip/connection/link_stream.py
@@ -25,6 +25,9 @@
     from briarslip.request.outcome import Failure
 
 
+MS_PER_SECOND = 1000
+
+
 class AwaitedStream:
     """The opener's end: takes the answer and grants credit for more."""
 
@@ -138,6 +141,7 @@
         if self.ended:
             return
         load = load or Load(0, 0)
+        retry_after = failure.retry_after or 0.0
         self.end()
         self.link.send(
             FailureFrame(
@@ -146,6 +150,7 @@
                 failure.reason.value,
                 load.in_flight,
                 load.slots,
+                int(retry_after * MS_PER_SECOND),
             )
         )
 
--- a/src/briarslip/connection/peer.capnp
+++ b/src/briarslip/connection/peer.capnp
@@ -26,6 +26,7 @@
   lines @6 :Text;
   headers @7 :Data;           # header lines in HTTP wire form
   body @8 :Data;
+  targetMs @9 :UInt32;        # what is left of the target plus one; 0: no target
 }
 
 struct Response {
@@ -62,6 +63,7 @@
   reason @2 :Text;
   inFlight @3 :UInt16;
   slots @4 :UInt16;
+  retryAfterMs @5 :UInt32;    # 0: not known
 }
 
 struct Control {
--- a/src/briarslip/connection/peer_link.py
+++ b/src/briarslip/connection/peer_link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from result import Err
@@ -23,6 +24,7 @@
 from briarslip.connection.frame import ResponseFrame
 from briarslip.connection.frame import decode_frame
 from briarslip.connection.heartbeat import Activity
+from briarslip.connection.link_stream import MS_PER_SECOND
 from briarslip.connection.link_stream import AwaitedStream
 from briarslip.connection.link_stream import IncomingRequest
 from briarslip.connection.link_stream import ServedStream
@@ -213,6 +215,9 @@
             self.used_at = now
         self.awaiting[number] = AwaitedStream(self, number, call, sink)
         remaining = max(0.0, call.deadline - now)
+        target_ms = None
+        if call.target_at != math.inf:
+            target_ms = max(0, int((call.target_at - now) * MS_PER_SECOND))
 
         def first(data: bytes, last: bool) -> RequestFrame:
             return RequestFrame(
@@ -229,6 +234,7 @@
                 headers=call.headers,
                 body=data,
                 last=last,
+                target_ms=target_ms,
             )
 
         if len(call.body) <= PART_BYTES:
@@ -286,7 +292,10 @@
             urgent=frame.urgent,
             idempotent=frame.idempotent,
             depth=frame.depth,
-            deadline=received_at + frame.timeout_ms / 1000,
+            deadline=received_at + frame.timeout_ms / MS_PER_SECOND,
+            target_at=math.inf
+            if frame.target_ms is None
+            else received_at + frame.target_ms / MS_PER_SECOND,
         )
         stream = ServedStream(self, frame.stream, call)
         self.serving[frame.stream] = stream
@@ -323,7 +332,8 @@
         if awaited is not None:
             self.writer.drop(frame.stream)
             load = Load(frame.in_flight, frame.slots)
-            awaited.fail(Failure(frame.outcome, reason), load)
+            seconds = frame.retry_after_ms / MS_PER_SECOND or None
+            awaited.fail(Failure(frame.outcome, reason, seconds), load)
         return True
 
     def _take_cancel(self, frame: CancelFrame) -> None:
--- a/src/briarslip/platform/configuration.py
+++ b/src/briarslip/platform/configuration.py
@@ -114,6 +114,7 @@
     is_safe = route.word("kind", KINDS) == SAFE_KIND
     yield "idempotent", "true" if is_safe else "false"
     yield "timeout_ms", str(route.integer("timeout-ms", minimum=1))
+    yield "target_ms", str(route.integer("target-latency-ms", minimum=1))
     yield "attempts", str(route.integer("attempts", default=1, minimum=1))
     is_urgent = route.integer("priority", default=LAST_URGENT_RANK) <= LAST_URGENT_RANK
     yield "priority", "urgent" if is_urgent else "bulk"
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -60,7 +60,10 @@
 HOUSEKEEPING_SECONDS = 0.5
 # A daemon that no other one answers for so long serves alone.
 ALONE_SECONDS = 3.0
+# Where nobody knows when there may be room.
 RETRY_AFTER_SECONDS = 0.2
+LEAST_RETRY_AFTER_SECONDS = 0.05
+MAX_RETRY_AFTER_SECONDS = 2.0
 
 
 class Daemon:
@@ -290,9 +293,14 @@
             return CallerLimits(body_bytes=self.settings.limits.max_body_bytes)
         return CallerLimits.from_record(record)
 
-    def retry_after(self) -> float:
-        """Return after how many seconds a caller that was refused may return."""
-        return RETRY_AFTER_SECONDS * self.rng.uniform(0.5, 1.5)
+    def retry_after(self, seconds: float | None) -> float:
+        """Return after how many seconds a caller that was refused may return.
+
+        Spread, so that those refused together do not return together.
+        """
+        seconds = RETRY_AFTER_SECONDS if seconds is None else seconds
+        seconds = min(max(seconds, LEAST_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
+        return seconds * self.rng.uniform(0.75, 1.5)
 
     def take_announcement(self, announcement: Announcement) -> str:
         """Take what a server beside this daemon says; return what is wrong."""
--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+import math
 from typing import TYPE_CHECKING
 
 from briarslip.request.admitted_call import AdmittedCall
@@ -11,6 +11,7 @@
 from briarslip.request.propagation import deadline_line
 from briarslip.request.reserve import Reserve
 from briarslip.request.service_time import ServiceTimes
+from briarslip.request.waiting_line import WaitingLine
 
 
 if TYPE_CHECKING:
@@ -24,6 +25,10 @@
 
 
 QUEUE_LENGTH_PER_SLOT = 4
+# Of its remaining time a call may wait this much once it misses its target.
+MAX_WAIT_SHARE = 0.5
+# Over the mean time at the server, for the spread around it.
+TIME_MARGIN = 1.3
 URGENT = "urgent"
 BULK = "bulk"
 
@@ -60,8 +65,8 @@
         self.times = ServiceTimes()
         self.in_flight = 0
         self.bulk_in_flight = 0
-        self.urgent: OrderedDict[AdmittedCall, None] = OrderedDict()
-        self.bulk: OrderedDict[AdmittedCall, None] = OrderedDict()
+        self.urgent = WaitingLine()
+        self.bulk = WaitingLine()
         self.pumping = False
 
     @property
@@ -82,22 +87,31 @@
         if reason is not None:
             admitted.refuse(reason)
             return admitted.cancel
-        self.queue(call)[admitted] = None
+        self.queue(call).add(admitted)
         self._count_urgent(call)
         self.pump()
+        self._shed_last(self.queue(call))
         if not admitted.ended:
             admitted.set_timer()
         return admitted.cancel
 
+    def _shed_last(self, queue: WaitingLine) -> None:
+        """Refuse the call that would be served last, if too many wait."""
+        if len(queue) > self.slots * QUEUE_LENGTH_PER_SLOT:
+            last = queue.last(self.clock.monotonic())
+            queue.remove(last)
+            last.refuse(Reason.QUEUE_FULL)
+            self._count_urgent(last.call)
+
     def close(self) -> None:
         """Take no more calls and refuse those that wait; the others go on."""
         self.closed = True
         for queue in (self.urgent, self.bulk):
-            while queue:
-                admitted, _ = queue.popitem(last=False)
+            for admitted in queue:
+                queue.remove(admitted)
                 admitted.refuse(Reason.DRAINING)
 
-    def queue(self, call: Call) -> OrderedDict[AdmittedCall, None]:
+    def queue(self, call: Call) -> WaitingLine:
         """Return the queue of a call's priority."""
         return self.urgent if call.urgent else self.bulk
 
@@ -107,13 +121,36 @@
             return Reason.DRAINING
         if self.is_excluded(call):
             return Reason.VERSION_EXCLUDED
-        if len(self.queue(call)) >= self.slots * QUEUE_LENGTH_PER_SLOT:
+        now = self.clock.monotonic()
+        ahead = self.queue(call).ahead_of(call, now)
+        if ahead >= self.slots * QUEUE_LENGTH_PER_SLOT:
             return Reason.QUEUE_FULL
-        remaining = call.deadline - self.clock.monotonic()
-        if self.expected_wait(call) + self.least_time(call) > remaining:
+        wait = self.expected_wait(call)
+        time = self.least_time(call)
+        if wait + time > call.deadline - now:
+            return Reason.QUEUE_FULL
+        if now + wait + time > call.target_at and now + wait > self.patience(call, now):
             return Reason.QUEUE_FULL
         return None
 
+    def patience(self, call: Call, now: float) -> float:
+        """Return until when a call may wait that misses its target.
+
+        It is told in time to be of use elsewhere or later, not near its end.
+        """
+        if call.target_at == math.inf:
+            return call.deadline
+        return now + (call.deadline - now) * MAX_WAIT_SHARE
+
+    def retry_after(self, call: Call) -> float:
+        """Return in how many seconds there may be room for a call's like."""
+        return self.expected_wait(call)
+
+    def finish(self, admitted: AdmittedCall) -> float:
+        """Return when a call would most likely have ended if it began now."""
+        time = self.least_time(admitted.call) * TIME_MARGIN
+        return self.clock.monotonic() + time
+
     def is_excluded(self, call: Call) -> bool:
         """Tell whether the server's version must get no work now."""
         return call.service_version in self.excluded(call.service)
@@ -124,14 +161,15 @@
         Bulk calls don't count against urgent ones, which are never refused
         for them.
         """
+        now = self.clock.monotonic()
         if call.urgent:
             running = self.in_flight - self.bulk_in_flight
-            ahead = len(self.urgent) + running - self.slots + 1
+            ahead = self.urgent.ahead_of(call, now) + running - self.slots + 1
             slots = self.slots
             mean = self.times.mean(URGENT)
         else:
             slots = self.bulk_slots
-            ahead = len(self.bulk) + self.bulk_in_flight - slots + 1
+            ahead = self.bulk.ahead_of(call, now) + self.bulk_in_flight - slots + 1
             mean = self.times.mean(BULK)
         return max(0, ahead) * mean / slots
 
@@ -158,11 +196,10 @@
             self.pumping = False
 
     def _next(self) -> AdmittedCall | None:
-        if self.urgent:
-            return self.urgent.popitem(last=False)[0]
-        if self.bulk and self.bulk_in_flight < self.bulk_slots:
-            return self.bulk.popitem(last=False)[0]
-        return None
+        admitted = self.urgent.pop(self.finish)
+        if admitted is None and self.bulk and self.bulk_in_flight < self.bulk_slots:
+            admitted = self.bulk.pop(self.finish)
+        return admitted
 
     def _start(self, admitted: AdmittedCall) -> None:
         call = admitted.call
@@ -189,7 +226,7 @@
 
     def withdrawn(self, admitted: AdmittedCall) -> None:
         """Forget a call that waits."""
-        del self.queue(admitted.call)[admitted]
+        self.queue(admitted.call).remove(admitted)
         self._count_urgent(admitted.call)
 
     def learn(self, call: Call, seconds: float) -> None:
--- a/src/briarslip/request/admitted_call.py
+++ b/src/briarslip/request/admitted_call.py
@@ -34,9 +34,13 @@
         self.ended = False
 
     def set_timer(self) -> None:
-        """Bound the call by its deadline."""
-        remaining = self.call.deadline - self.admission.clock.monotonic()
-        self.timer = self.admission.call_later(max(0.0, remaining), self.time_out)
+        """Bound the call by its deadline, and while it waits by its patience."""
+        now = self.admission.clock.monotonic()
+        until = self.call.deadline
+        if self.began is None:
+            until = self.admission.patience(self.call, now)
+        self._stop_timer()
+        self.timer = self.admission.call_later(max(0.0, until - now), self.time_out)
 
     def start(self, remaining: float) -> None:
         """Hand the call to the backend server."""
@@ -44,12 +48,16 @@
         version = self.call.service_version
         call = self.call.sent_as(version, self.admission.hand_over_lines(remaining))
         self.cancel_backend = self.admission.backend(call, self)
+        if self.timer is not None and not self.ended:
+            self.set_timer()
 
     def refuse(self, reason: Reason) -> None:
         """Answer that the call was not run."""
         self._stop_timer()
         self.ended = True
-        self.sink.failed(Failure(Outcome.NOT_RUN, reason), self.admission.load)
+        seconds = self.admission.retry_after(self.call)
+        failure = Failure(Outcome.NOT_RUN, reason, seconds)
+        self.sink.failed(failure, self.admission.load)
 
     def head(self, head: ResponseHead) -> None:
         """Pass the head on with the occupancy, those that wait included."""
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -23,7 +24,8 @@
 
     ``headers`` holds header lines in HTTP wire form, each ended by CRLF,
     without hop-by-hop headers. ``deadline`` is a reading of the local
-    monotonic clock in seconds. ``service_version`` is that of the chosen
+    monotonic clock in seconds, and so is ``target_at``, by when the caller would
+    like to have its answer. ``service_version`` is that of the chosen
     server, so that no other version runs the call. ``flow`` tells the source of
     the answer when to wait for its reader.
     """
@@ -40,6 +42,7 @@
     depth: int
     deadline: float
     flow: Flow = field(default_factory=Flow, compare=False)
+    target_at: float = math.inf
 
     def sent_as(self, service_version: str, headers: bytes) -> Call:
         """Return the call as it goes to a server, with further header lines."""
@@ -57,6 +60,7 @@
             self.depth,
             self.deadline,
             self.flow,
+            self.target_at,
         )
 
 
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.request.call import Call
+from briarslip.request.caller_age import CallerAges
 from briarslip.request.claim import MAX_KEY_BYTES
 from briarslip.request.dependencies import Dependencies
 from briarslip.request.directory import Directory
@@ -67,6 +68,7 @@
         self.budget = RetryBudget()
         self.latencies = ServiceTimes()
         self.outstanding = Outstanding()
+        self.ages = CallerAges()
 
     def __call__(
         self, request: CallerRequest, sink: ResponseSink
@@ -90,6 +92,8 @@
 
     def _call(self, request: CallerRequest, route: Route, context: CallContext) -> Call:
         timeout = route.timeout.total_seconds()
+        now = self.clock.monotonic()
+        target_at = now + self.ages.target_left(route, request.timeout)
         if request.timeout is not None:
             timeout = min(timeout, request.timeout)
         service = choose_part(route, self.rng.random())
@@ -104,8 +108,9 @@
             urgent=route.priority == "urgent" and not context.bulk,
             idempotent=route.idempotent or request.method in IDEMPOTENT_METHODS,
             depth=request.depth + 1,
-            deadline=self.clock.monotonic() + timeout,
+            deadline=now + timeout,
             flow=request.flow,
+            target_at=target_at,
         )
 
     def servers(self, call: Call, tried: Set[Server] = frozenset()) -> list[Server]:
--- a/src/briarslip/request/outcome.py
+++ b/src/briarslip/request/outcome.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 
 
@@ -40,10 +41,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Failure:
-    """A request that got no whole answer."""
+    """A request that got no whole answer.
+
+    ``retry_after`` is in how many seconds there may be room for it, where the
+    daemon that refused it knows.
+    """
 
     outcome: Outcome
     reason: Reason
+    retry_after: float | None = field(default=None, compare=False)
 
 
 __all__ = ["Failure", "Outcome", "Reason"]
--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -83,7 +83,7 @@
     route with a ``host`` serves only that one, and its prefix is taken to the
     letter. ``attempts`` is how many servers one request may be run on.
     ``parts`` shares the requests among services by weight; without parts all
-    go to ``service``.
+    go to ``service``. Callers would like their answers within ``target``.
     """
 
     name: str
@@ -97,6 +97,7 @@
     host: str = ""
     attempts: int = MAX_ATTEMPTS
     parts: tuple[Part, ...] = ()
+    target: timedelta | None = None
 
     @property
     def services(self) -> tuple[str, ...]:
@@ -264,6 +265,7 @@
                 "attempts", fields.integer(1, MOST_ATTEMPTS_ALLOWED), MAX_ATTEMPTS
             ),
             FieldSpec("parts", fields.listed(_part), ()),
+            FieldSpec("target_ms", fields.milliseconds(1, MAX_TIMEOUT_MS), None),
         ),
     ),
     ("rollout", 1): KindSpec(
--- a/tests/connection/test_dialect.py
+++ b/tests/connection/test_dialect.py
@@ -131,7 +131,7 @@
             lambda: self.limits,
             DIALECT,
             b"From: holds\r\n",
-            lambda: 0.25,
+            lambda seconds: seconds or 0.25,
         )
         self.factory.startFactory()
         self.connection = self.factory.buildProtocol(None)
--- a/tests/process/test_rollout_task.py
+++ b/tests/process/test_rollout_task.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from briarslip.version.decision import RolloutId
+from briarslip.version.record import NOT_AGREED
 from briarslip.version.rollout import State
 from standins.rollout_fleet import ROUTE
 from standins.rollout_fleet import Fleet
@@ -91,6 +92,19 @@
         self.assertEqual(document["after"], "done")
         self.assertTrue(document["fault"]["after_done"])
 
+    def test_word_on_it_is_written_though_the_deadline_was_agreed_on_late(self) -> None:
+        daemons = fleet()
+        rollout = daemons.add_rollout(16)
+        # The daemons agree on the deadline without another configuration.
+        daemons.rollouts = {"r": replace(rollout, deadline=NOT_AGREED)}
+        daemons.advance(3)
+        self.assertEqual([0.0] * 9, daemons.shares())
+        self.assertIsNone(daemons.document())
+        daemons.rollouts = {"r": rollout}
+        daemons.failing = fails("2", 1.0)
+        daemons.advance(12)
+        self.assertEqual("rolled_back", (daemons.document() or {})["state"])
+
     def test_shared_cause_after_done_changes_nothing(self) -> None:
         daemons = fleet()
         daemons.add_rollout(WINDOW)
