A peer that gives no heartbeat gets no new calls, and is replaced within a second

Cause: a zone cut cost every call to the zone until its links counted as stalled, 1.75 s later; callers wait 0.6 to 1.2 s. Change: heartbeats after 0.25 s of silence, no new calls 0.2 s later while others can serve, replacement after 0.75 s; links connect within 0.5 s. Also: refusals by daemons cost no attempt of the route (test).

--- a/src/briarslip/connection/heartbeat.py
+++ b/src/briarslip/connection/heartbeat.py
@@ -6,9 +6,11 @@
 from enum import Enum
 
 
-CHECK_SECONDS = 0.25
-PING_AFTER_SECONDS = 0.5
-STALLED_AFTER_SECONDS = 1.0
+CHECK_SECONDS = 0.125
+PING_AFTER_SECONDS = 0.25
+STALLED_AFTER_SECONDS = 0.75
+# A heartbeat without answer for so long keeps new calls off the link.
+SILENT_AFTER_SECONDS = 0.2
 # From the call that meets a silent link to its replacement.
 MAX_SILENCE_SECONDS = PING_AFTER_SECONDS + STALLED_AFTER_SECONDS + 2 * CHECK_SECONDS
 # A link this quiet is probed before a call is trusted to it.
@@ -38,6 +40,12 @@
     awaiting: bool
 
 
+def is_silent(activity: Activity, now: float) -> bool:
+    """Tell whether new calls should go elsewhere, if they can."""
+    pinged_at = activity.pinged_at
+    return pinged_at is not None and now - pinged_at >= SILENT_AFTER_SECONDS
+
+
 def next_step(activity: Activity, now: float) -> Step:
     """Return what is due for a link at ``now``."""
     if activity.pinged_at is not None:
@@ -56,5 +64,6 @@
     "QUIET_SECONDS",
     "Activity",
     "Step",
+    "is_silent",
     "next_step",
 ]
--- a/src/briarslip/connection/peer_links.py
+++ b/src/briarslip/connection/peer_links.py
@@ -13,6 +13,7 @@
 from briarslip.connection.heartbeat import CHECK_SECONDS
 from briarslip.connection.heartbeat import QUIET_SECONDS
 from briarslip.connection.heartbeat import Step
+from briarslip.connection.heartbeat import is_silent
 from briarslip.connection.heartbeat import next_step
 from briarslip.connection.peer_link import PeerLink
 from briarslip.process.events import Event
@@ -40,7 +41,7 @@
     from briarslip.request.call import ResponseSink
 
 
-CONNECT_TIMEOUT_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 0.5
 
 
 class PeerLinks:
@@ -67,6 +68,7 @@
         self.served: set[PeerLink] = set()
         self.draining = False
         self.checking = False
+        self.silent: frozenset[Address] = frozenset()
 
     @property
     def serving(self) -> int:
@@ -119,13 +121,18 @@
             self._check_links()
         finally:
             self.checking = bool(self.links)
+            if not self.checking:
+                self.silent = frozenset()
             if self.checking:
                 self.reactor.callLater(CHECK_SECONDS, self.check)
 
     def _check_links(self) -> None:
         """Probe, replace or close links as their silence asks."""
         now = self.clock.monotonic()
+        silent: set[Address] = set()
         for peer, link in list(self.links.items()):
+            if is_silent(link.activity, now):
+                silent.add(peer)
             match next_step(link.activity, now):
                 case Step.PING:
                     link.ping()
@@ -134,6 +141,7 @@
                 case Step.CLOSE:
                     del self.links[peer]
                     link.close()
+        self.silent = frozenset(silent)
 
     def _quiet(self, link: PeerLink) -> bool:
         """Whether a link must answer a heartbeat before it is trusted."""
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -207,6 +207,7 @@
             excluded=self.excluded,
             call_later=self.deadlines.call_later,
             focus=self.rollouts.focus,
+            silent=lambda: self.links.silent,
             claims=self.claims,
         )
 
--- a/src/briarslip/request/dependencies.py
+++ b/src/briarslip/request/dependencies.py
@@ -32,7 +32,8 @@
     ``version_for`` returns the version of a service that a call must go to,
     empty for any. ``excluded`` returns the versions of a service that must get no
     work. ``local`` returns what serves a service and version here, if anything
-    does. ``focus`` returns the only servers that a version's calls go to, None
+    does. ``silent`` returns the daemons that do not answer heartbeats just now.
+    ``focus`` returns the only servers that a version's calls go to, None
     for all of them. ``record`` takes the end of each attempt.
     """
 
@@ -47,6 +48,7 @@
     excluded: Callable[[str], frozenset[str]]
     call_later: CallLater
     claims: Claims
+    silent: Callable[[], frozenset[Address]] = frozenset
     focus: Callable[[str, str], tuple[Address, ...] | None] = _all_servers
 
 
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -128,6 +128,9 @@
             found = [server for server in found if server.address in focus]
         if tried:
             found = [server for server in found if server not in tried]
+        silent = dependencies.silent()
+        if silent:
+            found = [s for s in found if s.address not in silent] or found
         if found or not call.service_version:
             return found
         return [
--- a/tests/request/support.py
+++ b/tests/request/support.py
@@ -169,6 +169,7 @@
         self.samples: list[Sample] = []
         self.excluded: frozenset[str] = frozenset()
         self.version = ""
+        self.silent: frozenset[Address] = frozenset()
         self.claims = claims or FakeClaims(NoPlatform())
         self.react: Callable[[Sent], None] = lambda sent: None
         table = RoutingTable.from_forms(1, (Service("holds"), route))
@@ -184,6 +185,7 @@
             excluded=lambda service: self.excluded,
             call_later=self.time.call_later,
             claims=self.claims,
+            silent=lambda: self.silent,
         )
         self.forwarder = Forwarder(self.time, random.Random(seed), dependencies)
 
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -29,6 +29,7 @@
 from tests.request.support import Bench
 from tests.request.support import Sent
 from tests.request.support import Sink
+from tests.request.support import address
 from tests.request.support import member
 
 
@@ -141,6 +142,33 @@
         self.assertIn(b"Briarslip-Depth: 4\r\n", nested.sent[0].call.headers)
         self.assertNotIn(b"Depth: 3", nested.sent[0].call.headers)
 
+    def test_a_daemon_that_gives_no_heartbeat_gets_no_new_call(self) -> None:
+        bench = Bench(member(1), member(2))
+        bench.silent = frozenset((address(1),))
+        for _ in range(20):
+            bench.request("GET")
+        self.assertEqual({address(2)}, {sent.address for sent in bench.sent})
+        bench.silent = frozenset((address(1), address(2)))
+        bench.request("GET")
+        self.assertEqual(21, len(bench.sent))
+
+    def test_refusals_of_daemons_cost_no_attempt_of_the_route(self) -> None:
+        bench = Bench(*map(member, range(1, 5)), route=replace(ROUTE, attempts=1))
+        sink, _ = bench.request("GET")
+        for reason in (Reason.DRAINING, Reason.NO_SERVER):
+            bench.sent[-1].sink.failed(Failure(Outcome.NOT_RUN, reason), None)
+        self.assertEqual(3, len(bench.sent))
+        bench.sent[-1].answer(status=503, outcome=Outcome.NOT_RUN)
+        self.assertEqual(3, len(bench.sent))
+        self.assertIs(Outcome.NOT_RUN, sink.outcome)
+
+    def test_an_unknown_outcome_uses_up_the_attempts_of_the_route(self) -> None:
+        bench = Bench(*map(member, range(1, 5)), route=replace(ROUTE, attempts=2))
+        bench.forwarder.budget.tokens = 3.0
+        bench.fail_all(UNKNOWN)
+        bench.request("GET")
+        self.assertEqual(2, len(bench.sent))
+
     def test_full_outage_costs_a_tenth_more_attempts_at_most(self) -> None:
         for failure in (NOT_RUN, UNKNOWN):
             bench = Bench(*map(member, range(8)))
