Logs tell each decision about a request, never hold the daemon up, and can be traced

Cause: on-call engineers have logs and metrics only; refusals, retries, timeouts and answers that are not used were not logged, and a stalled reader of the log would have blocked the daemon. Change: events 402 to 409 with the request's id and what decided; ten lines a second of each event, the rest counted (106); standard output, not blocking; briarslip trace.

--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -15,6 +15,8 @@
 from briarslip.connection.http_head import parse_answer_head
 from briarslip.connection.socket_options import set_options
 from briarslip.connection.write_now import write_now
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.request.call import ResponseHead
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
@@ -129,14 +131,25 @@
                 self._take_head()
             return
         if self.request_id and answer.request_id != self.request_id:
+            self._log_refused("it answers another request", answer)
             self._pass_over(answer, rest)
             return
         if self.dialect.signature and not answer.signed and answer.status < 300:
+            self._log_refused("it has no signature", answer)
             self.transport.abortConnection()
             return
         self.buffer = b""
         self._begin_answer(answer, rest)
 
+    def _log_refused(self, reason: str, answer: AnswerHead) -> None:
+        emit(
+            Event.ANSWER_REFUSED,
+            request=self.request_id.decode("latin-1"),
+            reason=reason,
+            status=answer.status,
+            answers=answer.request_id.decode("latin-1"),
+        )
+
     def _pass_over(self, answer: AnswerHead, rest: bytes) -> None:
         """Skip an answer to another request; one to this one may follow."""
         self.retiring = True
--- a/src/briarslip/connection/dialect.py
+++ b/src/briarslip/connection/dialect.py
@@ -57,6 +57,10 @@
         match = self._request_id_line.search(headers)
         return b"" if match is None else match[1]
 
+    def readable_id_of(self, headers: bytes) -> str:
+        """Return the request's id as the logs show it."""
+        return self.request_id_of(headers).decode("latin-1")
+
     def expected_server_line(self, server: str) -> bytes:
         """Return the header line that names the only server that may run."""
         return _line(self.expected_server, server)
--- a/src/briarslip/console/application.py
+++ b/src/briarslip/console/application.py
@@ -13,6 +13,7 @@
 from briarslip.console.commands.remove import remove
 from briarslip.console.commands.rollouts import rollouts
 from briarslip.console.commands.status import status
+from briarslip.console.commands.trace import trace
 
 
 application = typer.Typer(
@@ -21,7 +22,7 @@
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
-for command in (check, apply, change, get, members, remove, rollouts, status):
+for command in (check, apply, change, get, members, remove, rollouts, status, trace):
     application.command()(command)
 application.command("list")(list_records)
 
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -208,6 +208,7 @@
             call_later=self.deadlines.call_later,
             focus=self.rollouts.focus,
             silent=lambda: self.links.silent,
+            request_id=self.edges.dialect.readable_id_of,
             claims=self.claims,
         )
 
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -3,20 +3,27 @@
 from __future__ import annotations
 
 import json
-import sys
+import time
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Any
 
 import logbook
 
+from briarslip.process.event_limit import EventLimit
+from briarslip.process.log_stream import LogStream
+
 
 if TYPE_CHECKING:
+    from collections import Counter
     from typing import TextIO
 
     from briarslip.process.settings import LogSettings
 
 
+STANDARD_OUTPUT = 1
+
+
 class Level(Enum):
     """How much an event matters."""
 
@@ -38,6 +45,7 @@
     DAEMON_STOPPED = (103, Level.INFO, "daemon stopped")
     SETTINGS_READ = (104, Level.INFO, "settings file was read again")
     SETTINGS_REFUSED = (105, Level.ERROR, "settings file is faulty")
+    LINES_LEFT_OUT = (106, Level.WARNING, "log lines were left out")
     SERVER_ANNOUNCED = (201, Level.INFO, "backend server announced itself")
     SERVER_EXPIRED = (202, Level.WARNING, "backend server stopped announcing itself")
     MEMBER_DEAD = (203, Level.WARNING, "member of the zone is held to be dead")
@@ -55,6 +63,14 @@
     STEP_REFUSED = (309, Level.INFO, "version from a peer can't be taken")
     RECORD_UNREADABLE = (310, Level.ERROR, "record on the platform can't be read")
     MESSAGE_REFUSED = (401, Level.WARNING, "message was refused")
+    REQUEST_FAILED = (402, Level.WARNING, "request is answered with a failure")
+    REQUEST_RETRIED = (403, Level.INFO, "request is sent to another server")
+    REQUEST_TIMED_OUT = (404, Level.WARNING, "request has reached its deadline")
+    REQUEST_CUT = (405, Level.WARNING, "answer was cut short after its head")
+    REQUEST_GIVEN_UP = (406, Level.INFO, "caller has left before the answer")
+    CALL_REFUSED = (407, Level.INFO, "call is refused beside its server")
+    CALL_TIMED_OUT = (408, Level.WARNING, "server has not answered by the deadline")
+    ANSWER_REFUSED = (409, Level.WARNING, "server's answer is not used")
     CLAIMS_UNAVAILABLE = (451, Level.WARNING, "claims can't be made")
     CLAIM_LEFT = (452, Level.WARNING, "a claim of a request not run was left standing")
     ROLLOUT_ROLLED_BACK = (501, Level.ERROR, "rollout is rolled back")
@@ -72,16 +88,25 @@
 
 
 LOGGER = logbook.Logger("briarslip")
+# What bounds the lines of the process, once its log is installed.
+LIMITS: list[EventLimit] = []
 
 
 def emit(event: Event, **fields: Any) -> None:
-    """Log an event with its fields."""
+    """Log an event with its fields, unless there are too many of it just now."""
+    if all(limit.admits(event.number) for limit in LIMITS):
+        _write(event, fields)
+
+
+def _write(event: Event, fields: dict[str, Any]) -> None:
     LOGGER.log(
         event.level.value, event.text, extra={"event": event.number, "fields": fields}
     )
 
 
-def handler_from_settings(settings: LogSettings, stream: TextIO) -> logbook.Handler:
+def handler_from_settings(
+    settings: LogSettings, stream: TextIO | LogStream
+) -> logbook.Handler:
     """Return the handler that writes events as the settings ask."""
     level = logbook.lookup_level(settings.level.upper())
     handler = logbook.StreamHandler(stream, level=level)
@@ -90,8 +115,16 @@
 
 
 def install_log(settings: LogSettings) -> None:
-    """Write this process's events to its standard error."""
-    handler_from_settings(settings, sys.stderr).push_application()
+    """Write this process's events to its standard output, without waiting."""
+    stream = LogStream.from_descriptor(STANDARD_OUTPUT)
+    handler_from_settings(settings, stream).push_application()
+
+    def tell(left_out: Counter[int]) -> None:
+        counts = {str(number): count for number, count in left_out.items()}
+        fields = {"events": counts, "unread": stream.take_lost()}
+        _write(Event.LINES_LEFT_OUT, fields)
+
+    LIMITS[:] = [EventLimit(time.monotonic, tell)]
 
 
 def _format_json(record: logbook.LogRecord, handler: logbook.Handler) -> str:
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -52,7 +52,13 @@
         watched = watch(lambda: self.announcement.endpoint, self.pool)
         call_later = DeadlineWheel(reactor, clock).call_later
         self.admission = Admission(
-            clock, slots, watched, call_later, excluded, self.hand_over_lines
+            clock,
+            slots,
+            watched,
+            call_later,
+            excluded,
+            self.hand_over_lines,
+            dialect.readable_id_of,
         )
         self.dialect = dialect
 
--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -37,6 +37,10 @@
     return frozenset()
 
 
+def _no_id(headers: bytes) -> str:
+    return ""
+
+
 class Admission:
     """Bounds what is at one backend server; urgent calls go first.
 
@@ -53,6 +57,7 @@
         call_later: CallLater,
         excluded: Callable[[str], frozenset[str]] = _none_excluded,
         hand_over_lines: Callable[[float], bytes] = deadline_line,
+        request_id: Callable[[bytes], str] = _no_id,
     ) -> None:
         self.clock = clock
         self.slots = slots
@@ -60,6 +65,7 @@
         self.call_later = call_later
         self.excluded = excluded
         self.hand_over_lines = hand_over_lines
+        self.request_id = request_id
         self.closed = False
         self.reserve = Reserve(slots, clock.monotonic())
         self.times = ServiceTimes()
--- a/src/briarslip/request/admitted_call.py
+++ b/src/briarslip/request/admitted_call.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.request.call import ResponseHead
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
@@ -56,6 +58,7 @@
         self._stop_timer()
         self.ended = True
         seconds = self.admission.retry_after(self.call)
+        self._log(Event.CALL_REFUSED, reason)
         failure = Failure(Outcome.NOT_RUN, reason, seconds)
         self.sink.failed(failure, self.admission.load)
 
@@ -91,6 +94,7 @@
             self.refuse(Reason.DEADLINE)
             return
         self.timer = None
+        self._log(Event.CALL_TIMED_OUT, Reason.DEADLINE)
         if self.cancel_backend is not None:
             self.cancel_backend()
         # A server that doesn't answer in time is slow: let the mean know.
@@ -118,6 +122,21 @@
             self.admission.learn(self.call, seconds)
         self.admission.finished(self.call)
 
+    def _log(self, event: Event, reason: Reason) -> None:
+        admission, call = self.admission, self.call
+        emit(
+            event,
+            request=admission.request_id(call.headers),
+            route=call.route,
+            service=call.service,
+            reason=reason.value,
+            in_flight=admission.in_flight,
+            waiting=len(admission.urgent) + len(admission.bulk),
+            slots=admission.slots,
+            expected_wait_ms=round(admission.expected_wait(call) * 1000),
+            left_ms=round((call.deadline - admission.clock.monotonic()) * 1000),
+        )
+
     def _stop_timer(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -86,7 +86,7 @@
             failure = Failure(Outcome.NOT_RUN, Reason.SHED)
             if self.exchange.may_retry(failure):
                 self._end(Outcome.NOT_RUN, Reason.SHED)
-                self.exchange.retry()
+                self.exchange.retry(failure)
                 return
         elif head.status < FIRST_ERROR_STATUS:
             self._learn_latency(now)
@@ -167,11 +167,11 @@
             take_success(server, now)
 
     def _learn_latency(self, now: float) -> None:
-        route = f"{self.call.service}/{self.call.route}"
+        key = self.call.latency_key
         seconds = max(now - self.began, LEAST_MEAN_SECONDS)
         times = self.forwarder.latencies
-        times.take(route, seconds)
-        learn_latency(self.server, seconds / times.mean(route), now)
+        times.take(key, seconds)
+        learn_latency(self.server, seconds / times.mean(key), now)
 
 
 __all__ = ["Attempt"]
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -44,6 +44,11 @@
     flow: Flow = field(default_factory=Flow, compare=False)
     target_at: float = math.inf
 
+    @property
+    def latency_key(self) -> str:
+        """The name under which latencies of calls like this one are learned."""
+        return f"{self.service}/{self.route}"
+
     def sent_as(self, service_version: str, headers: bytes) -> Call:
         """Return the call as it goes to a server, with further header lines."""
         # dataclasses.replace takes five times as long.
--- a/src/briarslip/request/choice.py
+++ b/src/briarslip/request/choice.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.request.ejection import eligible
+from briarslip.request.server import expected_latency
 from briarslip.request.server import expected_wait
 
 
@@ -25,12 +26,14 @@
     availability_zone: str,
     now: float,
     rng: random.Random,
+    latency_limit: float = 0.0,
 ) -> Server | None:
     """Choose the server with the shorter wait of two random ones.
 
-    The own availability zone goes first; another one is taken when its wait
-    is shorter by more than the spill factor. Health and load endpoints have no
-    part in it.
+    The own availability zone goes first, as long as it can be expected to
+    answer within ``latency_limit``, in mean times of the route. Beyond that
+    another zone is taken when its wait is shorter by more than the spill
+    factor. Health and load endpoints have no part in it.
     """
     usable = eligible(servers, now)
     near = [s for s in usable if s.availability_zone == availability_zone]
@@ -41,6 +44,8 @@
     best_far = _better_of_two(far, now, rng)
     if best_near is None or best_far is None:
         return best_near or best_far
+    if expected_latency(best_near, now) <= latency_limit:
+        return best_near
     spills = expected_wait(best_near, now) > SPILL_FACTOR * expected_wait(best_far, now)
     return best_far if spills else best_near
 
--- a/src/briarslip/request/dependencies.py
+++ b/src/briarslip/request/dependencies.py
@@ -25,6 +25,10 @@
     return None
 
 
+def _no_id(headers: bytes) -> str:
+    return ""
+
+
 @dataclass(frozen=True, slots=True)
 class Dependencies:
     """The functions of the daemon that a forwarder calls.
@@ -33,6 +37,7 @@
     empty for any. ``excluded`` returns the versions of a service that must get no
     work. ``local`` returns what serves a service and version here, if anything
     does. ``silent`` returns the daemons that do not answer heartbeats just now.
+    ``request_id`` reads the id by which a request is found in the logs.
     ``focus`` returns the only servers that a version's calls go to, None
     for all of them. ``record`` takes the end of each attempt.
     """
@@ -49,6 +54,7 @@
     call_later: CallLater
     claims: Claims
     silent: Callable[[], frozenset[Address]] = frozenset
+    request_id: Callable[[bytes], str] = _no_id
     focus: Callable[[str, str], tuple[Address, ...] | None] = _all_servers
 
 
--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -4,7 +4,10 @@
 
 from dataclasses import replace
 from typing import TYPE_CHECKING
+from typing import Any
 
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.request.attempt import Attempt
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
@@ -137,7 +140,9 @@
         forwarder = self.forwarder
         servers = forwarder.servers(self.call, self.tried)
         zone = forwarder.dependencies.availability_zone
-        return choose(servers, zone, forwarder.clock.monotonic(), forwarder.rng)
+        now = forwarder.clock.monotonic()
+        limit = forwarder.latency_limit(self.call, now)
+        return choose(servers, zone, now, forwarder.rng, limit)
 
     def _send(self, server: Server, retried: bool) -> None:
         self.attempts += 1
@@ -171,19 +176,20 @@
             return False
         return self._choose() is not None and self.forwarder.budget.take()
 
-    def retry(self) -> None:
-        """Make another attempt, after ``may_retry``."""
+    def retry(self, failure: Failure) -> None:
+        """Make another attempt after a failed one, after ``may_retry``."""
         server = self._choose()
         if server is None:
             self._fail(Failure(Outcome.NOT_RUN, Reason.NO_SERVER))
             return
+        self._log(Event.REQUEST_RETRIED, failure, server=server.address)
         self._send(server, True)
 
     def attempt_failed(self, failure: Failure) -> None:
         """Retry after a failed attempt, or end with its failure."""
         self.may_have_run |= failure.outcome is not Outcome.NOT_RUN
         if self.may_retry(failure):
-            self.retry()
+            self.retry(failure)
         else:
             self._fail(failure)
 
@@ -224,16 +230,34 @@
         if self.ended:
             return
         attempt = self.attempt
+        self._log(Event.REQUEST_GIVEN_UP, Failure(Outcome.UNKNOWN, Reason.CANCELLED))
         self._finish()
         if attempt is not None:
             attempt.cancel(Reason.CANCELLED)
 
+    def _log(self, event: Event, failure: Failure, **fields: Any) -> None:
+        call = self.call
+        emit(
+            event,
+            request=self.forwarder.dependencies.request_id(call.headers),
+            route=call.route,
+            service=call.service,
+            version=call.service_version,
+            outcome=failure.outcome.value,
+            reason=failure.reason.value,
+            attempts=self.attempts,
+            hops=self.hops,
+            left_ms=round((call.deadline - self.forwarder.clock.monotonic()) * 1000),
+            **fields,
+        )
+
     def _time_out(self) -> None:
         self.timer = None
         outcome = Outcome.NOT_RUN
         if self.attempt is not None:
             outcome = Outcome.UNKNOWN
             self.attempt.cancel(Reason.DEADLINE)
+        self._log(Event.REQUEST_TIMED_OUT, Failure(outcome, Reason.DEADLINE))
         self._fail(Failure(outcome, Reason.DEADLINE))
 
     def _fail(self, failure: Failure) -> None:
@@ -244,6 +268,8 @@
                 failure = Failure(Outcome.UNKNOWN, failure.reason)
             elif not self.head_sent:
                 self._release()
+        event = Event.REQUEST_CUT if self.head_sent else Event.REQUEST_FAILED
+        self._log(event, failure, retry_after=failure.retry_after)
         self._finish()
         self.sink.failed(failure, None)
 
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.request.call import Call
 from briarslip.request.caller_age import CallerAges
 from briarslip.request.claim import MAX_KEY_BYTES
@@ -52,6 +55,9 @@
     host: str = ""
 
 
+# Of its target a call may be expected to need this much in its own zone; the
+# rest is for the spread around the mean.
+TARGET_SHARE = 0.8
 IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
 
 
@@ -76,20 +82,37 @@
         """Serve a request; the returned function gives it up."""
         table = self.dependencies.table()
         if not table.version:
-            return _refuse(sink, Reason.NO_CONFIGURATION)
+            return self._refuse(request, sink, Reason.NO_CONFIGURATION)
         route = table.match(request.target, request.method, request.host)
         if route is None:
-            return _refuse(sink, Reason.NO_ROUTE)
+            return self._refuse(request, sink, Reason.NO_ROUTE)
         context = read_context(request.headers)
         if len(context.key) > MAX_KEY_BYTES:
-            return _refuse(sink, Reason.BAD_REQUEST)
+            return self._refuse(request, sink, Reason.BAD_REQUEST)
         call = self._call(request, route, context)
         if not self.outstanding.pool(call.urgent).enter(call.service):
-            return _refuse(sink, Reason.TOO_MANY_OUTSTANDING)
+            return self._refuse(request, sink, Reason.TOO_MANY_OUTSTANDING)
         exchange = Exchange(self, call, context.retried, sink, route.attempts)
         exchange.start(context.key, route.claims)
         return exchange.cancel
 
+    def _refuse(
+        self, request: CallerRequest, sink: ResponseSink, reason: Reason
+    ) -> Callable[[], None]:
+        """Refuse a request before any server is chosen."""
+        emit(
+            Event.REQUEST_FAILED,
+            request=self.dependencies.request_id(request.headers),
+            method=request.method,
+            host=request.host,
+            target=request.target,
+            outcome=Outcome.NOT_RUN.value,
+            reason=reason.value,
+            configuration=self.dependencies.table().version,
+        )
+        sink.failed(Failure(Outcome.NOT_RUN, reason), None)
+        return _nothing
+
     def _call(self, request: CallerRequest, route: Route, context: CallContext) -> Call:
         timeout = route.timeout.total_seconds()
         now = self.clock.monotonic()
@@ -140,6 +163,16 @@
             and dependencies.focus(service, server.version) is None
         ]
 
+    def latency_limit(self, call: Call, now: float) -> float:
+        """Return up to which latency a call does well enough in its own zone.
+
+        It is in mean times of the call's route, 0 where nothing is known.
+        """
+        mean = self.latencies.mean(call.latency_key)
+        if not mean or call.target_at == math.inf:
+            return 0.0
+        return max(0.0, call.target_at - now) * TARGET_SHARE / mean
+
     def finished(self, call: Call) -> None:
         """Count a request out."""
         self.outstanding.pool(call.urgent).leave(call.service)
@@ -149,9 +182,4 @@
     """Cancel nothing: the call has ended."""
 
 
-def _refuse(sink: ResponseSink, reason: Reason) -> Callable[[], None]:
-    sink.failed(Failure(Outcome.NOT_RUN, reason), None)
-    return _nothing
-
-
 __all__ = ["CallerRequest", "Dependencies", "Forwarder"]
--- a/src/briarslip/request/server.py
+++ b/src/briarslip/request/server.py
@@ -70,6 +70,15 @@
     return expected_slowness(server, now) * (1.0 + busy)
 
 
+def expected_latency(server: Server, now: float) -> float:
+    """Return the expected latency of a call, in mean times of its route.
+
+    Unlike ``expected_wait`` it counts no slots that are busy but free enough.
+    """
+    queued = max(0.0, occupancy(server, now) + 1.0 - server.slots)
+    return expected_slowness(server, now) * (1.0 + queued / server.slots)
+
+
 def learn_load(server: Server, load: Load, now: float) -> None:
     """Take the occupancy that an answer or a refusal carried."""
     if load.slots:
@@ -87,6 +96,7 @@
 
 __all__ = [
     "Server",
+    "expected_latency",
     "expected_slowness",
     "expected_wait",
     "learn_latency",
--- a/tests/request/test_choice.py
+++ b/tests/request/test_choice.py
@@ -6,6 +6,7 @@
 import unittest
 from collections import Counter
 from dataclasses import replace
+from datetime import timedelta
 
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
@@ -16,6 +17,7 @@
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
+from tests.request.support import ROUTE
 from tests.request.support import UNKNOWN
 from tests.request.support import Bench
 from tests.request.support import Sent
@@ -52,6 +54,30 @@
         return {number: count / len(sent) for number, count in counts.items()}
 
 
+class ZoneTest(unittest.TestCase):
+    """Calls stay in their zone while that does well enough for callers."""
+
+    def shares(self, near_seconds: float, target: timedelta | None) -> dict[int, float]:
+        """Return the shares of a slow server here and a fast one elsewhere."""
+        route = replace(ROUTE, target=target)
+        bench = Bench(member(0), member(1, zone="johor"), route=route)
+        servers = Servers(bench, {0: near_seconds, 1: 0.03})
+        servers.shares(300)
+        return servers.shares(300)
+
+    def test_slower_server_of_the_own_zone_within_the_target(self) -> None:
+        shares = self.shares(0.12, timedelta(seconds=0.5))
+        self.assertGreaterEqual(shares.get(0, 0.0), 0.95)
+
+    def test_server_of_the_own_zone_that_would_miss_the_target(self) -> None:
+        shares = self.shares(0.48, timedelta(seconds=0.5))
+        self.assertLessEqual(shares.get(0, 0.0), 0.5)
+
+    def test_without_a_target_the_shorter_wait_counts(self) -> None:
+        shares = self.shares(0.12, None)
+        self.assertLessEqual(shares.get(0, 0.0), 0.5)
+
+
 class SpeedTest(unittest.TestCase):
     """Choice by what was learned of speed and load."""
 
