Bulk calls may use every slot where one gets free soon enough for urgent calls

Change: no reserve while the mean bulk call over the slots is within 0.3 of the hastiest urgent target. Without targets nothing changes. Test: replay of bulk load at one and a half times the capacity beside urgent calls.

--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -11,6 +11,7 @@
 from briarslip.request.propagation import deadline_line
 from briarslip.request.reserve import Reserve
 from briarslip.request.service_time import ServiceTimes
+from briarslip.request.urgent_target import UrgentTargets
 from briarslip.request.waiting_line import WaitingLine
 
 
@@ -27,6 +28,8 @@
 QUEUE_LENGTH_PER_SLOT = 4
 # Of its remaining time a call may wait this much once it misses its target.
 MAX_WAIT_SHARE = 0.5
+# Of the least urgent target a slot may take this much to get free.
+SOON_SHARE = 0.3
 # Over the mean time at the server, for the spread around it.
 TIME_MARGIN = 1.3
 URGENT = "urgent"
@@ -74,6 +77,7 @@
         self.urgent = WaitingLine()
         self.bulk = WaitingLine()
         self.pumping = False
+        self.urgent_targets = UrgentTargets()
 
     @property
     def load(self) -> Load:
@@ -83,7 +87,15 @@
 
     @property
     def bulk_slots(self) -> int:
-        """The slots that bulk calls may hold now."""
+        """The slots that bulk calls may hold now.
+
+        Load pattern: bulk calls are more than the server can do while few are
+        urgent. Where a slot gets free soon enough for every urgent target, to
+        keep some free would only waste them.
+        """
+        soon = self.urgent_targets.least * SOON_SHARE
+        if soon and self.times.mean(BULK) / self.slots <= soon:
+            return self.slots
         return self.reserve.bulk_slots(self.clock.monotonic())
 
     def __call__(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
@@ -128,6 +140,7 @@
         if self.is_excluded(call):
             return Reason.VERSION_EXCLUDED
         now = self.clock.monotonic()
+        self.urgent_targets.note(call, now)
         ahead = self.queue(call).ahead_of(call, now)
         if ahead >= self.slots * QUEUE_LENGTH_PER_SLOT:
             return Reason.QUEUE_FULL
--- a/tests/request/test_overload.py
+++ b/tests/request/test_overload.py
@@ -149,11 +149,9 @@
 
     def test_half_as_much_again_as_the_server_can_do(self) -> None:
         replay = Replay()
-        # No urgent call comes, so that the reserve is a quarter of the slots.
-        possible = 0.75 * CAPACITY_PER_SECOND
-        found = replay.arrive("r", 1.5 * possible)
+        found = replay.arrive("r", 1.5 * CAPACITY_PER_SECOND)
         replay.run()
-        timely = found.timely / (possible * RUN_SECONDS)
+        timely = found.timely / (CAPACITY_PER_SECOND * RUN_SECONDS)
         self.assertGreaterEqual(timely, LEAST_TIMELY_SHARE)
         self.assertLessEqual(found.longest_held, LONGEST_HELD_SHARE * DEADLINE_SECONDS)
 
@@ -172,6 +170,16 @@
         self.assertGreaterEqual(answered / (answered + nested.refused), 0.95)
         self.assertGreater(outer.timely, 0)
 
+    def test_bulk_calls_may_use_every_slot_that_urgent_ones_can_wait_for(self) -> None:
+        replay = Replay()
+        bulk = replay.arrive("bulk", 1.5 * CAPACITY_PER_SECOND)
+        urgent = replay.arrive("nested", 50, True, 0.06, 0.2)
+        replay.run()
+        done = bulk.timely + bulk.late + 0.25 * (urgent.timely + urgent.late)
+        self.assertGreaterEqual(done / (CAPACITY_PER_SECOND * RUN_SECONDS), 0.9)
+        self.assertGreaterEqual(urgent.timely / (50 * RUN_SECONDS), 0.85)
+        self.assertEqual(0, urgent.refused)
+
     def test_refusals_say_when_there_may_be_room(self) -> None:
         replay = Replay()
         found = replay.arrive("r", 3 * CAPACITY_PER_SECOND)
