--- a/src/briarslip/platform/settings.py
+++ b/src/briarslip/platform/settings.py
@@ -34,6 +34,7 @@
 MAX_BODY_BYTES = 64 << 20
 # How many reports of a server may be lost or late before it counts as gone.
 REPORTS_PER_LEASE = 4
+DEFAULT_RETRY_SLACK = 50
 # Share of the grace period after which a stop ends by itself, ahead of a kill.
 GRACE_SHARE = 0.95
 
@@ -81,6 +82,7 @@
             default_timeout=DEFAULT_TIMEOUT,
             announcement_lease=heartbeat * REPORTS_PER_LEASE,
             stop_grace=grace * GRACE_SHARE,
+            retry_slack=bounds.integer("budget-slack", default=DEFAULT_RETRY_SLACK),
         ),
         log=LogSettings("json", "info"),
     )
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -44,6 +44,7 @@
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
+from briarslip.request.retry import MAX_TOKENS
 
 
 if TYPE_CHECKING:
@@ -63,6 +64,8 @@
 HOUSEKEEPING_SECONDS = 0.5
 # A daemon that no other one answers for so long serves alone.
 ALONE_SECONDS = 3.0
+# The rest is for calls nested in retried ones and for daemons not known yet.
+RETRY_SLACK_SHARE = 0.6
 # Where nobody knows when there may be room.
 RETRY_AFTER_SECONDS = 0.2
 LEAST_RETRY_AFTER_SECONDS = 0.05
@@ -224,6 +227,7 @@
             call_later=self.deadlines.call_later,
             focus=self.rollouts.focus,
             silent=lambda: self.links.silent,
+            max_retry_tokens=self.max_retry_tokens,
             request_id=self.edges.dialect.readable_id_of,
             claims=self.claims,
         )
@@ -312,6 +316,14 @@
             return CallerLimits(body_bytes=self.settings.limits.max_body_bytes)
         return CallerLimits.from_record(record)
 
+    def max_retry_tokens(self) -> float:
+        """Return this daemon's part of the retries that all may have saved up."""
+        slack = self.settings.limits.retry_slack
+        if slack is None:
+            return MAX_TOKENS
+        part = slack * RETRY_SLACK_SHARE / max(1, len(self.membership.live))
+        return min(MAX_TOKENS, max(1.0, part))
+
     def retry_after(self, seconds: float | None) -> float:
         """Return after how many seconds a caller that was refused may return.
 
--- a/src/briarslip/process/settings.py
+++ b/src/briarslip/process/settings.py
@@ -77,13 +77,16 @@
     """Bounds on what one daemon takes on.
 
     A stop that takes longer than ``stop_grace`` is cut short; None leaves each
-    request its whole deadline.
+    request its whole deadline. ``retry_slack`` is how many retries all daemons
+    together may make at once beyond their share of the requests; None leaves
+    each daemon its own few.
     """
 
     max_body_bytes: int
     default_timeout: timedelta
     announcement_lease: timedelta
     stop_grace: timedelta | None = None
+    retry_slack: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +158,7 @@
             FieldSpec("max_body_bytes", fields.integer(0, 1 << 30), 8 << 20),
             _duration("default_timeout_ms", 5000),
             _duration("announcement_lease_ms", 5000),
+            FieldSpec("retry_slack", fields.integer(1, 1_000_000), None),
             FieldSpec("stop_grace_ms", fields.milliseconds(1, MAX_DURATION_MS), None),
         ),
     ),
--- a/src/briarslip/request/dependencies.py
+++ b/src/briarslip/request/dependencies.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from briarslip.request.retry import MAX_TOKENS
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,6 +39,7 @@
     empty for any. ``excluded`` returns the versions of a service that must get no
     work. ``local`` returns what serves a service and version here, if anything
     does. ``silent`` returns the daemons that do not answer heartbeats just now.
+    ``max_retry_tokens`` returns how many retries may be saved up here.
     ``request_id`` reads the id by which a request is found in the logs.
     ``focus`` returns the only servers that a version's calls go to, None
     for all of them. ``record`` takes the end of each attempt.
@@ -54,6 +57,7 @@
     call_later: CallLater
     claims: Claims
     silent: Callable[[], frozenset[Address]] = frozenset
+    max_retry_tokens: Callable[[], float] = lambda: MAX_TOKENS
     request_id: Callable[[bytes], str] = _no_id
     focus: Callable[[str, str], tuple[Address, ...] | None] = _all_servers
 
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -71,7 +71,7 @@
         self.rng = rng
         self.dependencies = dependencies
         self.directory = Directory(dependencies.members)
-        self.budget = RetryBudget()
+        self.budget = RetryBudget(dependencies.max_retry_tokens)
         self.latencies = ServiceTimes()
         self.outstanding = Outstanding()
         self.ages = CallerAges()
--- a/src/briarslip/request/retry.py
+++ b/src/briarslip/request/retry.py
@@ -9,6 +9,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briarslip.request.outcome import Failure
 
 
@@ -44,10 +46,12 @@
     out. So the retries below one outer call are at most the sum of the shares
     over its depths, 2.5% + 7 x 0.8%, plus the bucket's content at the start.
     Retries of requests that were refused before any server saw them burden no
-    server twice and have a bucket of their own.
+    server twice and have a bucket of their own. ``most`` bounds what the bucket
+    holds: the buckets of all daemons may be emptied at the same moment.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, most: Callable[[], float] = lambda: MAX_TOKENS) -> None:
+        self.most = most
         self.tokens = FIRST_TOKENS
         self.refused_tokens = MAX_REFUSED_TOKENS
 
@@ -58,7 +62,7 @@
         refused = self.refused_tokens + REFUSED_SHARE
         self.refused_tokens = min(MAX_REFUSED_TOKENS, refused)
         share = OUTER_SHARE if depth <= 1 else INNER_SHARE
-        self.tokens = min(MAX_TOKENS, self.tokens + share)
+        self.tokens = min(self.most(), self.tokens + share)
 
     def take_refused(self, reason: Reason) -> bool:
         """Take out a retry of a request that no server has seen.
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -22,6 +22,7 @@
 from briarslip.request.outcome import Reason
 from briarslip.request.retry import FIRST_TOKENS
 from briarslip.request.retry import MAX_TOKENS
+from briarslip.request.retry import RetryBudget
 from tests.request.support import NOT_RUN
 from tests.request.support import ROUTE
 from tests.request.support import TIMEOUT
@@ -169,6 +170,13 @@
         bench.request("GET")
         self.assertEqual(2, len(bench.sent))
 
+    def test_buckets_of_many_daemons_hold_no_more_than_their_part(self) -> None:
+        budget = RetryBudget(lambda: 1.5)
+        for _ in range(1000):
+            budget.pay_in(1, False)
+        self.assertLessEqual(budget.tokens, 1.5)
+        self.assertEqual([True, False], [budget.take(), budget.take()])
+
     def test_full_outage_costs_a_tenth_more_attempts_at_most(self) -> None:
         for failure in (NOT_RUN, UNKNOWN):
             bench = Bench(*map(member, range(8)))
