--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -66,6 +66,7 @@
         self.sink = sink
         self.attempt: Attempt | None = None
         self.tried: set[Server] = set()
+        self.last_server = ""
         self.max_attempts = max_attempts
         self.attempts = 0
         self.hops = 0
@@ -148,6 +149,7 @@
         self.attempts += 1
         self.hops += 1
         self.tried.add(server)
+        self.last_server = str(server.address)
         call = self.call
         context = context_lines(call.depth, call.urgent, retried)
         call = call.sent_as(server.version, context)
@@ -182,7 +184,7 @@
         if server is None:
             self._fail(Failure(Outcome.NOT_RUN, Reason.NO_SERVER))
             return
-        self._log(Event.REQUEST_RETRIED, failure, server=server.address)
+        self._log(Event.REQUEST_RETRIED, failure, next=str(server.address))
         self._send(server, True)
 
     def attempt_failed(self, failure: Failure) -> None:
@@ -243,6 +245,7 @@
             route=call.route,
             service=call.service,
             version=call.service_version,
+            server=self.last_server,
             outcome=failure.outcome.value,
             reason=failure.reason.value,
             attempts=self.attempts,
