--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import UTC
-from datetime import datetime
 from datetime import timedelta
 from functools import lru_cache
 from typing import TYPE_CHECKING
@@ -22,6 +20,15 @@
 from briarslip.ini import IniField
 from briarslip.ini import IniSection
 from briarslip.ini import parse_ini
+from briarslip.version.form import MAX_ATTEMPTS
+from briarslip.version.form import NOT_AGREED
+from briarslip.version.form import Form
+from briarslip.version.form import Limits
+from briarslip.version.form import Objective
+from briarslip.version.form import Part
+from briarslip.version.form import Rollout
+from briarslip.version.form import Route
+from briarslip.version.form import Service
 
 
 if TYPE_CHECKING:
@@ -36,7 +43,6 @@
 MAX_SCHEMA = 1 << 31
 MAX_SCHEMA_DIGITS = len(str(MAX_SCHEMA))
 MAX_TIMEOUT_MS = 600_000
-MAX_ATTEMPTS = 3
 MOST_ATTEMPTS_ALLOWED = 16
 MAX_BODY_BYTES = 1 << 30
 MAX_ORDER = (1 << 63) - 1
@@ -45,8 +51,6 @@
 RETRY_NOT_RUN = "not-run"
 RETRY_UNKNOWN = "unknown"
 PARSED_RECORDS = 4096
-# Stands for a deadline that the daemons have not agreed on yet.
-NOT_AGREED = datetime.max.replace(tzinfo=UTC)
 
 
 class RecordKey(NamedTuple):
@@ -60,94 +64,6 @@
         return f"{RECORDS_PREFIX}{self.kind}/{self.name}/{self.schema}"
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
-    """A service: a set of backend servers that answer alike."""
-
-    name: str
-
-
-@dataclass(frozen=True, slots=True)
-class Part:
-    """A service's part of a route's requests, by weight."""
-
-    service: str
-    weight: int
-
-
-@dataclass(frozen=True, slots=True)
-class Route:
-    """Which requests go to which service, and how.
-
-    ``path_prefix`` ends at a segment's border; no ``methods`` means any. A
-    route with a ``host`` serves only that one, and its prefix is taken to the
-    letter. ``attempts`` is how many servers one request may be run on.
-    ``parts`` shares the requests among services by weight; without parts all
-    go to ``service``. Callers would like their answers within ``target``.
-    """
-
-    name: str
-    service: str
-    path_prefix: str
-    priority: str
-    timeout: timedelta
-    idempotent: bool
-    claims: str
-    methods: frozenset[str] = frozenset()
-    host: str = ""
-    attempts: int = MAX_ATTEMPTS
-    parts: tuple[Part, ...] = ()
-    target: timedelta | None = None
-
-    @property
-    def services(self) -> tuple[str, ...]:
-        """The services that requests may go to."""
-        return tuple(part.service for part in self.parts) or (self.service,)
-
-
-@dataclass(frozen=True, slots=True)
-class Rollout:
-    """A move of a service's traffic to a new version by a deadline.
-
-    An operator gives either the deadline or only the ``window``, which then
-    begins with the ``order``, the store's revision of the operator's word; the
-    deadline of such a rollout is agreed on by the daemons.
-    """
-
-    name: str
-    service: str
-    version: str
-    deadline: datetime
-    window: timedelta
-    max_traffic_share: float
-    order: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Objective:
-    """A service-level objective of a service, or of one of its routes."""
-
-    name: str
-    service: str
-    route: str
-    good_share: float
-    latency: timedelta
-
-
-@dataclass(frozen=True, slots=True)
-class Limits:
-    """Bounds on what callers send; ``CallerLimits`` says what each means."""
-
-    name: str
-    head_bytes: int
-    body_bytes: int
-    read: timedelta
-    idle: timedelta
-
-
-Form = Service | Route | Rollout | Objective | Limits
-
-
 @dataclass(frozen=True, slots=True)
 class Record:
     """One form of a record: its key and its fields as text."""
