A call that has waited long enough is told that there is no room, not a wrong deadline

Cause: the bound on waiting refused with 'the deadline has passed' while half of the deadline was left: wrong in the logs, and never sent on to another server. Test: the replay of one and a half times the capacity names no other reason than a full queue; it failed before.

--- a/src/briarslip/request/admitted_call.py
+++ b/src/briarslip/request/admitted_call.py
@@ -91,7 +91,8 @@
             return
         if self.began is None:
             self.admission.withdrawn(self)
-            self.refuse(Reason.DEADLINE)
+            is_over = self.admission.clock.monotonic() >= self.call.deadline
+            self.refuse(Reason.DEADLINE if is_over else Reason.QUEUE_FULL)
             return
         self.timer = None
         self._log(Event.CALL_TIMED_OUT, Reason.DEADLINE)
--- a/tests/request/test_overload.py
+++ b/tests/request/test_overload.py
@@ -14,6 +14,7 @@
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
 from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
 from standins.virtual_time import VirtualTime
 
 
@@ -46,6 +47,7 @@
     refused: int = 0
     longest_held: float = 0.0
     retry_after: list[float] = field(default_factory=list)
+    reasons: set[Reason] = field(default_factory=set)
 
 
 class Answer:
@@ -71,6 +73,7 @@
         held = self.time.monotonic() - self.began
         if failure.outcome is Outcome.NOT_RUN:
             self.outcomes.refused += 1
+            self.outcomes.reasons.add(failure.reason)
             self.outcomes.longest_held = max(self.outcomes.longest_held, held)
             self.outcomes.retry_after.append(failure.retry_after or 0.0)
 
@@ -188,6 +191,14 @@
         self.assertGreater(sum(found.retry_after) / len(found.retry_after), 0.0)
         self.assertLess(max(found.retry_after), DEADLINE_SECONDS)
 
+    def test_a_call_that_has_waited_long_enough_is_told_that_there_is_no_room(
+        self,
+    ) -> None:
+        replay = Replay()
+        found = replay.arrive("r", 1.5 * CAPACITY_PER_SECOND)
+        replay.run()
+        self.assertEqual({Reason.QUEUE_FULL}, found.reasons)
+
     def test_all_are_timely_while_there_is_room(self) -> None:
         replay = Replay()
         found = replay.arrive("r", 0.5 * CAPACITY_PER_SECOND)
