--- a/bench/capacity/configuration.py
+++ b/bench/capacity/configuration.py
@@ -12,7 +12,7 @@
 from bench.figure import Figure
 from bench.publish import seconds_of
 from bench.publish import stored
-from briarslip.process.change_writer import RecordWrite
+from briarslip.process.distribution.change_writer import RecordWrite
 from briarslip.version.acceptance import accept
 from briarslip.version.configuration_codec import compress
 from briarslip.version.delta import apply_delta
--- a/bench/capacity/operator.py
+++ b/bench/capacity/operator.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from briarslip.process.change_writer import RecordWrite
+    from briarslip.process.distribution.change_writer import RecordWrite
 
 
 KILOBYTES_PER_MB = 1024
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -12,8 +12,8 @@
 from bench.figure import Figure
 from bench.fleet import Fleet
 from briarslip.connection.frame import Topic
-from briarslip.process.change_writer import RecordWrite
-from briarslip.process.change_writer import write_change
+from briarslip.process.distribution.change_writer import RecordWrite
+from briarslip.process.distribution.change_writer import write_change
 from briarslip.version.record import RecordKey
 from standins.local_platform import LocalStoreClient
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -19,7 +19,7 @@
 from bench.fleet_traffic import DATAGRAM
 from bench.fleet_traffic import Traffic
 from briarslip.address import Address
-from briarslip.process.change_writer import write_change
+from briarslip.process.distribution.change_writer import write_change
 from standins.local_platform import LocalStoreClient
 from standins.platform_store import PlatformStandIn
 
@@ -29,7 +29,7 @@
     from datetime import timedelta
 
     from briarslip.connection.frame import Topic
-    from briarslip.process.change_writer import RecordWrite
+    from briarslip.process.distribution.change_writer import RecordWrite
 
 
 PEER_PORT = 7000
--- a/bench/fleet_daemon.py
+++ b/bench/fleet_daemon.py
@@ -12,12 +12,12 @@
 from bench.fleet_clock import FleetClock
 from briarslip.address import Address
 from briarslip.connection.frame import Topic
-from briarslip.process.distribution_task import DistributionTask
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.membership_task import MembershipTask
-from briarslip.process.store import StoreError
-from briarslip.process.store import WatchClosed
+from briarslip.process.distribution.task import DistributionTask
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.task import MembershipTask
+from briarslip.process.store.client import StoreError
+from briarslip.process.store.client import WatchClosed
 from standins.local_platform import LocalStoreClient
 
 
@@ -28,7 +28,7 @@
     from twisted.internet.base import DelayedCall
 
     from bench.fleet import Fleet
-    from briarslip.process.member import Endpoint
+    from briarslip.process.membership.member import Endpoint
 
 
 HOUSEKEEPING_SECONDS = 0.5
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -14,15 +14,15 @@
 from bench.figure import Figure
 from bench.fleet import Fleet
 from briarslip.address import Address
-from briarslip.process.change_writer import RecordWrite
-from briarslip.process.member import Endpoint
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.membership import Membership
-from briarslip.process.membership import take
-from briarslip.process.membership_codec import decode_control
-from briarslip.process.membership_codec import encode_control
-from briarslip.process.membership_messages import Updates
+from briarslip.process.distribution.change_writer import RecordWrite
+from briarslip.process.membership.codec import decode_control
+from briarslip.process.membership.codec import encode_control
+from briarslip.process.membership.member import Endpoint
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.membership import Membership
+from briarslip.process.membership.membership import take
+from briarslip.process.membership.messages import Updates
 from briarslip.version.record import RecordKey
 
 
--- a/bench/publish.py
+++ b/bench/publish.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briarslip.process.change_writer import RecordWrite
+    from briarslip.process.distribution.change_writer import RecordWrite
 
 
 ZONE_MEMBERS = 200
--- a/bench/reconnect.py
+++ b/bench/reconnect.py
@@ -16,9 +16,9 @@
 from bench.figure import Figure
 from bench.fleet_clock import HeapClock
 from briarslip.connection.frame import Topic
-from briarslip.process import store_watch
-from briarslip.process.store_watch import StoreWatch
-from briarslip.process.version_store import HEAD_KEY
+from briarslip.process.distribution.version_store import HEAD_KEY
+from briarslip.process.store import watch as store_watch
+from briarslip.process.store.watch import StoreWatch
 from briarslip.version import distribution
 from briarslip.version import puller
 from standins.local_platform import LocalStoreClient
@@ -26,7 +26,7 @@
 
 
 if TYPE_CHECKING:
-    from briarslip.process.store import WatchEvent
+    from briarslip.process.store.client import WatchEvent
 
 
 WINDOW_SECONDS = 0.1
--- a/bench/request_model.py
+++ b/bench/request_model.py
@@ -18,9 +18,9 @@
 from bench.thin_requests import ThinAdmission
 from bench.thin_requests import ThinForwarder
 from briarslip.address import Address
-from briarslip.process.member import Endpoint
-from briarslip.process.member import Member
-from briarslip.process.member import Status
+from briarslip.process.membership.member import Endpoint
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
 from briarslip.request.admission import Admission
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
--- a/bench/rollout_control.py
+++ b/bench/rollout_control.py
@@ -10,10 +10,10 @@
 
 from bench.figure import Figure
 from briarslip.address import Address
-from briarslip.process.member import Endpoint
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.rollout_task import RolloutTask
+from briarslip.process.membership.member import Endpoint
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.rollouts.task import RolloutTask
 from briarslip.version.record import Rollout
 from briarslip.version.routing_table import RoutingTable
 from standins.rollout_fleet import Fleet
--- a/src/briarslip/connection/local_http.py
+++ b/src/briarslip/connection/local_http.py
@@ -27,6 +27,17 @@
     body: Any
 
 
+@dataclass(frozen=True, slots=True)
+class TextReply:
+    """An HTTP status and plain text."""
+
+    status: int
+    body: str
+
+
+Reply = JsonReply | TextReply
+
+
 class LocalRequest(http.Request):
     """One request for a JSON endpoint."""
 
@@ -43,9 +54,12 @@
             reply = JsonReply(http.NOT_FOUND, {"error": f"no such endpoint: {path}"})
         else:
             reply = endpoint(self.content.getvalue())
-        body = json.dumps(reply.body).encode() + b"\n"
+        if isinstance(reply, TextReply):
+            body, kind = reply.body.encode(), b"text/plain; version=0.0.4"
+        else:
+            body, kind = json.dumps(reply.body).encode() + b"\n", b"application/json"
         self.setResponseCode(reply.status)
-        self.setHeader(b"content-type", b"application/json")
+        self.setHeader(b"content-type", kind)
         self.setHeader(b"content-length", b"%d" % len(body))
         self.write(body)
         self.finish()
@@ -63,12 +77,12 @@
     def __init__(
         self,
         reactor: Any,
-        endpoints: Mapping[tuple[str, str], Callable[..., JsonReply]],
+        endpoints: Mapping[tuple[str, str], Callable[..., Reply]],
     ) -> None:
         super().__init__(reactor=reactor)
         self.endpoints = endpoints
 
-    def find(self, method: str, path: str) -> Callable[[bytes], JsonReply] | None:
+    def find(self, method: str, path: str) -> Callable[[bytes], Reply] | None:
         """Return the endpoint of a method and path."""
         endpoint = self.endpoints.get((method, path))
         if endpoint is not None:
@@ -89,4 +103,4 @@
         """Write no access log."""
 
 
-__all__ = ["JsonReply", "LocalHttpFactory"]
+__all__ = ["JsonReply", "LocalHttpFactory", "Reply", "TextReply"]
--- a/src/briarslip/console/change.py
+++ b/src/briarslip/console/change.py
@@ -21,20 +21,20 @@
 from briarslip.console.session import pause
 from briarslip.console.session import platform_client
 from briarslip.console.session import run
-from briarslip.process.change_status import CHANGE_STATUS_PREFIX
-from briarslip.process.change_writer import LostRace
-from briarslip.process.change_writer import write_change
+from briarslip.process.distribution.change_status import CHANGE_STATUS_PREFIX
+from briarslip.process.distribution.change_writer import LostRace
+from briarslip.process.distribution.change_writer import write_change
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
 
-    from briarslip.process.change_writer import ChangeError
-    from briarslip.process.change_writer import RecordWrite
-    from briarslip.process.change_writer import WriteFailed
-    from briarslip.process.change_writer import WrittenChange
-    from briarslip.process.store import StoreClient
+    from briarslip.process.distribution.change_writer import ChangeError
+    from briarslip.process.distribution.change_writer import RecordWrite
+    from briarslip.process.distribution.change_writer import WriteFailed
+    from briarslip.process.distribution.change_writer import WrittenChange
+    from briarslip.process.store.client import StoreClient
 
 
 POLL_SECONDS = 0.1
--- a/src/briarslip/console/commands/apply.py
+++ b/src/briarslip/console/commands/apply.py
@@ -13,11 +13,11 @@
 from briarslip.console.options import PlatformOption  # noqa: TC001  # read by typer
 from briarslip.console.options import WaitOption  # noqa: TC001  # read by typer
 from briarslip.console.record_files import read_files
-from briarslip.process.change_writer import RecordWrite
+from briarslip.process.distribution.change_writer import RecordWrite
 
 
 if TYPE_CHECKING:
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import StoreClient
 
 
 ReadAtOption = Annotated[
--- a/src/briarslip/console/commands/change.py
+++ b/src/briarslip/console/commands/change.py
@@ -17,14 +17,14 @@
 from briarslip.console.session import platform_client
 from briarslip.console.session import print_json
 from briarslip.console.session import run
-from briarslip.process.change_status import CHANGE_STATUS_PREFIX
+from briarslip.process.distribution.change_status import CHANGE_STATUS_PREFIX
 
 
 if TYPE_CHECKING:
     from result import Result
 
-    from briarslip.process.store import KeyValue
-    from briarslip.process.store import StoreError
+    from briarslip.process.store.client import KeyValue
+    from briarslip.process.store.client import StoreError
 
 
 ChangeArgument = Annotated[str, typer.Argument(help="the id that apply printed")]
--- a/src/briarslip/console/commands/remove.py
+++ b/src/briarslip/console/commands/remove.py
@@ -12,11 +12,11 @@
 from briarslip.console.session import EXIT_FAILED
 from briarslip.console.session import fail
 from briarslip.console.stored import fetch_stored
-from briarslip.process.change_writer import RecordWrite
+from briarslip.process.distribution.change_writer import RecordWrite
 
 
 if TYPE_CHECKING:
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import StoreClient
 
 
 def remove(
--- a/src/briarslip/console/commands/rollouts.py
+++ b/src/briarslip/console/commands/rollouts.py
@@ -74,7 +74,7 @@
 
 
 def _client(reactor: Any, address: Any) -> Any:
-    from briarslip.process.etcd_gateway import EtcdGatewayClient
+    from briarslip.process.store.etcd_gateway import EtcdGatewayClient
 
     return EtcdGatewayClient.from_address(reactor, address.host, address.port)
 
--- a/src/briarslip/console/session.py
+++ b/src/briarslip/console/session.py
@@ -22,7 +22,7 @@
     from collections.abc import Iterable
 
     from briarslip.address import Address
-    from briarslip.process.etcd_gateway import EtcdGatewayClient
+    from briarslip.process.store.etcd_gateway import EtcdGatewayClient
 
 
 EXIT_FAILED = 1
@@ -75,7 +75,7 @@
 
 def platform_client(reactor: Any, address: str) -> EtcdGatewayClient:
     """Return a client of the platform at ``IP:PORT``."""
-    from briarslip.process.etcd_gateway import EtcdGatewayClient
+    from briarslip.process.store.etcd_gateway import EtcdGatewayClient
 
     host, port = read_address(address)
     return EtcdGatewayClient.from_address(reactor, host, port)
--- a/src/briarslip/console/stored.py
+++ b/src/briarslip/console/stored.py
@@ -21,7 +21,7 @@
     from collections.abc import Mapping
 
     from briarslip.console.record_name import RecordName
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import StoreClient
     from briarslip.version.record import RecordKey
 
 
--- a/src/briarslip/platform/configuration.py
+++ b/src/briarslip/platform/configuration.py
@@ -27,7 +27,7 @@
     from result import Result
 
     from briarslip.finding import Finding
-    from briarslip.process.store import KeyValue
+    from briarslip.process.store.client import KeyValue
 
 
 OPERATOR_PREFIX = "op/"
--- a/src/briarslip/platform/edges.py
+++ b/src/briarslip/platform/edges.py
@@ -11,8 +11,8 @@
 from briarslip.platform.reports import server_endpoints
 from briarslip.platform.rollouts import PLATFORM_WORDS
 from briarslip.platform.store import PlatformStore
+from briarslip.process.distribution.stored_configuration import StoredConfiguration
 from briarslip.process.edges import Edges
-from briarslip.process.stored_configuration import StoredConfiguration
 
 
 if TYPE_CHECKING:
--- a/src/briarslip/platform/reports.py
+++ b/src/briarslip/platform/reports.py
@@ -12,7 +12,7 @@
 from briarslip.process.announcements import Announcement
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.process.member import Endpoint
+from briarslip.process.membership.member import Endpoint
 
 
 if TYPE_CHECKING:
--- a/src/briarslip/platform/rollouts.py
+++ b/src/briarslip/platform/rollouts.py
@@ -20,7 +20,7 @@
     from result import Result
 
     from briarslip.finding import Finding
-    from briarslip.process.store import KeyValue
+    from briarslip.process.store.client import KeyValue
     from briarslip.version.rollout_document import Document as StatusDocument
 
 
--- a/src/briarslip/platform/settings.py
+++ b/src/briarslip/platform/settings.py
@@ -25,6 +25,8 @@
 
 
 SETTINGS_VARIABLE = "BRIARSLIP_NODE_FILE"
+# The deploy file names it, so it is the same in every deployment.
+METRICS_PORT = 9464
 STORE_TIMEOUT = timedelta(seconds=2)
 DEFAULT_TIMEOUT = timedelta(seconds=5)
 HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
@@ -57,7 +59,7 @@
 def _settings(document: Document) -> PlatformSettingsFile:
     bind = document.table("bind")
     bounds = document.table("bounds")
-    first_port, last_port = _ports(document)
+    first_port, _ = _ports(document)
     host = document.text("ip")
     heartbeat = timedelta(milliseconds=document.integer("heartbeat-ms", minimum=1))
     grace = timedelta(seconds=bounds.number("grace-s"))
@@ -66,7 +68,7 @@
         listen=ListenSettings(
             callers=bind.address("outbound"),
             peers=Address(host, first_port),
-            admin=Address(host, min(first_port + 1, last_port)),
+            admin=Address(host, METRICS_PORT),
             announcements=bind.address("control"),
             readiness=bind.address("ready"),
         ),
--- a/src/briarslip/platform/store.py
+++ b/src/briarslip/platform/store.py
@@ -17,14 +17,14 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
-from briarslip.process.store import KeyValue
-from briarslip.process.store import RangeReply
-from briarslip.process.store import StoreError
-from briarslip.process.store import SwapReply
-from briarslip.process.store import WatchClosed
-from briarslip.process.store import WatchEvent
-from briarslip.process.store_http import AnswerSink
-from briarslip.process.store_http import StoreHttp
+from briarslip.process.store.client import KeyValue
+from briarslip.process.store.client import RangeReply
+from briarslip.process.store.client import StoreError
+from briarslip.process.store.client import SwapReply
+from briarslip.process.store.client import WatchClosed
+from briarslip.process.store.client import WatchEvent
+from briarslip.process.store.http import AnswerSink
+from briarslip.process.store.http import StoreHttp
 from briarslip.request.outcome import Outcome
 
 
@@ -32,8 +32,8 @@
     from collections.abc import Callable
 
     from briarslip.address import Address
-    from briarslip.process.store import Watch
-    from briarslip.process.store_http import Answer
+    from briarslip.process.store.client import Watch
+    from briarslip.process.store.http import Answer
 
 
 T = TypeVar("T")
--- a/src/briarslip/process/admin.py
+++ b/src/briarslip/process/admin.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.connection.local_http import JsonReply
+from briarslip.connection.local_http import TextReply
 from briarslip.version.rollout_document import rollout_document
 
 
@@ -12,17 +13,22 @@
     from collections.abc import Callable
     from collections.abc import Mapping
 
+    from briarslip.connection.local_http import Reply
     from briarslip.process.daemon import Daemon
 
 
+METRICS_PATH = "/v1/metrics"
+
+
 def admin_endpoints(
     daemon: Daemon,
-) -> Mapping[tuple[str, str], Callable[[bytes], JsonReply]]:
+) -> Mapping[tuple[str, str], Callable[[bytes], Reply]]:
     """Return the endpoints by method and path."""
     return {
         ("GET", "/v1/status"): lambda _: _status(daemon),
         ("GET", "/v1/members"): lambda _: _members(daemon),
         ("GET", "/v1/rollouts"): lambda _: _rollouts(daemon),
+        ("GET", METRICS_PATH): lambda _: TextReply(200, daemon.metrics.text()),
         ("GET", "/v1/service-levels"): lambda _: _service_levels(daemon),
     }
 
--- a/src/briarslip/process/announcements.py
+++ b/src/briarslip/process/announcements.py
@@ -13,7 +13,7 @@
 
 from briarslip import fields
 from briarslip.finding import Finding
-from briarslip.process.member import Endpoint
+from briarslip.process.membership.member import Endpoint
 
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/src/briarslip/process/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys, kept in the store."""
--- a/src/briarslip/process/claims.py
+++ b/src/briarslip/process/claims/claims.py
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred
 
 from briarslip.address import parse_address
-from briarslip.process.claim_lease import ClaimLease
+from briarslip.process.claims.lease import ClaimLease
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.request.claim import Claim
@@ -38,8 +38,8 @@
 
     from briarslip.address import Address
     from briarslip.process.clock import Clock
-    from briarslip.process.store import KeyValue
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import KeyValue
+    from briarslip.process.store.client import StoreClient
     from briarslip.request.call import Call
     from briarslip.request.call import ResponseSink
     from briarslip.request.claim import ClaimRequest
--- a/src/briarslip/process/claim_lease.py
+++ b/src/briarslip/process/claims/lease.py
@@ -12,8 +12,8 @@
 
 if TYPE_CHECKING:
     from briarslip.process.clock import Clock
-    from briarslip.process.store import StoreClient
-    from briarslip.process.store import StoreError
+    from briarslip.process.store.client import StoreClient
+    from briarslip.process.store.client import StoreError
 
 
 LEASE_SECONDS = 3600.0
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -16,21 +16,24 @@
 from briarslip.connection.peer_links import PeerLinks
 from briarslip.process.admin import admin_endpoints
 from briarslip.process.announcements import too_many_servers
-from briarslip.process.claims import PlatformClaims
+from briarslip.process.claims.claims import PlatformClaims
 from briarslip.process.clock import SystemClock
-from briarslip.process.distribution_task import DistributionTask
+from briarslip.process.distribution.task import DistributionTask
 from briarslip.process.edges import Edges
 from briarslip.process.edges import ServerEvents
+from briarslip.process.events import COUNTS
+from briarslip.process.events import LEFT_OUT
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.local_servers import MAX_SERVERS
 from briarslip.process.local_servers import LocalServers
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.membership_task import MembershipTask
-from briarslip.process.rollout_deadlines import RolloutDeadlines
-from briarslip.process.rollout_report import RolloutReporter
-from briarslip.process.rollout_task import RolloutTask
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.task import MembershipTask
+from briarslip.process.metrics import Metrics
+from briarslip.process.rollouts.deadlines import RolloutDeadlines
+from briarslip.process.rollouts.report import RolloutReporter
+from briarslip.process.rollouts.task import RolloutTask
 from briarslip.process.service_levels import ServiceLevels
 from briarslip.process.shutdown import Phase
 from briarslip.process.shutdown import Remaining
@@ -162,6 +165,7 @@
             edges.rollout_words,
         )
         self.service_levels = ServiceLevels(clock)
+        self.metrics = Metrics(COUNTS, LEFT_OUT, self._gauges())
         self.forwarder = Forwarder(clock, rng, self._dependencies())
         self.callers = CallerHttpFactory(
             reactor,
@@ -194,6 +198,18 @@
             endpoints=(),
         )
 
+    def _gauges(self) -> dict[str, Callable[[], float]]:
+        return {
+            "running_version": lambda: self.distribution.snapshot.version,
+            "live_members": lambda: len(self.membership.live),
+            "requests_in_flight": lambda: self.callers.in_flight,
+            "calls_served": lambda: self.links.serving,
+            "calls_at_servers": lambda: self.servers.in_flight,
+            "silent_peers": lambda: len(self.links.silent),
+            "retry_tokens": lambda: self.forwarder.budget.tokens,
+            "ready": lambda: self.is_ready,
+        }
+
     def _dependencies(self) -> Dependencies:
         return Dependencies(
             own_address=self.settings.listen.peers,
@@ -269,6 +285,7 @@
 
     def record(self, sample: Sample) -> None:
         """Take what a finished attempt tells about its server."""
+        self.metrics.record(sample)
         self.service_levels.record(sample, self.distribution.table.objectives)
 
     def take_control(self, sender: Address, frame: ControlFrame) -> None:
--- /dev/null
+++ b/src/briarslip/process/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of configuration versions, from the store and among peers."""
--- a/src/briarslip/process/bootstrap.py
+++ b/src/briarslip/process/distribution/bootstrap.py
@@ -8,7 +8,7 @@
 from result import Err
 from twisted.internet.defer import Deferred
 
-from briarslip.process.version_store import read_head
+from briarslip.process.distribution.version_store import read_head
 from briarslip.version.minimum_version import minimum_version
 
 
@@ -19,7 +19,7 @@
 
     from briarslip.address import Address
     from briarslip.process.clock import Clock
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import StoreClient
     from briarslip.version.configuration_codec import VersionReply
 
 
--- a/src/briarslip/process/change_status.py
+++ b/src/briarslip/process/distribution/change_status.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import StoreClient
     from briarslip.version.acceptance import Acceptance
 
 
--- a/src/briarslip/process/change_writer.py
+++ b/src/briarslip/process/distribution/change_writer.py
@@ -10,9 +10,9 @@
 from result import Ok
 from result import Result
 
-from briarslip.process.change_status import CHANGE_STATUS_PREFIX
-from briarslip.process.change_status import is_accepted
-from briarslip.process.settled_swap import settled_swap
+from briarslip.process.distribution.change_status import CHANGE_STATUS_PREFIX
+from briarslip.process.distribution.change_status import is_accepted
+from briarslip.process.distribution.settled_swap import settled_swap
 from briarslip.version.stored_record import MAX_HISTORY
 from briarslip.version.stored_record import Change
 from briarslip.version.stored_record import StoredRecord
@@ -25,9 +25,9 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from briarslip.process.store import KeyValue
-    from briarslip.process.store import StoreClient
-    from briarslip.process.store import StoreError
+    from briarslip.process.store.client import KeyValue
+    from briarslip.process.store.client import StoreClient
+    from briarslip.process.store.client import StoreError
     from briarslip.version.record import RecordKey
 
 
--- a/src/briarslip/process/publisher.py
+++ b/src/briarslip/process/distribution/publisher.py
@@ -9,16 +9,16 @@
 from result import Ok
 from result import Result
 
+from briarslip.process.distribution.version_store import WHOLE_INTERVAL_VERSIONS
+from briarslip.process.distribution.version_store import delete_old_versions
+from briarslip.process.distribution.version_store import move_head
+from briarslip.process.distribution.version_store import read_entry
+from briarslip.process.distribution.version_store import read_head
+from briarslip.process.distribution.version_store import read_version
+from briarslip.process.distribution.version_store import write_version
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.process.store import StoreError
-from briarslip.process.version_store import WHOLE_INTERVAL_VERSIONS
-from briarslip.process.version_store import delete_old_versions
-from briarslip.process.version_store import move_head
-from briarslip.process.version_store import read_entry
-from briarslip.process.version_store import read_head
-from briarslip.process.version_store import read_version
-from briarslip.process.version_store import write_version
+from briarslip.process.store.client import StoreError
 from briarslip.version.acceptance import accept
 from briarslip.version.record import RECORDS_PREFIX
 from briarslip.version.record import parse_key
@@ -28,11 +28,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from briarslip.process.change_status import ChangeStatuses
-    from briarslip.process.store import KeyValue
-    from briarslip.process.store import RangeReply
-    from briarslip.process.store import StoreClient
-    from briarslip.process.version_store import Head
+    from briarslip.process.distribution.change_status import ChangeStatuses
+    from briarslip.process.distribution.version_store import Head
+    from briarslip.process.store.client import KeyValue
+    from briarslip.process.store.client import RangeReply
+    from briarslip.process.store.client import StoreClient
     from briarslip.version.acceptance import Acceptance
     from briarslip.version.record import RecordKey
     from briarslip.version.snapshot import Snapshot
--- a/src/briarslip/process/relay.py
+++ b/src/briarslip/process/distribution/relay.py
@@ -9,17 +9,17 @@
 from result import Ok
 from twisted.internet.defer import Deferred
 
-from briarslip.process.change_status import ChangeStatuses
-from briarslip.process.change_writer import MARKER_KEY
+from briarslip.process.distribution.change_status import ChangeStatuses
+from briarslip.process.distribution.change_writer import MARKER_KEY
+from briarslip.process.distribution.publisher import HeadBehind
+from briarslip.process.distribution.publisher import publish
+from briarslip.process.distribution.version_store import HEAD_KEY
+from briarslip.process.distribution.version_store import parse_head
+from briarslip.process.distribution.version_store import read_version
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.job import Job
-from briarslip.process.publisher import HeadBehind
-from briarslip.process.publisher import publish
-from briarslip.process.store_watch import StoreWatch
-from briarslip.process.version_store import HEAD_KEY
-from briarslip.process.version_store import parse_head
-from briarslip.process.version_store import read_version
+from briarslip.process.store.watch import StoreWatch
 from briarslip.version.record import RECORDS_PREFIX
 from briarslip.version.record import parse_key
 
@@ -31,12 +31,12 @@
     from result import Result
 
     from briarslip.process.clock import Clock
-    from briarslip.process.publisher import PublishError
-    from briarslip.process.store import KeyValue
-    from briarslip.process.store import StoreClient
-    from briarslip.process.store import StoreError
-    from briarslip.process.store import WatchEvent
-    from briarslip.process.version_store import Head
+    from briarslip.process.distribution.publisher import PublishError
+    from briarslip.process.distribution.version_store import Head
+    from briarslip.process.store.client import KeyValue
+    from briarslip.process.store.client import StoreClient
+    from briarslip.process.store.client import StoreError
+    from briarslip.process.store.client import WatchEvent
     from briarslip.version.record import RecordKey
     from briarslip.version.snapshot import Snapshot
 
--- a/src/briarslip/process/settled_swap.py
+++ b/src/briarslip/process/distribution/settled_swap.py
@@ -8,12 +8,12 @@
 from result import Ok
 from result import Result
 
-from briarslip.process.store import SwapReply
+from briarslip.process.store.client import SwapReply
 
 
 if TYPE_CHECKING:
-    from briarslip.process.store import StoreClient
-    from briarslip.process.store import StoreError
+    from briarslip.process.store.client import StoreClient
+    from briarslip.process.store.client import StoreError
 
 
 ATTEMPTS = 5
--- a/src/briarslip/process/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -11,8 +11,8 @@
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.job import Job
-from briarslip.process.store import KeyValue
-from briarslip.process.store_watch import StoreWatch
+from briarslip.process.store.client import KeyValue
+from briarslip.process.store.watch import StoreWatch
 
 
 if TYPE_CHECKING:
@@ -23,8 +23,8 @@
     from result import Result
 
     from briarslip.finding import Finding
-    from briarslip.process.store import StoreClient
-    from briarslip.process.store import WatchEvent
+    from briarslip.process.store.client import StoreClient
+    from briarslip.process.store.client import WatchEvent
     from briarslip.version.snapshot import Snapshot
 
     ReadItems = Callable[
--- a/src/briarslip/process/distribution_task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -9,10 +9,10 @@
 
 from briarslip.connection.frame import Topic
 from briarslip.finding import report
-from briarslip.process.bootstrap import Bootstrap
+from briarslip.process.distribution.bootstrap import Bootstrap
+from briarslip.process.distribution.relay import Relay
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.process.relay import Relay
 from briarslip.version.configuration_codec import Busy
 from briarslip.version.configuration_codec import Deltas
 from briarslip.version.configuration_codec import Offer
@@ -51,10 +51,10 @@
     from briarslip.address import Address
     from briarslip.finding import Finding
     from briarslip.process.clock import Clock
-    from briarslip.process.configuration_source import ConfigurationSource
-    from briarslip.process.configuration_source import SourceFactory
-    from briarslip.process.member import Member
-    from briarslip.process.store import StoreClient
+    from briarslip.process.distribution.source import ConfigurationSource
+    from briarslip.process.distribution.source import SourceFactory
+    from briarslip.process.membership.member import Member
+    from briarslip.process.store.client import StoreClient
     from briarslip.version.configuration_codec import ConfigurationMessage
     from briarslip.version.routing_table import RoutingTable
     from briarslip.version.snapshot import Snapshot
--- a/src/briarslip/process/version_store.py
+++ b/src/briarslip/process/distribution/version_store.py
@@ -17,8 +17,8 @@
 from result import Result
 
 from briarslip.malformed import MALFORMED_ERRORS
-from briarslip.process.settled_swap import settled_swap
-from briarslip.process.store import StoreError
+from briarslip.process.distribution.settled_swap import settled_swap
+from briarslip.process.store.client import StoreError
 from briarslip.version.configuration_codec import Whole
 from briarslip.version.configuration_codec import compress
 from briarslip.version.configuration_codec import decompress
@@ -30,8 +30,8 @@
 
 
 if TYPE_CHECKING:
-    from briarslip.process.store import KeyValue
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import KeyValue
+    from briarslip.process.store.client import StoreClient
     from briarslip.version.snapshot import Snapshot
 
 
--- a/src/briarslip/process/edges.py
+++ b/src/briarslip/process/edges.py
@@ -9,7 +9,7 @@
 from briarslip.connection.dialect import Dialect
 from briarslip.connection.local_http import JsonReply
 from briarslip.process.announcements import parse_announcement
-from briarslip.process.etcd_gateway import EtcdGatewayClient
+from briarslip.process.store.etcd_gateway import EtcdGatewayClient
 from briarslip.version.rollout_document import OWN_WORDS
 from briarslip.version.rollout_document import RolloutWords
 
@@ -20,9 +20,9 @@
     from typing import Any
 
     from briarslip.process.announcements import Announcement
-    from briarslip.process.configuration_source import SourceFactory
+    from briarslip.process.distribution.source import SourceFactory
     from briarslip.process.settings import Settings
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import StoreClient
 
     Endpoints = Mapping[tuple[str, str], Callable[..., JsonReply]]
 
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -4,6 +4,7 @@
 
 import json
 import time
+from collections import Counter
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Any
@@ -15,7 +16,6 @@
 
 
 if TYPE_CHECKING:
-    from collections import Counter
     from typing import TextIO
 
     from briarslip.process.settings import LogSettings
@@ -90,10 +90,14 @@
 LOGGER = logbook.Logger("briarslip")
 # What bounds the lines of the process, once its log is installed.
 LIMITS: list[EventLimit] = []
+# How often each event occurred, and how often it was left out, by number.
+COUNTS: Counter[int] = Counter()
+LEFT_OUT: Counter[int] = Counter()
 
 
 def emit(event: Event, **fields: Any) -> None:
     """Log an event with its fields, unless there are too many of it just now."""
+    COUNTS[event.number] += 1
     if all(limit.admits(event.number) for limit in LIMITS):
         _write(event, fields)
 
@@ -120,6 +124,7 @@
     handler_from_settings(settings, stream).push_application()
 
     def tell(left_out: Counter[int]) -> None:
+        LEFT_OUT.update(left_out)
         counts = {str(number): count for number, count in left_out.items()}
         fields = {"events": counts, "unread": stream.take_lost()}
         _write(Event.LINES_LEFT_OUT, fields)
@@ -151,4 +156,12 @@
     return text if text.isprintable() and " " not in text else json.dumps(text)
 
 
-__all__ = ["Event", "Level", "emit", "handler_from_settings", "install_log"]
+__all__ = [
+    "COUNTS",
+    "LEFT_OUT",
+    "Event",
+    "Level",
+    "emit",
+    "handler_from_settings",
+    "install_log",
+]
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -22,7 +22,7 @@
     from briarslip.connection.dialect import Dialect
     from briarslip.process.announcements import Announcement
     from briarslip.process.clock import Clock
-    from briarslip.process.member import Endpoint
+    from briarslip.process.membership.member import Endpoint
     from briarslip.request.call import Dispatch
 
 
--- a/src/briarslip/process/membership_codec.py
+++ b/src/briarslip/process/membership/codec.py
@@ -18,22 +18,22 @@
 from result import Result
 
 from briarslip.address import Address
-from briarslip.process.member import Endpoint
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.membership_messages import Datagram
-from briarslip.process.membership_messages import Kind
-from briarslip.process.membership_messages import SyncReply
-from briarslip.process.membership_messages import SyncRequest
-from briarslip.process.membership_messages import Updates
-from briarslip.process.membership_messages import ZoneSummary
+from briarslip.process.membership.member import Endpoint
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.messages import Datagram
+from briarslip.process.membership.messages import Kind
+from briarslip.process.membership.messages import SyncReply
+from briarslip.process.membership.messages import SyncRequest
+from briarslip.process.membership.messages import Updates
+from briarslip.process.membership.messages import ZoneSummary
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
 
-    from briarslip.process.membership_messages import ControlMessage
+    from briarslip.process.membership.messages import ControlMessage
 
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("membership.capnp")))
--- a/src/briarslip/process/contacts.py
+++ b/src/briarslip/process/membership/contacts.py
@@ -10,7 +10,7 @@
 from briarslip.address import Address
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.process.zone_digest import carriers
+from briarslip.process.membership.zone_digest import carriers
 
 
 if TYPE_CHECKING:
@@ -19,10 +19,10 @@
 
     from result import Result
 
-    from briarslip.process.member import Member
-    from briarslip.process.membership import Membership
-    from briarslip.process.store import StoreClient
-    from briarslip.process.store import StoreError
+    from briarslip.process.membership.member import Member
+    from briarslip.process.membership.membership import Membership
+    from briarslip.process.store.client import StoreClient
+    from briarslip.process.store.client import StoreError
 
 
 CONTACTS_PREFIX = "contacts/"
--- a/src/briarslip/process/dissemination.py
+++ b/src/briarslip/process/membership/dissemination.py
@@ -8,12 +8,12 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING
 
-from briarslip.process.member import Status
+from briarslip.process.membership.member import Status
 
 
 if TYPE_CHECKING:
     from briarslip.address import Address
-    from briarslip.process.member import Member
+    from briarslip.process.membership.member import Member
 
 
 MAX_DATAGRAM_BYTES = 1_200
--- a/src/briarslip/process/membership_exchange.py
+++ b/src/briarslip/process/membership/exchange.py
@@ -4,19 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from briarslip.process import membership_sync as sync
-from briarslip.process import zone_digest
-from briarslip.process.dissemination import estimated_bytes
-from briarslip.process.member import Status
-from briarslip.process.membership import hear_version
-from briarslip.process.membership_messages import Send
-from briarslip.process.membership_messages import SendControl
-from briarslip.process.membership_messages import SyncReply
-from briarslip.process.membership_messages import SyncRequest
-from briarslip.process.membership_state import Protocol
-from briarslip.process.membership_state import learn
-from briarslip.process.membership_state import learn_all
-from briarslip.process.membership_state import some_peers
+from briarslip.process.membership import sync
+from briarslip.process.membership import zone_digest
+from briarslip.process.membership.dissemination import estimated_bytes
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.membership import hear_version
+from briarslip.process.membership.messages import Send
+from briarslip.process.membership.messages import SendControl
+from briarslip.process.membership.messages import SyncReply
+from briarslip.process.membership.messages import SyncRequest
+from briarslip.process.membership.state import Protocol
+from briarslip.process.membership.state import learn
+from briarslip.process.membership.state import learn_all
+from briarslip.process.membership.state import some_peers
 
 
 if TYPE_CHECKING:
--- a/src/briarslip/process/failure_detector.py
+++ b/src/briarslip/process/membership/failure_detector.py
@@ -9,17 +9,17 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from briarslip.process.member import Status
-from briarslip.process.membership import is_live
-from briarslip.process.membership_messages import Datagram
-from briarslip.process.membership_messages import Kind
-from briarslip.process.membership_messages import Send
-from briarslip.process.membership_state import Protocol
-from briarslip.process.membership_state import compose
-from briarslip.process.membership_state import learn
-from briarslip.process.membership_state import some_peers
-from briarslip.process.membership_state import take_statement
-from briarslip.process.probing import HELPERS
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.membership import is_live
+from briarslip.process.membership.messages import Datagram
+from briarslip.process.membership.messages import Kind
+from briarslip.process.membership.messages import Send
+from briarslip.process.membership.probing import HELPERS
+from briarslip.process.membership.state import Protocol
+from briarslip.process.membership.state import compose
+from briarslip.process.membership.state import learn
+from briarslip.process.membership.state import some_peers
+from briarslip.process.membership.state import take_statement
 
 
 if TYPE_CHECKING:
--- a/src/briarslip/process/membership.py
+++ b/src/briarslip/process/membership/membership.py
@@ -10,15 +10,15 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
-from briarslip.process.member import Member
-from briarslip.process.member import Status
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from briarslip.address import Address
-    from briarslip.process.member import Endpoint
+    from briarslip.process.membership.member import Endpoint
 
 
 FORGET_SECONDS = 600.0
--- a/src/briarslip/process/membership_messages.py
+++ b/src/briarslip/process/membership/messages.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from briarslip.address import Address
-    from briarslip.process.member import Member
+    from briarslip.process.membership.member import Member
 
 
 class Kind(IntEnum):
--- a/src/briarslip/process/membership_state.py
+++ b/src/briarslip/process/membership/state.py
@@ -7,24 +7,24 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from briarslip.process.dissemination import ByteBudget
-from briarslip.process.dissemination import Outbox
-from briarslip.process.dissemination import is_draining
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.membership import Membership
-from briarslip.process.membership import is_live
-from briarslip.process.membership import is_refutable
-from briarslip.process.membership import raise_incarnation
-from briarslip.process.membership import take
-from briarslip.process.membership_messages import Datagram
-from briarslip.process.membership_messages import Kind
-from briarslip.process.membership_messages import SendDatagram
-from briarslip.process.membership_sync import Bootstrap
-from briarslip.process.probing import Prober
-from briarslip.process.suspicion import LocalHealth
-from briarslip.process.suspicion import Suspicions
-from briarslip.process.zone_digest import ZoneLinks
+from briarslip.process.membership.dissemination import ByteBudget
+from briarslip.process.membership.dissemination import Outbox
+from briarslip.process.membership.dissemination import is_draining
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.membership import Membership
+from briarslip.process.membership.membership import is_live
+from briarslip.process.membership.membership import is_refutable
+from briarslip.process.membership.membership import raise_incarnation
+from briarslip.process.membership.membership import take
+from briarslip.process.membership.messages import Datagram
+from briarslip.process.membership.messages import Kind
+from briarslip.process.membership.messages import SendDatagram
+from briarslip.process.membership.probing import Prober
+from briarslip.process.membership.suspicion import LocalHealth
+from briarslip.process.membership.suspicion import Suspicions
+from briarslip.process.membership.sync import Bootstrap
+from briarslip.process.membership.zone_digest import ZoneLinks
 
 
 if TYPE_CHECKING:
--- a/src/briarslip/process/membership_sync.py
+++ b/src/briarslip/process/membership/sync.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from briarslip.process.membership import checksum
-from briarslip.process.membership import is_newer
-from briarslip.process.membership_messages import SyncReply
-from briarslip.process.membership_messages import SyncRequest
-from briarslip.process.membership_messages import Updates
-from briarslip.process.membership_messages import ZoneSummary
+from briarslip.process.membership.membership import checksum
+from briarslip.process.membership.membership import is_newer
+from briarslip.process.membership.messages import SyncReply
+from briarslip.process.membership.messages import SyncRequest
+from briarslip.process.membership.messages import Updates
+from briarslip.process.membership.messages import ZoneSummary
 
 
 if TYPE_CHECKING:
@@ -22,8 +22,8 @@
     from collections.abc import Iterable
 
     from briarslip.address import Address
-    from briarslip.process.member import Member
-    from briarslip.process.membership import Membership
+    from briarslip.process.membership.member import Member
+    from briarslip.process.membership.membership import Membership
 
 
 FIRST_SYNC_SECONDS = 2.0
--- a/src/briarslip/process/membership_task.py
+++ b/src/briarslip/process/membership/task.py
@@ -12,25 +12,25 @@
 
 from briarslip.address import Address
 from briarslip.connection.frame import Topic
-from briarslip.process import membership_protocol as protocol
-from briarslip.process.contacts import CHECK_SECONDS
-from briarslip.process.contacts import FIRST_CHECK_SECONDS
-from briarslip.process.contacts import check_contacts
-from briarslip.process.contacts import find_contacts
-from briarslip.process.contacts import keeps_contacts
-from briarslip.process.dissemination import MAX_DATAGRAM_BYTES
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.process.member import Status
-from briarslip.process.membership_codec import decode_control
-from briarslip.process.membership_codec import decode_datagram
-from briarslip.process.membership_codec import encode_control
-from briarslip.process.membership_codec import encode_datagram
-from briarslip.process.membership_exchange import compare_with
-from briarslip.process.membership_messages import SendDatagram
-from briarslip.process.membership_messages import SyncReply
-from briarslip.process.membership_messages import SyncRequest
-from briarslip.process.membership_state import Protocol
+from briarslip.process.membership import protocol
+from briarslip.process.membership.codec import decode_control
+from briarslip.process.membership.codec import decode_datagram
+from briarslip.process.membership.codec import encode_control
+from briarslip.process.membership.codec import encode_datagram
+from briarslip.process.membership.contacts import CHECK_SECONDS
+from briarslip.process.membership.contacts import FIRST_CHECK_SECONDS
+from briarslip.process.membership.contacts import check_contacts
+from briarslip.process.membership.contacts import find_contacts
+from briarslip.process.membership.contacts import keeps_contacts
+from briarslip.process.membership.dissemination import MAX_DATAGRAM_BYTES
+from briarslip.process.membership.exchange import compare_with
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.messages import SendDatagram
+from briarslip.process.membership.messages import SyncReply
+from briarslip.process.membership.messages import SyncRequest
+from briarslip.process.membership.state import Protocol
 
 
 if TYPE_CHECKING:
@@ -39,11 +39,11 @@
     from collections.abc import Iterable
 
     from briarslip.process.clock import Clock
-    from briarslip.process.member import Endpoint
-    from briarslip.process.member import Member
-    from briarslip.process.membership_messages import Datagram
-    from briarslip.process.membership_messages import Send
-    from briarslip.process.store import StoreClient
+    from briarslip.process.membership.member import Endpoint
+    from briarslip.process.membership.member import Member
+    from briarslip.process.membership.messages import Datagram
+    from briarslip.process.membership.messages import Send
+    from briarslip.process.store.client import StoreClient
 
 
 TICKS_PER_INTERVAL = 5
--- a/src/briarslip/process/zone_digest.py
+++ b/src/briarslip/process/membership/zone_digest.py
@@ -13,11 +13,11 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
-from briarslip.process.dissemination import estimated_bytes
-from briarslip.process.dissemination import is_draining
-from briarslip.process.membership import is_live
-from briarslip.process.membership_messages import SendControl
-from briarslip.process.membership_messages import Updates
+from briarslip.process.membership.dissemination import estimated_bytes
+from briarslip.process.membership.dissemination import is_draining
+from briarslip.process.membership.membership import is_live
+from briarslip.process.membership.messages import SendControl
+from briarslip.process.membership.messages import Updates
 
 
 if TYPE_CHECKING:
@@ -25,8 +25,8 @@
     from collections.abc import Iterable
 
     from briarslip.address import Address
-    from briarslip.process.member import Member
-    from briarslip.process.membership import Membership
+    from briarslip.process.membership.member import Member
+    from briarslip.process.membership.membership import Membership
 
 
 CARRIERS_PER_ZONE = 2
--- /dev/null
+++ b/src/briarslip/process/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts: their state at one daemon, evidence, decisions and reports."""
--- a/src/briarslip/process/rollout_deadlines.py
+++ b/src/briarslip/process/rollouts/deadlines.py
@@ -21,7 +21,7 @@
     import random
 
     from briarslip.process.clock import Clock
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import StoreClient
     from briarslip.version.record import Rollout
 
 
--- a/src/briarslip/process/evidence_collector.py
+++ b/src/briarslip/process/rollouts/evidence_collector.py
@@ -17,7 +17,7 @@
     from collections.abc import Iterable
 
     from briarslip.process.clock import Clock
-    from briarslip.process.member import Endpoint
+    from briarslip.process.membership.member import Endpoint
     from briarslip.request.call import Call
     from briarslip.request.call import Dispatch
     from briarslip.request.call import Load
--- a/src/briarslip/process/rollout_peers.py
+++ b/src/briarslip/process/rollouts/peers.py
@@ -11,7 +11,7 @@
     from collections.abc import Callable
 
     from briarslip.address import Address
-    from briarslip.process.member import Member
+    from briarslip.process.membership.member import Member
 
 
 ANALYZERS_PER_ZONE = 2
--- a/src/briarslip/process/rollout_report.py
+++ b/src/briarslip/process/rollouts/report.py
@@ -30,9 +30,9 @@
 
     from result import Result
 
-    from briarslip.process.rollout_task import RolloutTask
-    from briarslip.process.store import StoreClient
-    from briarslip.process.store import StoreError
+    from briarslip.process.rollouts.task import RolloutTask
+    from briarslip.process.store.client import StoreClient
+    from briarslip.process.store.client import StoreError
     from briarslip.version.rollout import RolloutStatus
     from briarslip.version.rollout_document import Document
     from briarslip.version.rollout_document import RolloutWords
--- a/src/briarslip/process/rollout_state.py
+++ b/src/briarslip/process/rollouts/state.py
@@ -25,7 +25,7 @@
 
     from briarslip.address import Address
     from briarslip.process.clock import Clock
-    from briarslip.process.member import Member
+    from briarslip.process.membership.member import Member
     from briarslip.version.record import Rollout
     from briarslip.version.rollout import Servers
     from briarslip.version.rollout import TrafficPlan
--- a/src/briarslip/process/rollout_task.py
+++ b/src/briarslip/process/rollouts/task.py
@@ -10,15 +10,15 @@
 from briarslip.connection.frame import Topic
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.process.evidence_collector import EvidenceCollector
-from briarslip.process.rollout_analysis import RolloutAnalysis
-from briarslip.process.rollout_peers import RolloutPeers
-from briarslip.process.rollout_spread import DIGEST_PEERS
-from briarslip.process.rollout_spread import lacks
-from briarslip.process.rollout_spread import merge_state
-from briarslip.process.rollout_spread import news
-from briarslip.process.rollout_spread import whole_state
-from briarslip.process.rollout_state import RolloutBoard
+from briarslip.process.rollouts.analysis import RolloutAnalysis
+from briarslip.process.rollouts.evidence_collector import EvidenceCollector
+from briarslip.process.rollouts.peers import RolloutPeers
+from briarslip.process.rollouts.spread import DIGEST_PEERS
+from briarslip.process.rollouts.spread import lacks
+from briarslip.process.rollouts.spread import merge_state
+from briarslip.process.rollouts.spread import news
+from briarslip.process.rollouts.spread import whole_state
+from briarslip.process.rollouts.state import RolloutBoard
 from briarslip.version.decision import Decision
 from briarslip.version.evidence import SLICE_SECONDS
 from briarslip.version.evidence import time_slice_of
@@ -37,7 +37,7 @@
 
     from briarslip.address import Address
     from briarslip.process.clock import Clock
-    from briarslip.process.member import Member
+    from briarslip.process.membership.member import Member
     from briarslip.version.evidence import Report
     from briarslip.version.evidence_codec import EvidenceMessage
     from briarslip.version.record import Rollout
--- a/src/briarslip/process/settings.py
+++ b/src/briarslip/process/settings.py
@@ -17,7 +17,7 @@
 from briarslip.finding import Finding
 from briarslip.ini import IniSection
 from briarslip.ini import parse_ini
-from briarslip.process.contacts import CHECK_SECONDS
+from briarslip.process.membership.contacts import CHECK_SECONDS
 
 
 if TYPE_CHECKING:
--- a/src/briarslip/process/etcd_gateway.py
+++ b/src/briarslip/process/store/etcd_gateway.py
@@ -16,27 +16,27 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
 from briarslip.address import Address
-from briarslip.process.etcd_messages import encode
-from briarslip.process.etcd_messages import prefix_range
-from briarslip.process.etcd_messages import range_reply
-from briarslip.process.etcd_messages import swap_reply
-from briarslip.process.etcd_messages import time_left
-from briarslip.process.etcd_watch import GatewayWatch
-from briarslip.process.store import KeyValue
-from briarslip.process.store import RangeReply
-from briarslip.process.store import StoreError
-from briarslip.process.store import SwapReply
-from briarslip.process.store import WatchClosed
-from briarslip.process.store import WatchEvent
-from briarslip.process.store_http import StoreHttp
+from briarslip.process.store.client import KeyValue
+from briarslip.process.store.client import RangeReply
+from briarslip.process.store.client import StoreError
+from briarslip.process.store.client import SwapReply
+from briarslip.process.store.client import WatchClosed
+from briarslip.process.store.client import WatchEvent
+from briarslip.process.store.etcd_messages import encode
+from briarslip.process.store.etcd_messages import prefix_range
+from briarslip.process.store.etcd_messages import range_reply
+from briarslip.process.store.etcd_messages import swap_reply
+from briarslip.process.store.etcd_messages import time_left
+from briarslip.process.store.etcd_watch import GatewayWatch
+from briarslip.process.store.http import StoreHttp
 from briarslip.request.outcome import Outcome
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briarslip.process.store import Watch
-    from briarslip.process.store_http import Answer
+    from briarslip.process.store.client import Watch
+    from briarslip.process.store.http import Answer
 
 
 T = TypeVar("T")
--- a/src/briarslip/process/etcd_messages.py
+++ b/src/briarslip/process/store/etcd_messages.py
@@ -6,10 +6,10 @@
 from datetime import timedelta
 from typing import Any
 
-from briarslip.process.store import KeyValue
-from briarslip.process.store import RangeReply
-from briarslip.process.store import SwapReply
-from briarslip.process.store import WatchEvent
+from briarslip.process.store.client import KeyValue
+from briarslip.process.store.client import RangeReply
+from briarslip.process.store.client import SwapReply
+from briarslip.process.store.client import WatchEvent
 
 
 def encode(raw: bytes) -> str:
--- a/src/briarslip/process/etcd_watch.py
+++ b/src/briarslip/process/store/etcd_watch.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from briarslip.process.etcd_messages import watch_event
-from briarslip.process.store import WatchClosed
+from briarslip.process.store.client import WatchClosed
+from briarslip.process.store.etcd_messages import watch_event
 
 
 if TYPE_CHECKING:
@@ -17,7 +17,7 @@
 
     from twisted.internet.base import DelayedCall
 
-    from briarslip.process.store import WatchEvent
+    from briarslip.process.store.client import WatchEvent
     from briarslip.request.call import Load
     from briarslip.request.call import ResponseHead
     from briarslip.request.outcome import Failure
--- a/src/briarslip/process/store_watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -12,10 +12,10 @@
     import random
     from collections.abc import Callable
 
-    from briarslip.process.store import StoreClient
-    from briarslip.process.store import Watch
-    from briarslip.process.store import WatchClosed
-    from briarslip.process.store import WatchEvent
+    from briarslip.process.store.client import StoreClient
+    from briarslip.process.store.client import Watch
+    from briarslip.process.store.client import WatchClosed
+    from briarslip.process.store.client import WatchEvent
 
 
 BACKOFF_BASE_SECONDS = 0.25
--- a/src/briarslip/request/dependencies.py
+++ b/src/briarslip/request/dependencies.py
@@ -11,7 +11,7 @@
     from collections.abc import Iterable
 
     from briarslip.address import Address
-    from briarslip.process.member import Member
+    from briarslip.process.membership.member import Member
     from briarslip.request.call import Call
     from briarslip.request.call import Dispatch
     from briarslip.request.call import ResponseSink
--- a/src/briarslip/request/directory.py
+++ b/src/briarslip/request/directory.py
@@ -13,7 +13,7 @@
     from collections.abc import Iterable
 
     from briarslip.address import Address
-    from briarslip.process.member import Member
+    from briarslip.process.membership.member import Member
 
 
 REFRESH_SECONDS = 0.5
--- a/standins/local_platform.py
+++ b/standins/local_platform.py
@@ -12,14 +12,14 @@
 from result import Result
 from twisted.internet.defer import Deferred
 
-from briarslip.process.etcd_gateway import DEFAULT_TIMEOUT
-from briarslip.process.etcd_messages import prefix_range
-from briarslip.process.store import KeyValue
-from briarslip.process.store import RangeReply
-from briarslip.process.store import StoreError
-from briarslip.process.store import SwapReply
-from briarslip.process.store import WatchClosed
-from briarslip.process.store import WatchEvent
+from briarslip.process.store.client import KeyValue
+from briarslip.process.store.client import RangeReply
+from briarslip.process.store.client import StoreError
+from briarslip.process.store.client import SwapReply
+from briarslip.process.store.client import WatchClosed
+from briarslip.process.store.client import WatchEvent
+from briarslip.process.store.etcd_gateway import DEFAULT_TIMEOUT
+from briarslip.process.store.etcd_messages import prefix_range
 from standins.platform_store import WRITE_KINDS
 from standins.platform_store import LeaseNotFoundError
 
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from briarslip.process.store import Watch
+    from briarslip.process.store.client import Watch
     from standins.platform_store import PlatformStandIn
     from standins.platform_store import StandInWatch
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,8 +16,8 @@
 from twisted.web.server import NOT_DONE_YET
 from twisted.web.server import Site
 
-from briarslip.process.etcd_messages import decode
-from briarslip.process.etcd_messages import encode
+from briarslip.process.store.etcd_messages import decode
+from briarslip.process.store.etcd_messages import encode
 from standins.platform_store import OUTAGE_STATUS
 from standins.platform_store import LeaseNotFoundError
 from standins.platform_store import PlatformStandIn
@@ -28,8 +28,8 @@
 if TYPE_CHECKING:
     from twisted.internet.base import DelayedCall
 
-    from briarslip.process.store import KeyValue
-    from briarslip.process.store import WatchEvent
+    from briarslip.process.store.client import KeyValue
+    from briarslip.process.store.client import WatchEvent
 
 
 PROGRESS_INTERVAL = timedelta(seconds=1)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from briarslip.process.store import KeyValue
-from briarslip.process.store import SwapReply
-from briarslip.process.store import WatchEvent
+from briarslip.process.store.client import KeyValue
+from briarslip.process.store.client import SwapReply
+from briarslip.process.store.client import WatchEvent
 
 
 if TYPE_CHECKING:
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -11,11 +11,11 @@
 from twisted.internet.task import Clock as TwistedClock
 
 from briarslip.address import Address
-from briarslip.process.member import Endpoint
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.rollout_report import RolloutReporter
-from briarslip.process.rollout_task import RolloutTask
+from briarslip.process.membership.member import Endpoint
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.rollouts.report import RolloutReporter
+from briarslip.process.rollouts.task import RolloutTask
 from briarslip.version.record import Rollout
 from briarslip.version.record import Route
 from briarslip.version.rollout_document import ROLLOUT_STATUS_PREFIX
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from briarslip.process.store import KeyValue
+from briarslip.process.store.client import KeyValue
 
 
 def configuration(**changes: Any) -> dict[str, Any]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -21,8 +21,8 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from briarslip.process.store import WatchClosed
-    from briarslip.process.store import WatchEvent
+    from briarslip.process.store.client import WatchClosed
+    from briarslip.process.store.client import WatchEvent
 
 
 TIMEOUT = timedelta(seconds=0.4)
--- a/tests/process/test_claims.py
+++ b/tests/process/claims/test_claims.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from briarslip.process.claim_lease import LEASE_SECONDS
+from briarslip.process.claims.lease import LEASE_SECONDS
 from briarslip.request.claim import MAX_ANSWER_BYTES
 from briarslip.request.claim import Claim
 from briarslip.request.claim import ClaimRequest
--- a/tests/process/test_change_writer.py
+++ b/tests/process/distribution/test_change_writer.py
@@ -12,13 +12,13 @@
 from result import Err
 from twisted.internet.defer import Deferred
 
-from briarslip.process.change_status import ChangeStatuses
-from briarslip.process.change_writer import LostRace
-from briarslip.process.change_writer import RecordWrite
-from briarslip.process.change_writer import WriteFailed
-from briarslip.process.change_writer import write_change
-from briarslip.process.publisher import publish
-from briarslip.process.store import StoreError
+from briarslip.process.distribution.change_status import ChangeStatuses
+from briarslip.process.distribution.change_writer import LostRace
+from briarslip.process.distribution.change_writer import RecordWrite
+from briarslip.process.distribution.change_writer import WriteFailed
+from briarslip.process.distribution.change_writer import write_change
+from briarslip.process.distribution.publisher import publish
+from briarslip.process.store.client import StoreError
 from briarslip.version.snapshot import EMPTY_SNAPSHOT
 from standins.virtual_platform import HookedClient
 from standins.virtual_platform import VirtualPlatform
--- a/tests/process/test_configuration_mesh.py
+++ b/tests/process/distribution/test_mesh.py
@@ -12,8 +12,8 @@
 from typing import Any
 from uuid import uuid4
 
-from briarslip.process.change_writer import write_change
-from briarslip.process.etcd_gateway import EtcdGatewayClient
+from briarslip.process.distribution.change_writer import write_change
+from briarslip.process.store.etcd_gateway import EtcdGatewayClient
 from standins.mesh import Mesh
 from standins.mesh import get_json
 from standins.mesh import put_json
--- a/tests/process/test_publisher.py
+++ b/tests/process/distribution/test_publisher.py
@@ -11,16 +11,16 @@
 
 from result import Err
 
-from briarslip.process import publisher
-from briarslip.process.change_status import ChangeStatuses
-from briarslip.process.publisher import HeadBehind
-from briarslip.process.publisher import LostHead
-from briarslip.process.publisher import publish
-from briarslip.process.store import StoreError
-from briarslip.process.version_store import HEAD_KEY
-from briarslip.process.version_store import VERSIONS_PREFIX
-from briarslip.process.version_store import read_head
-from briarslip.process.version_store import read_version
+from briarslip.process.distribution import publisher
+from briarslip.process.distribution.change_status import ChangeStatuses
+from briarslip.process.distribution.publisher import HeadBehind
+from briarslip.process.distribution.publisher import LostHead
+from briarslip.process.distribution.publisher import publish
+from briarslip.process.distribution.version_store import HEAD_KEY
+from briarslip.process.distribution.version_store import VERSIONS_PREFIX
+from briarslip.process.distribution.version_store import read_head
+from briarslip.process.distribution.version_store import read_version
+from briarslip.process.store.client import StoreError
 from briarslip.version.snapshot import EMPTY_SNAPSHOT
 from standins.virtual_platform import HookedClient
 from standins.virtual_platform import VirtualPlatform
@@ -35,8 +35,8 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from briarslip.process.publisher import PublishError
-    from briarslip.process.store import KeyValue
+    from briarslip.process.distribution.publisher import PublishError
+    from briarslip.process.store.client import KeyValue
     from briarslip.version.snapshot import Snapshot
 
 
--- a/tests/process/test_relay.py
+++ b/tests/process/distribution/test_relay.py
@@ -6,7 +6,7 @@
 import unittest
 
 from bench.fleet_clock import FleetClock
-from briarslip.process.relay import Relay
+from briarslip.process.distribution.relay import Relay
 from briarslip.version.snapshot import EMPTY_SNAPSHOT
 from standins.virtual_platform import VirtualPlatform
 
--- a/tests/process/test_stored_configuration.py
+++ b/tests/process/distribution/test_stored_configuration.py
@@ -10,7 +10,7 @@
 from result import Ok
 
 from briarslip.finding import Finding
-from briarslip.process.stored_configuration import StoredConfiguration
+from briarslip.process.distribution.stored_configuration import StoredConfiguration
 from briarslip.version.snapshot import Snapshot
 from standins.virtual_platform import VirtualPlatform
 
@@ -20,7 +20,7 @@
 
     from result import Result
 
-    from briarslip.process.store import KeyValue
+    from briarslip.process.store.client import KeyValue
 
 
 KEY = "given/config"
--- a/tests/process/test_distribution_task.py
+++ b/tests/process/distribution/test_task.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.connection.frame import Topic
-from briarslip.process.membership import HeardVersion
+from briarslip.process.membership.membership import HeardVersion
 from briarslip.version.configuration_codec import Offer
 from briarslip.version.configuration_codec import Whole
 from briarslip.version.configuration_codec import compress
--- a/tests/process/test_membership_codec.py
+++ b/tests/process/membership/test_codec.py
@@ -8,19 +8,19 @@
 from result import Err
 
 from briarslip.address import Address
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.membership_codec import decode_control
-from briarslip.process.membership_codec import decode_datagram
-from briarslip.process.membership_codec import encode_control
-from briarslip.process.membership_codec import encode_datagram
-from briarslip.process.membership_messages import ControlMessage
-from briarslip.process.membership_messages import Datagram
-from briarslip.process.membership_messages import Kind
-from briarslip.process.membership_messages import SyncReply
-from briarslip.process.membership_messages import SyncRequest
-from briarslip.process.membership_messages import Updates
-from briarslip.process.membership_messages import ZoneSummary
+from briarslip.process.membership.codec import decode_control
+from briarslip.process.membership.codec import decode_datagram
+from briarslip.process.membership.codec import encode_control
+from briarslip.process.membership.codec import encode_datagram
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.messages import ControlMessage
+from briarslip.process.membership.messages import Datagram
+from briarslip.process.membership.messages import Kind
+from briarslip.process.membership.messages import SyncReply
+from briarslip.process.membership.messages import SyncRequest
+from briarslip.process.membership.messages import Updates
+from briarslip.process.membership.messages import ZoneSummary
 from tests.support.members import endpoint
 
 
--- a/tests/process/test_dissemination.py
+++ b/tests/process/membership/test_dissemination.py
@@ -6,12 +6,12 @@
 from dataclasses import replace
 
 from briarslip.address import Address
-from briarslip.process.dissemination import MAX_QUEUED
-from briarslip.process.dissemination import ByteBudget
-from briarslip.process.dissemination import Outbox
-from briarslip.process.dissemination import max_passes
-from briarslip.process.member import Member
-from briarslip.process.member import Status
+from briarslip.process.membership.dissemination import MAX_QUEUED
+from briarslip.process.membership.dissemination import ByteBudget
+from briarslip.process.membership.dissemination import Outbox
+from briarslip.process.membership.dissemination import max_passes
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
 
 
 def member(number: int, status: Status = Status.ALIVE) -> Member:
--- a/tests/process/test_failure_detector.py
+++ b/tests/process/membership/test_failure_detector.py
@@ -8,23 +8,23 @@
 from typing import TYPE_CHECKING
 
 from briarslip.address import Address
-from briarslip.process import membership_protocol as protocol
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.membership import take
-from briarslip.process.membership_messages import Datagram
-from briarslip.process.membership_messages import Kind
-from briarslip.process.membership_messages import SendControl
-from briarslip.process.membership_messages import SendDatagram
-from briarslip.process.membership_messages import Updates
-from briarslip.process.membership_state import Protocol
+from briarslip.process.membership import protocol
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.membership import take
+from briarslip.process.membership.messages import Datagram
+from briarslip.process.membership.messages import Kind
+from briarslip.process.membership.messages import SendControl
+from briarslip.process.membership.messages import SendDatagram
+from briarslip.process.membership.messages import Updates
+from briarslip.process.membership.state import Protocol
 from tests.support.members import endpoint
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from briarslip.process.membership_messages import Send
+    from briarslip.process.membership.messages import Send
 
 
 PEERS = 8
--- a/tests/process/test_membership.py
+++ b/tests/process/membership/test_membership.py
@@ -6,15 +6,15 @@
 from dataclasses import replace
 
 from briarslip.address import Address
-from briarslip.process.member import Member
-from briarslip.process.member import Status
-from briarslip.process.membership import FORGET_SECONDS
-from briarslip.process.membership import FORGET_ZONE_SECONDS
-from briarslip.process.membership import KEEP_VERSION_SECONDS
-from briarslip.process.membership import Membership
-from briarslip.process.membership import checksum
-from briarslip.process.membership import forget
-from briarslip.process.membership import take
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
+from briarslip.process.membership.membership import FORGET_SECONDS
+from briarslip.process.membership.membership import FORGET_ZONE_SECONDS
+from briarslip.process.membership.membership import KEEP_VERSION_SECONDS
+from briarslip.process.membership.membership import Membership
+from briarslip.process.membership.membership import checksum
+from briarslip.process.membership.membership import forget
+from briarslip.process.membership.membership import take
 from tests.support.members import endpoint
 
 
--- a/tests/process/test_membership_task.py
+++ b/tests/process/membership/test_task.py
@@ -6,8 +6,8 @@
 from datetime import timedelta
 from unittest import mock
 
-from briarslip.process import membership_protocol as protocol
-from briarslip.process.member import Status
+from briarslip.process.membership import protocol
+from briarslip.process.membership.member import Status
 from tests.support.members import ENDED
 from tests.support.members import FleetTestCase
 from tests.support.members import endpoint
--- a/tests/process/test_rollout_deadlines.py
+++ b/tests/process/rollouts/test_deadlines.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 from typing import Any
 
-from briarslip.process.rollout_deadlines import RolloutDeadlines
+from briarslip.process.rollouts.deadlines import RolloutDeadlines
 from briarslip.version.record import NOT_AGREED
 from briarslip.version.record import Rollout
 from standins.virtual_platform import VirtualPlatform
--- a/tests/process/test_etcd_gateway.py
+++ b/tests/process/store/test_etcd_gateway.py
@@ -18,11 +18,11 @@
 from twisted.internet.task import deferLater
 from twisted.web import client as web_client
 
-from briarslip.process.etcd_gateway import EtcdGatewayClient
-from briarslip.process.store import KeyValue
-from briarslip.process.store import StoreError
-from briarslip.process.store import WatchClosed
-from briarslip.process.store import WatchEvent
+from briarslip.process.store.client import KeyValue
+from briarslip.process.store.client import StoreError
+from briarslip.process.store.client import WatchClosed
+from briarslip.process.store.client import WatchEvent
+from briarslip.process.store.etcd_gateway import EtcdGatewayClient
 from standins.local_platform import LocalStoreClient
 from standins.platform import make_site
 from standins.platform_store import PlatformStandIn
@@ -36,7 +36,7 @@
 
     from twisted.python.failure import Failure
 
-    from briarslip.process.store import StoreClient
+    from briarslip.process.store.client import StoreClient
 
 
 TIMEOUT = timedelta(seconds=1)
--- a/tests/process/test_store_http.py
+++ b/tests/process/store/test_http.py
@@ -14,13 +14,13 @@
 
 from briarslip.address import Address
 from briarslip.connection.backend_pool import REUSABLE_IDLE_SECONDS
-from briarslip.process.etcd_watch import GatewayWatch
-from briarslip.process.store_http import StoreHttp
+from briarslip.process.store.etcd_watch import GatewayWatch
+from briarslip.process.store.http import StoreHttp
 from tests.connection.support import FakeTransport
 
 
 if TYPE_CHECKING:
-    from briarslip.process.store import WatchClosed
+    from briarslip.process.store.client import WatchClosed
 
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
--- a/tests/process/test_store_watch.py
+++ b/tests/process/store/test_watch.py
@@ -6,13 +6,13 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from briarslip.process.store_watch import BACKOFF_CAP_SECONDS
-from briarslip.process.store_watch import StoreWatch
+from briarslip.process.store.watch import BACKOFF_CAP_SECONDS
+from briarslip.process.store.watch import StoreWatch
 from standins.virtual_platform import VirtualPlatform
 
 
 if TYPE_CHECKING:
-    from briarslip.process.store import WatchEvent
+    from briarslip.process.store.client import WatchEvent
 
 
 class StoreWatchTest(unittest.TestCase):
--- a/tests/request/support.py
+++ b/tests/request/support.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from briarslip.address import Address
-from briarslip.process.member import Endpoint
-from briarslip.process.member import Member
-from briarslip.process.member import Status
+from briarslip.process.membership.member import Endpoint
+from briarslip.process.membership.member import Member
+from briarslip.process.membership.member import Status
 from briarslip.request.call import Call
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
--- a/tests/support/claims.py
+++ b/tests/support/claims.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from briarslip.process.claims import PlatformClaims
+from briarslip.process.claims.claims import PlatformClaims
 from briarslip.request.claim import ClaimRequest
 from briarslip.request.claim import HeldClaim
 from standins.local_platform import LocalStoreClient
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -8,14 +8,14 @@
 from twisted.internet.defer import Deferred
 
 from bench.fleet import Fleet
-from briarslip.process.change_writer import write_change
+from briarslip.process.distribution.change_writer import write_change
 from standins.local_platform import LocalStoreClient
 from tests.support.records import ids
 
 
 if TYPE_CHECKING:
     from briarslip.address import Address
-    from briarslip.process.change_writer import RecordWrite
+    from briarslip.process.distribution.change_writer import RecordWrite
 
 
 class WatchedFleet:
--- a/tests/support/members.py
+++ b/tests/support/members.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from bench.fleet import Fleet
-from briarslip.process.member import Endpoint
-from briarslip.process.member import Status
+from briarslip.process.membership.member import Endpoint
+from briarslip.process.membership.member import Status
 from tests.support.records import service
 
 
--- a/tests/support/records.py
+++ b/tests/support/records.py
@@ -5,8 +5,8 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from briarslip.process.change_writer import RecordWrite
-from briarslip.process.change_writer import write_change
+from briarslip.process.distribution.change_writer import RecordWrite
+from briarslip.process.distribution.change_writer import write_change
 from briarslip.version.record import Record
 from briarslip.version.record import RecordKey
 from briarslip.version.snapshot import Origin
@@ -19,9 +19,9 @@
 
     from result import Result
 
-    from briarslip.process.change_writer import ChangeError
-    from briarslip.process.change_writer import WrittenChange
-    from briarslip.process.store import StoreClient
+    from briarslip.process.distribution.change_writer import ChangeError
+    from briarslip.process.distribution.change_writer import WrittenChange
+    from briarslip.process.store.client import StoreClient
     from standins.virtual_platform import VirtualPlatform
 
 
--- a/tests/version/test_acceptance.py
+++ b/tests/version/test_acceptance.py
@@ -11,7 +11,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from briarslip.process.change_writer import RecordWrite
+from briarslip.process.distribution.change_writer import RecordWrite
 from briarslip.version.acceptance import Acceptance
 from briarslip.version.acceptance import accept
 from briarslip.version.record import Record
