Changes in quick succession cost each daemon one call a second, not one each

Cause: each answer of a watch was followed at once by the next call, so that every change cost a call of every daemon. Ruled out: pushing by a few watchers alone. A change would then wait for a failure detector when these are cut off from the store. Change: after events a watch rests, 0.25 s at the zone's chosen daemons and 1 s at the others (bound 2 s), which hear of changes by their peers meanwhile; the first change after a quiet time still arrives at once.

--- a/src/briarslip/process/distribution/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -32,12 +32,23 @@
     ]
 
 
+# A change must be in force within 2 s. After one, the chosen daemons of a zone
+# ask again soon and tell the others of what comes next.
+CHOSEN_REST_SECONDS = 0.25
+REST_SECONDS = 1.0
+# Of its rest a daemon may be early, so that not all ask at once.
+REST_SPREAD = 0.25
+
+
 class StoredConfiguration:
     """Watches the operators' keys and reads them into snapshots.
 
     Every daemon watches, whether it is chosen or not: a change is then in
-    force one answer of the store later, whoever fails. ``read`` turns the
-    items under ``prefix`` into a snapshot, None while there is none.
+    force one answer of the store later, whoever fails. Load pattern: changes in
+    quick succession, each of which would cost a call of every daemon; so those
+    that follow another one closely are left to the chosen daemons for a while.
+    ``read`` turns the items under ``prefix`` into a snapshot, None while there
+    is none.
     """
 
     def __init__(
@@ -57,8 +68,9 @@
         self.rank = 0
         self.started = False
         self.items: dict[str, KeyValue] = {}
+        self.rng = rng
         self.watch = StoreWatch(
-            reactor, rng, store, prefix, self._changed, self._resync
+            reactor, rng, store, prefix, self._changed, self._resync, self._rest
         )
         self.reading = Job(reactor, rng, self._read_all)
 
@@ -69,6 +81,11 @@
             self.started = True
             self._resync()
 
+    def _rest(self) -> float:
+        """Return the seconds until the store is asked for further changes."""
+        seconds = CHOSEN_REST_SECONDS if self.active else REST_SECONDS
+        return seconds * self.rng.uniform(1.0 - REST_SPREAD, 1.0)
+
     def _resync(self) -> None:
         """Read everything again, then watch from there on."""
         self.watch.stop()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from datetime import timedelta
 from typing import TYPE_CHECKING
 from typing import Any
 
+from result import Ok
 from twisted.internet.defer import Deferred
 
 from briarslip.address import Address
 from briarslip.platform.store import PlatformStore
+from briarslip.process.distribution.stored_configuration import StoredConfiguration
+from briarslip.version.snapshot import Snapshot
 from standins.users_store import Reply
 from standins.users_store import UsersStore
 from standins.users_store_server import listen
@@ -167,6 +171,32 @@
 
         within(steps)
 
+    def test_changes_in_quick_succession_cost_few_calls(self) -> None:
+        # The pattern: a change each 50 ms for 2 s, heard by every daemon.
+        async def steps(world: World) -> None:
+            versions: list[int] = []
+            source = StoredConfiguration(
+                world.reactor,
+                random.Random(1),
+                world.client,
+                "op/",
+                lambda items: Ok(Snapshot(items["op/a"].mod_revision, {}, {})),
+                lambda snapshot: versions.append(snapshot.version),
+            )
+            world.store.put("op/a", b"0")
+            source.set_active(False)
+            await world.sleep(0.1)
+            for number in range(40):
+                last = world.store.put("op/a", b"%d" % number)
+                await world.sleep(0.05)
+            await world.sleep(1.0)
+            source.watch.stop()
+            self.assertEqual(last, versions[-1])
+            # One before the first change, then one a rest of 0.75 s at least.
+            self.assertLessEqual(world.store.calls["kv-watch"], 6)
+
+        within(steps)
+
     def test_an_answer_without_events_does_not_move_the_watch_on(self) -> None:
         async def steps(world: World) -> None:
             seen = Seen()
--- a/tests/process/distribution/test_stored_configuration.py
+++ b/tests/process/distribution/test_stored_configuration.py
@@ -108,6 +108,29 @@
         self.wait(8)
         self.assertEqual(last, self.versions[-1])
 
+    def test_changes_in_quick_succession_come_together(self) -> None:
+        # The pattern of an operator's script: a change each 0.2 s for 5 s.
+        self.world.store.history_limit = 100
+        self.write(b"0")
+        self.source.set_active(False)
+        self.wait(1)
+        for number in range(25):
+            last = self.write(b"%d" % number)
+            self.wait(0.2)
+        # The first one comes at once, the last one within a second.
+        self.wait(1)
+        self.assertEqual(last, self.versions[-1])
+
+    def test_a_chosen_daemon_asks_soon_again(self) -> None:
+        self.write(b"0")
+        self.source.set_active(True)
+        self.wait(1)
+        self.write(b"1")
+        self.wait(0.1)
+        last = self.write(b"2")
+        self.wait(0.3)
+        self.assertEqual(last, self.versions[-1])
+
 
 if __name__ == "__main__":
     unittest.main()
