Answers tell how fast their server is; ejections are logged

Cause: each of 74 daemons learned the speed of each server from its own calls, three a second to five servers, whose times vary more than the servers' speeds. And a server that was ejected left no line, so that on-call engineers could not tell why a zone's calls went elsewhere. Change: an answer carries the server's mean time for the route as its daemon measured it; a latency beyond four of these still counts by itself, for the way there. Events 410 and 411 tell when a server gets no calls and when it gets some again, and why.

--- a/src/briarslip/connection/frame.py
+++ b/src/briarslip/connection/frame.py
@@ -64,7 +64,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseFrame:
-    """The head of an answer with the first part of its body."""
+    """The head of an answer with the first part of its body.
+
+    ``service_micros`` is the server's mean time for the route in microseconds,
+    0 where it is not known.
+    """
 
     stream: int
     status: int
@@ -74,6 +78,7 @@
     headers: bytes
     body: bytes
     last: bool
+    service_micros: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +205,7 @@
     body.headers = frame.headers
     body.body = frame.body
     body.last = frame.last
+    body.serviceMicros = frame.service_micros
 
 
 def _encode_body(message: Any, frame: BodyFrame) -> None:
@@ -308,6 +314,7 @@
         headers=body.headers,
         body=body.body,
         last=body.last,
+        service_micros=body.serviceMicros,
     )
 
 
--- a/src/briarslip/connection/link_stream.py
+++ b/src/briarslip/connection/link_stream.py
@@ -26,6 +26,9 @@
 
 
 MS_PER_SECOND = 1000
+MICROS_PER_SECOND = 1_000_000
+# About 71 minutes: what the frame's field holds.
+MAX_SERVICE_MICROS = 2**32 - 1
 
 
 class AwaitedStream:
@@ -51,7 +54,8 @@
         self.head_taken = True
         if not frame.last:
             self.call.flow.on_change = self._flow_changed
-        load = Load(frame.in_flight, frame.slots)
+        service_time = frame.service_micros / MICROS_PER_SECOND
+        load = Load(frame.in_flight, frame.slots, service_time)
         self.sink.head(ResponseHead(frame.status, frame.headers, frame.outcome, load))
         self._pass_on(frame.body, frame.last)
         return True
@@ -176,6 +180,7 @@
             headers=head.headers,
             body=data,
             last=last,
+            service_micros=_service_micros(head.load),
         )
 
 
@@ -188,4 +193,8 @@
         self.parts = [frame.body]
 
 
+def _service_micros(load: Load) -> int:
+    return min(int(load.service_time * MICROS_PER_SECOND), MAX_SERVICE_MICROS)
+
+
 __all__ = ["AwaitedStream", "IncomingRequest", "ServedStream"]
--- a/src/briarslip/connection/peer.capnp
+++ b/src/briarslip/connection/peer.capnp
@@ -38,6 +38,7 @@
   headers @5 :Data;
   body @6 :Data;
   last @7 :Bool;              # no body frame follows
+  serviceMicros @8 :UInt32;   # the server's mean for the route; 0: not known
 }
 
 enum Outcome {
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -71,6 +71,8 @@
     CALL_REFUSED = (407, Level.INFO, "call is refused beside its server")
     CALL_TIMED_OUT = (408, Level.WARNING, "server has not answered by the deadline")
     ANSWER_REFUSED = (409, Level.WARNING, "server's answer is not used")
+    SERVER_EJECTED = (410, Level.WARNING, "server gets no calls for a while")
+    SERVER_READMITTED = (411, Level.INFO, "server gets calls again")
     CLAIMS_UNAVAILABLE = (451, Level.WARNING, "claims can't be made")
     CLAIM_LEFT = (452, Level.WARNING, "a claim of a request not run was left standing")
     ROLLOUT_ROLLED_BACK = (501, Level.ERROR, "rollout is rolled back")
--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -85,6 +85,11 @@
         waiting = len(self.urgent) + len(self.bulk)
         return Load(self.in_flight + waiting, self.slots)
 
+    def load_for(self, call: Call) -> Load:
+        """Return the load with the server's mean time for calls of a route."""
+        load = self.load
+        return Load(load.in_flight, load.slots, self.times.mean(call.route))
+
     @property
     def bulk_slots(self) -> int:
         """The slots that bulk calls may hold now.
--- a/src/briarslip/request/admitted_call.py
+++ b/src/briarslip/request/admitted_call.py
@@ -63,11 +63,11 @@
         self.sink.failed(failure, self.admission.load)
 
     def head(self, head: ResponseHead) -> None:
-        """Pass the head on with the occupancy, those that wait included."""
+        """Pass the head on with what is known of the server's load."""
         if self.ended:
             return
         self.not_run = head.outcome is Outcome.NOT_RUN
-        load = self.admission.load
+        load = self.admission.load_for(self.call)
         self.sink.head(ResponseHead(head.status, head.headers, head.outcome, load))
 
     def body(self, data: bytes, last: bool) -> None:
--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.request.ejection import DRAINING_AVOIDED_SECONDS
 from briarslip.request.ejection import take_failure
 from briarslip.request.ejection import take_lost_link
@@ -15,6 +17,7 @@
 from briarslip.request.sample import Sample
 from briarslip.request.server import learn_latency
 from briarslip.request.server import learn_load
+from briarslip.request.server import learn_service_time
 
 
 if TYPE_CHECKING:
@@ -89,7 +92,7 @@
                 self.exchange.retry(failure)
                 return
         elif head.status < FIRST_ERROR_STATUS:
-            self._learn_latency(now)
+            self._learn_service_time(head.load, now)
         self.exchange.head(head)
 
     def body(self, data: bytes, last: bool) -> None:
@@ -148,6 +151,15 @@
         self, outcome: Outcome, reason: Reason | None, failed: bool
     ) -> None:
         now = self.forwarder.clock.monotonic()
+        server = self.server
+        before = server.ejected_until
+        self._learn_outcome(outcome, reason, failed, now)
+        if server.ejected_until != before:
+            self._log_ejection(reason, now)
+
+    def _learn_outcome(
+        self, outcome: Outcome, reason: Reason | None, failed: bool, now: float
+    ) -> None:
         server = self.server
         if reason in LEAVING_REASONS:
             server.avoid_until = now + DRAINING_AVOIDED_SECONDS
@@ -166,12 +178,40 @@
         else:
             take_success(server, now)
 
+    def _log_ejection(self, reason: Reason | None, now: float) -> None:
+        server = self.server
+        event = Event.SERVER_EJECTED
+        if not server.ejected_until:
+            event = Event.SERVER_READMITTED
+        emit(
+            event,
+            request=self.forwarder.dependencies.request_id(self.call.headers),
+            server=str(server.address),
+            service=server.service,
+            version=server.version,
+            reason="" if reason is None else reason.value,
+            status=self.status,
+            failure_share=round(server.failure_share, 2),
+            seconds=round(max(0.0, server.ejected_until - now), 1),
+        )
+
+    def _learn_service_time(self, load: Load, now: float) -> None:
+        learn_service_time(
+            self.server,
+            self.forwarder.latencies,
+            self.call.latency_key,
+            self._latency(now),
+            load.service_time,
+            now,
+        )
+
     def _learn_latency(self, now: float) -> None:
-        key = self.call.latency_key
-        seconds = max(now - self.began, LEAST_MEAN_SECONDS)
         times = self.forwarder.latencies
-        times.take(key, seconds)
-        learn_latency(self.server, seconds / times.mean(key), now)
+        key = self.call.latency_key
+        learn_latency(self.server, times, key, self._latency(now), now)
+
+    def _latency(self, now: float) -> float:
+        return max(now - self.began, LEAST_MEAN_SECONDS)
 
 
 __all__ = ["Attempt"]
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -71,10 +71,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """The occupancy of a backend server as its daemon knows it."""
+    """The occupancy of a backend server as its daemon knows it.
+
+    ``service_time`` is the mean time in seconds that the server takes for calls
+    of the answered one's route, waiting not counted; 0 where it is not known.
+    """
 
     in_flight: int
     slots: int
+    service_time: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarslip/request/server.py
+++ b/src/briarslip/request/server.py
@@ -10,9 +10,14 @@
 if TYPE_CHECKING:
     from briarslip.address import Address
     from briarslip.request.call import Load
+    from briarslip.request.service_time import ServiceTimes
 
 
 SLOWNESS_WEIGHT = 0.2
+# A server's own mean stands for many calls.
+REPORTED_WEIGHT = 0.5
+# Of a latency beyond so many service times the way to the server has a part.
+SLOW_PATH_FACTOR = 4.0
 SLOWNESS_HALF_LIFE_SECONDS = 10.0
 REPORT_SECONDS = 1.0
 NEUTRAL_SLOWNESS = 1.0
@@ -87,10 +92,43 @@
         server.sent_since = 0
 
 
-def learn_latency(server: Server, ratio: float, now: float) -> None:
-    """Take a latency, given as a ratio to the mean of its route."""
+def learn_latency(
+    server: Server, times: ServiceTimes, key: str, seconds: float, now: float
+) -> None:
+    """Take the latency of one call; ``times`` are the means of all servers."""
+    _learn(server, times, key, seconds, SLOWNESS_WEIGHT, now)
+
+
+def learn_service_time(
+    server: Server,
+    times: ServiceTimes,
+    key: str,
+    seconds: float,
+    reported: float,
+    now: float,
+) -> None:
+    """Take the latency of one call and the mean that the server reported.
+
+    Load pattern: many daemons, each with few calls to each server, so that
+    none could learn the servers' speeds from its own calls before they change.
+    """
+    if reported > 0.0 and seconds <= SLOW_PATH_FACTOR * reported:
+        _learn(server, times, key, reported, REPORTED_WEIGHT, now)
+    else:
+        _learn(server, times, key, seconds, SLOWNESS_WEIGHT, now)
+
+
+def _learn(
+    server: Server,
+    times: ServiceTimes,
+    key: str,
+    seconds: float,
+    weight: float,
+    now: float,
+) -> None:
+    times.take(key, seconds)
     known = expected_slowness(server, now)
-    server.slowness = known + (ratio - known) * SLOWNESS_WEIGHT
+    server.slowness = known + (seconds / times.mean(key) - known) * weight
     server.learned_at = now
 
 
@@ -101,5 +139,6 @@
     "expected_wait",
     "learn_latency",
     "learn_load",
+    "learn_service_time",
     "occupancy",
 ]
--- a/tests/request/test_choice.py
+++ b/tests/request/test_choice.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from briarslip.process.events import COUNTS
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
 from briarslip.request.directory import REFRESH_SECONDS
@@ -54,6 +55,29 @@
         return {number: count / len(sent) for number, count in counts.items()}
 
 
+class Speeds:
+    """Answers with times that vary widely around each server's reported mean."""
+
+    def __init__(
+        self, bench: Bench, means: dict[int, float], rng: random.Random
+    ) -> None:
+        self.bench = bench
+        self.means = {address(n): mean for n, mean in means.items()}
+        self.rng = rng
+        bench.react = self.take
+
+    def take(self, sent: Sent) -> None:
+        """Answer after a random time with the mean that the server reports."""
+        mean = self.means[sent.address]
+        seconds = mean * self.rng.lognormvariate(-0.125, 0.5)
+        self.bench.time.call_later(seconds, lambda: self.answer(sent, mean))
+
+    def answer(self, sent: Sent, mean: float) -> None:
+        """Answer in one piece."""
+        sent.sink.head(ResponseHead(200, b"", Outcome.RAN, Load(1, 10, mean)))
+        sent.sink.body(b"", True)
+
+
 class ZoneTest(unittest.TestCase):
     """Calls stay in their zone while that does well enough for callers."""
 
@@ -91,6 +115,21 @@
         servers.shares(3000)
         self.assertGreater(servers.shares(1000)[3], 0.15)
 
+    def test_few_calls_suffice_when_answers_tell_the_servers_speeds(self) -> None:
+        # Sixty daemons with a few calls each: too few to tell noise from speed.
+        means = {0: 0.09, 1: 0.09, 2: 0.144, 3: 0.144, 4: 0.26}
+        sent: list[Sent] = []
+        for seed in range(60):
+            bench = Bench(*map(member, means), seed=seed)
+            Speeds(bench, means, random.Random(seed))
+            for _ in range(25):
+                bench.request("POST")
+                bench.time.advance(0.3)
+            sent.extend(bench.sent[5:])
+        slowest = Counter(s.address for s in sent)[address(4)] / len(sent)
+        even = 1 / len(means)
+        self.assertLessEqual(slowest, even / 8)
+
     def test_occupancy_in_answers_moves_calls_away(self) -> None:
         bench = Bench(*map(member, range(2)))
         full = bench.forwarder.directory
@@ -140,6 +179,19 @@
         servers.shares(100)
         self.assertGreater(servers.shares(1000)[2], 0.15)
 
+    def test_ejection_and_return_are_logged(self) -> None:
+        bench = Bench(*map(member, range(4)))
+        servers = Servers(bench, dict.fromkeys(range(4), 0.01))
+        before = COUNTS.copy()
+        servers.failing = {2}
+        servers.shares(100)
+        self.assertGreater(COUNTS[410], before[410])
+        self.assertEqual(COUNTS[411], before[411])
+        servers.failing = set()
+        bench.time.advance(60.0)
+        servers.shares(100)
+        self.assertEqual(COUNTS[411], before[411] + 1)
+
     def test_server_that_can_not_be_reached_is_left_out_at_once(self) -> None:
         for load in (None, Load(0, 10)):
             bench = Bench(*map(member, range(4)))
