The soak disturbs connections, overlaps its faults and keeps callers' connections open

Relays on loopback stand before each daemon's callers, each backend server and each zone's way to the platform: cut, late, held in one direction, reset, silent for good. Three series of faults run at the same time, SIGHUP in a row among them; callers keep connections open. New check: no connection ends without an answer for no cause. Found in the checks themselves and mended: a caller behind a relay whose daemon is down, and a connection closed before the request was sent, were taken for cut-off requests.

--- a/bench/chaos/invariants.py
+++ b/bench/chaos/invariants.py
@@ -15,14 +15,17 @@
     from collections.abc import Sequence
     from pathlib import Path
 
-    from bench.chaos.faults import Account
+    from bench.chaos.account import Account
     from bench.chaos.observer import Reading
     from bench.chaos.traffic import Sent
+    from bench.chaos.traffic import Try
 
 
 NOT_RUN_OUTCOMES = frozenset(("not-run", NOT_SENT))
 # A caller that was still connected when its daemon was killed is cut off.
 KILL_MARGIN_SECONDS = 0.5
+# Half of what a backend server takes for a request.
+LEAST_RUN_SECONDS = 0.02
 
 
 def runs_by_id(directory: Path) -> Counter[str]:
@@ -92,27 +95,39 @@
     return [reading.daemon for reading in readings if "bad" in reading.routes]
 
 
-def cut_off(sent: Iterable[Sent], account: Account) -> list[str]:
-    """Return the requests that a planned stop cut off."""
-    found = []
-    for request in sent:
-        for attempt in request.tries:
-            if attempt.outcome != CUT_OFF:
-                continue
-            killed = any(
-                daemon == attempt.daemon
-                and attempt.began - KILL_MARGIN_SECONDS <= at <= attempt.ended
-                for daemon, at in account.killed
-            )
-            stopped = any(
-                daemon == attempt.daemon
-                and attempt.began <= until
-                and attempt.ended >= since
-                for daemon, since, until, _ in account.planned_stops
-            )
-            if stopped and not killed:
-                found.append(request.id)
-    return found
+def cut_off(sent: Iterable[Sent], account: Account, *, planned: bool) -> list[str]:
+    """Return the requests whose connection ended without an answer.
+
+    With ``planned`` those that a planned stop cut off, else those without any
+    cause. A connection that has served others may have been closed before the
+    request was sent: it ends sooner then than any server answers.
+    """
+    return [
+        f"{request.id} {request.method} {attempt}"
+        for request in sent
+        for attempt in request.tries
+        if attempt.outcome == CUT_OFF
+        and not (attempt.kept and attempt.ended - attempt.began < LEAST_RUN_SECONDS)
+        and _is_stopped(attempt, account) is planned
+        and not _is_killed(attempt, account)
+        and attempt.port not in account.refused.get(attempt.daemon, ())
+        and not account.is_disturbed(attempt.daemon, attempt.began, attempt.ended)
+    ]
+
+
+def _is_stopped(attempt: Try, account: Account) -> bool:
+    return any(
+        daemon == attempt.daemon and attempt.began <= until and attempt.ended >= since
+        for daemon, since, until, _ in account.planned_stops
+    )
+
+
+def _is_killed(attempt: Try, account: Account) -> bool:
+    return any(
+        daemon == attempt.daemon
+        and attempt.began - KILL_MARGIN_SECONDS <= at <= attempt.ended
+        for daemon, at in account.killed
+    )
 
 
 __all__ = [
--- /dev/null
+++ b/bench/chaos/regressions.py
@@ -0,0 +1,20 @@
+"""Seeds of the soak that once failed, each with its cause."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Regression:
+    """A trial that failed: what was seen, and why."""
+
+    deployment: str
+    seed: int
+    cause: str
+
+
+REGRESSIONS: tuple[Regression, ...] = ()
+
+
+__all__ = ["REGRESSIONS", "Regression"]
--- a/bench/chaos/traffic.py
+++ b/bench/chaos/traffic.py
@@ -13,6 +13,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from bench.chaos.deployment import Deployment
@@ -33,7 +34,9 @@
     """One sending of a request: through which daemon, and what came back.
 
     ``outcome`` is that of the answer, or not-sent when no connection could be
-    made, or cut-off when the connection ended without a whole answer.
+    made, or cut-off when the connection ended without a whole answer. ``kept``
+    tells that the connection had served a request before, so that the daemon
+    may have closed it while this one was on its way. ``port`` is the caller's.
     """
 
     daemon: str
@@ -42,6 +45,8 @@
     outcome: str
     status: int
     whole: bool
+    kept: bool = False
+    port: int = 0
 
 
 @dataclass
@@ -56,16 +61,25 @@
 
 
 class Caller(threading.Thread):
-    """Sends one request after the other until stopped."""
+    """Sends one request after the other until stopped.
+
+    It keeps its connections open until the other end closes them. ``daemons``
+    holds by their callers' address the address to connect to.
+    """
 
     def __init__(
-        self, number: int, seed: int, deployment: Deployment, daemons: Sequence[str]
+        self,
+        number: int,
+        seed: int,
+        deployment: Deployment,
+        daemons: Mapping[str, str],
     ) -> None:
         super().__init__(daemon=True)
         self.number = number
         self.rng = random.Random(f"{seed} caller {number}")
         self.deployment = deployment
         self.daemons = daemons
+        self.connections: dict[str, http.client.HTTPConnection] = {}
         self.sent: list[Sent] = []
         self.stopping = threading.Event()
 
@@ -75,6 +89,8 @@
             service = self.rng.choice(self.deployment.services)
             self._request(service)
             self.stopping.wait(self.rng.expovariate(1 / PAUSE_SECONDS))
+        for connection in self.connections.values():
+            connection.close()
 
     def _request(self, service: ServiceTraffic) -> None:
         keyed = service.method == "POST" and self.rng.random() < KEYED_SHARE
@@ -90,17 +106,25 @@
             self.stopping.wait(PAUSE_SECONDS)
 
     def _try(self, sent: Sent, service: ServiceTraffic) -> Try:
-        daemon = self.rng.choice(self.daemons)
+        daemon = self.rng.choice(sorted(self.daemons))
         began = time.monotonic()
-        connection = http.client.HTTPConnection(daemon, timeout=TIMEOUT_SECONDS)
+        connection = self.connections.pop(daemon, None)
+        kept = connection is not None
+        port = 0
 
         def result(outcome: str, status: int = 0, whole: bool = False) -> Try:
-            return Try(daemon, began, time.monotonic(), outcome, status, whole)
+            ended = time.monotonic()
+            return Try(daemon, began, ended, outcome, status, whole, kept, port)
 
-        try:
-            connection.connect()
-        except OSError:
-            return result(NOT_SENT)
+        if connection is None:
+            connection = http.client.HTTPConnection(
+                self.daemons[daemon], timeout=TIMEOUT_SECONDS
+            )
+            try:
+                connection.connect()
+            except OSError:
+                return result(NOT_SENT)
+        port = connection.sock.getsockname()[1]
         try:
             connection.request(
                 service.method,
@@ -111,9 +135,10 @@
             answer = connection.getresponse()
             body = answer.read()
         except (OSError, http.client.HTTPException):
-            return result(CUT_OFF)
-        finally:
             connection.close()
+            return result(CUT_OFF)
+        if connection.sock is not None:
+            self.connections[daemon] = connection
         outcome = answer.getheader("Briarslip-Outcome", "")
         whole = answer.status >= 300 or _is_own_answer(body, sent, service)
         return result(outcome, answer.status, whole)
@@ -134,7 +159,7 @@
 
 
 def start_callers(
-    seed: int, deployment: Deployment, daemons: Sequence[str]
+    seed: int, deployment: Deployment, daemons: Mapping[str, str]
 ) -> list[Caller]:
     """Start the callers."""
     callers = [Caller(n, seed, deployment, daemons) for n in range(CALLERS)]
--- a/bench/chaos/trial.py
+++ b/bench/chaos/trial.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import tempfile
 import time
 from collections import Counter
@@ -12,13 +11,14 @@
 from bench.chaos import invariants
 from bench.chaos.deployment import SMALL
 from bench.chaos.faults import Faults
+from bench.chaos.faults import Links
 from bench.chaos.observer import Observer
 from bench.chaos.tcp_relay import TcpRelay
 from bench.chaos.traffic import start_callers
 from bench.chaos.traffic import stop_callers
 from bench.figure import Figure
-from standins.mesh import HOST
 from standins.mesh import Mesh
+from standins.mesh import free_address
 from standins.mesh import get_json
 from standins.mesh import wait_until
 
@@ -26,19 +26,19 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from bench.chaos.account import Account
     from bench.chaos.deployment import Deployment
-    from bench.chaos.faults import Account
     from bench.chaos.observer import Reading
     from bench.chaos.traffic import Sent
 
 
 QUICK_SEED = 1
 QUICK_SECONDS = 5.0
+SERIES = 3
 # Long enough that every fault meets requests in flight.
 SERVICE_TIME_MS = "40"
 CONVERGENCE_SECONDS = 19.0
 FINAL_AMENDMENT = "[service final]\n"
-ENDED_WELL = (0, -signal.SIGTERM)
 
 
 def run(quick: bool) -> list[Figure]:
@@ -46,22 +46,30 @@
     return run_trial(SMALL, QUICK_SEED, QUICK_SECONDS if quick else 60.0)
 
 
-def run_trial(deployment: Deployment, seed: int, seconds: float) -> list[Figure]:
-    """Run one trial and return its figures."""
+def run_trial(
+    deployment: Deployment, seed: int, seconds: float, series: int = SERIES
+) -> list[Figure]:
+    """Run one trial and return its figures.
+
+    ``series`` is how many faults run at the same time.
+    """
     with tempfile.TemporaryDirectory() as name, Mesh(Path(name)) as mesh:
         mesh.start_platform()
-        relays, backends = _start(mesh, deployment)
-        callers = start_callers(seed, deployment, [n.callers for n in mesh.nodes])
+        links, backends = _start(mesh, deployment)
+        entrances = {daemon: relay.address for daemon, relay in links.callers.items()}
+        callers = start_callers(seed, deployment, entrances)
         observer = Observer([node.admin for node in mesh.nodes])
         observer.start()
-        account = Faults(mesh, relays, backends, seed).run(seconds)
+        account = Faults(mesh, links, backends, seed).run(seconds, series)
         convergence = _final_convergence(mesh)
         sent = stop_callers(callers)
         readings = observer.stop()
         statuses = mesh.stop_all()
-        for relay in relays.values():
-            relay.stop()
-        for line in account.lines:
+        links.stop()
+        account.refused = {
+            daemon: frozenset(relay.refused) for daemon, relay in links.callers.items()
+        }
+        for line in (*account.lines, *account.errors):
             print(line)
         daemons = {s for n, s in statuses.items() if n.startswith("daemon")}
         figures = _request_figures(sent, account, mesh.directory)
@@ -70,21 +78,25 @@
             Figure("last change in force", convergence, "s", CONVERGENCE_SECONDS)
         )
         figures.append(Figure("daemons that ended badly", len(daemons - {0}), "", 0))
+        figures.append(_none("faults that failed", account.errors))
         return figures
 
 
-def _start(mesh: Mesh, deployment: Deployment) -> tuple[dict[str, TcpRelay], list[str]]:
-    port = int(mesh.platform.rpartition(":")[2])
-    relays = {zone: TcpRelay((HOST, port)) for zone in deployment.zones}
-    mesh.platform_routes = {zone: relay.address for zone, relay in relays.items()}
+def _start(mesh: Mesh, deployment: Deployment) -> tuple[Links, list[str]]:
+    store = {zone: _relay(mesh.platform) for zone in deployment.zones}
+    mesh.platform_routes = {zone: relay.address for zone, relay in store.items()}
     places = [(z, s) for z in deployment.zones for s in deployment.services]
     mesh.add_nodes((zone for zone, _ in places), deployment.region)
     mesh.start_daemons()
+    addresses = [free_address() for _ in places]
+    ways = [_relay(address) for address in addresses]
     backends = [
         mesh.start_backend(
             number,
             service.name,
             "1",
+            "--announced",
+            ways[number].address,
             "--log-runs",
             "--service-time-ms",
             SERVICE_TIME_MS,
@@ -92,6 +104,7 @@
             str(deployment.slots),
             "--connections",
             str(deployment.connections),
+            address=addresses[number],
         )
         for number, (_, service) in enumerate(places)
     ]
@@ -99,7 +112,13 @@
     mesh.wait_for_version(1)
     for service in deployment.services:
         mesh.wait_for_answer(0, f"/{service.name}/0")
-    return relays, backends
+    callers = {node.callers: _relay(node.callers) for node in mesh.nodes}
+    return Links(store, callers, ways), backends
+
+
+def _relay(address: str) -> TcpRelay:
+    host, _, port = address.rpartition(":")
+    return TcpRelay((host, int(port)))
 
 
 def _final_convergence(mesh: Mesh) -> float:
@@ -135,7 +154,14 @@
         _none("false refusals", invariants.false_refusals(sent, runs)),
         _none("successes that never ran", invariants.false_successes(sent, runs)),
         _none("answers not whole or not one's own", invariants.wrong_answers(sent)),
-        _none("requests cut off by a planned stop", invariants.cut_off(sent, account)),
+        _none(
+            "requests cut off by a planned stop",
+            invariants.cut_off(sent, account, planned=True),
+        ),
+        _none(
+            "requests cut off without a cause",
+            invariants.cut_off(sent, account, planned=False),
+        ),
         _none(
             "planned stops that ended badly",
             [stop for stop in account.planned_stops if stop[3] != 0],
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -33,8 +33,11 @@
 class Announcer:
     """Tells the daemon about the backend every second, also after failures."""
 
-    def __init__(self, backend: Backend, daemon: str, reactor: Any) -> None:
+    def __init__(
+        self, backend: Backend, daemon: str, reactor: Any, address: str = ""
+    ) -> None:
         self.backend = backend
+        self.address = address
         self.url = f"http://{daemon}/v1/announcement".encode()
         self.reactor = reactor
         make: Callable[..., Any] = client.Agent
@@ -48,7 +51,7 @@
         data = {
             "service": settings.service,
             "version": settings.version,
-            "address": f"{LOOPBACK}:{self.backend.port}",
+            "address": self.address or f"{LOOPBACK}:{self.backend.port}",
             "slots": settings.slots,
             "connections": settings.connections,
             "draining": self.backend.draining,
@@ -111,6 +114,7 @@
     add = result.add_argument
     add("--port", type=int, default=0, help="0 takes a free port")
     add("--daemon", help="HOST:PORT of the daemon's announcement port")
+    add("--announced", default="", help="HOST:PORT it tells the daemon, if another")
     add("--drain-s", type=float, default=3.0)
     add("--seed", type=int, default=0)
     add("--service", default="faults")
@@ -152,7 +156,9 @@
         options.port, BackendFactory(backend), interface=LOOPBACK
     )
     backend.port = listener.getHost().port
-    announcer = Announcer(backend, options.daemon, reactor) if options.daemon else None
+    announcer = None
+    if options.daemon:
+        announcer = Announcer(backend, options.daemon, reactor, options.announced)
     drain = Drain(backend, announcer, options.drain_s)
 
     def start() -> None:
--- a/standins/mesh.py
+++ b/standins/mesh.py
@@ -191,10 +191,15 @@
         wait_until(lambda: self.call(number, path).status == 200)
 
     def start_backend(
-        self, number: int, service: str, version: str = "1", *options: str
+        self,
+        number: int,
+        service: str,
+        version: str = "1",
+        *options: str,
+        address: str = "",
     ) -> str:
         """Start a backend server beside a daemon; return its address."""
-        address = free_address()
+        address = address or free_address()
         port = address.rpartition(":")[2]
         self.start(
             f"backend-{port}",
