--- a/src/briarslip/platform/store.py
+++ b/src/briarslip/platform/store.py
@@ -14,8 +14,6 @@
 from result import Err
 from result import Ok
 from result import Result
-from twisted.internet.defer import Deferred
-from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
 from briarslip.process.store.client import KeyValue
 from briarslip.process.store.client import RangeReply
@@ -25,12 +23,13 @@
 from briarslip.process.store.client import WatchEvent
 from briarslip.process.store.http import AnswerSink
 from briarslip.process.store.http import StoreHttp
-from briarslip.request.outcome import Outcome
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from twisted.internet.defer import Deferred
+
     from briarslip.address import Address
     from briarslip.process.store.client import Watch
     from briarslip.process.store.http import Answer
@@ -179,17 +178,9 @@
         body: dict[str, Any] | None = None,
     ) -> Result[Answer, StoreError]:
         target = f"{path}?{urlencode(query)}" if query else path
-        finished = self.http.send(method, target, body)
-        finished.addTimeout(self.timeout.total_seconds(), self.reactor)
-        is_write = body is not None
-        try:
-            result = await finished
-        except DeferredTimeoutError:
-            return Err(StoreError("no answer in time", is_write))
-        if isinstance(result, Ok):
-            return Ok(result.ok_value)
-        unclear = result.err_value.outcome is not Outcome.NOT_RUN
-        return Err(StoreError(result.err_value.reason.value, is_write and unclear))
+        return await self.http.ask(
+            method, target, body, self.timeout, is_write=body is not None
+        )
 
 
 class LongPoll:
--- a/src/briarslip/process/store/etcd_gateway.py
+++ b/src/briarslip/process/store/etcd_gateway.py
@@ -13,7 +13,6 @@
 from result import Err
 from result import Ok
 from result import Result
-from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
 from briarslip.address import Address
 from briarslip.process.store.client import KeyValue
@@ -29,7 +28,6 @@
 from briarslip.process.store.etcd_messages import time_left
 from briarslip.process.store.etcd_watch import GatewayWatch
 from briarslip.process.store.http import StoreHttp
-from briarslip.request.outcome import Outcome
 
 
 if TYPE_CHECKING:
@@ -217,17 +215,9 @@
     async def _exchange(
         self, path: str, message: dict[str, Any], *, is_write: bool
     ) -> Result[Answer, StoreError]:
-        answer = self.http.send("POST", f"/v3/{path}", message)
-        answer.addTimeout(self.timeout.total_seconds(), self.reactor)
-        try:
-            result = await answer
-        except DeferredTimeoutError:
-            return Err(StoreError("no answer in time", is_write))
-        if isinstance(result, Ok):
-            return Ok(result.ok_value)
-        failure = result.err_value
-        unclear = failure.outcome is not Outcome.NOT_RUN
-        return Err(StoreError(failure.reason.value, is_write and unclear))
+        return await self.http.ask(
+            "POST", f"/v3/{path}", message, self.timeout, is_write=is_write
+        )
 
 
 __all__ = [
--- a/src/briarslip/process/store/http.py
+++ b/src/briarslip/process/store/http.py
@@ -15,14 +15,18 @@
 from result import Ok
 from result import Result
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
 from briarslip.connection.backend_pool import REUSABLE_IDLE_SECONDS
 from briarslip.connection.backend_pool import BackendPool
+from briarslip.process.store.client import StoreError
 from briarslip.request.call import Call
+from briarslip.request.outcome import Outcome
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from datetime import timedelta
 
     from briarslip.address import Address
     from briarslip.request.call import Load
@@ -87,6 +91,28 @@
         sink.give_up = self.pool(self._call(method, target, message), sink)
         return sink.finished
 
+    async def ask(
+        self,
+        method: str,
+        target: str,
+        message: dict[str, Any] | None,
+        timeout: timedelta,
+        *,
+        is_write: bool,
+    ) -> Result[Answer, StoreError]:
+        """Send a request; return its whole answer, or why there is none in time."""
+        finished = self.send(method, target, message)
+        finished.addTimeout(timeout.total_seconds(), self.reactor)
+        try:
+            result = await finished
+        except DeferredTimeoutError:
+            return Err(StoreError("no answer in time", is_write))
+        if isinstance(result, Ok):
+            return Ok(result.ok_value)
+        failure = result.err_value
+        unclear = failure.outcome is not Outcome.NOT_RUN
+        return Err(StoreError(failure.reason.value, is_write and unclear))
+
     def stream(
         self,
         method: str,
