Servers that all fail for the same cause are not ejected in turn

Each ejection sent the zone's calls to servers elsewhere, which fail as often, between zones where bytes are dear, and the pauses doubled beyond the end of the cause. Ruled out: a limit on how many may be ejected (half is there already, and a zone has one server of a service). Change: a server is not ejected while the others, by outcomes of the last 10 s, fail at least a third as often; a lasting ejection ends then as well.

--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -174,7 +174,8 @@
         elif failed:
             if reason is Reason.DEADLINE:
                 self._learn_latency(now)
-            take_failure(server, now, self.forwarder.rng)
+            others = self.forwarder.servers(self.call)
+            take_failure(server, now, self.forwarder.rng, others)
         else:
             take_success(server, now)
 
--- a/src/briarslip/request/ejection.py
+++ b/src/briarslip/request/ejection.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from briarslip.request.server import Server
@@ -20,11 +21,16 @@
 MAX_EJECTION_SECONDS = 60.0
 MAX_EJECTED_SHARE = 0.5
 LINK_FAILURE_SECONDS = 0.1
+# Outcomes of another server that are older say nothing of a cause it shares.
+JUDGED_SECONDS = 10.0
+# A server fails alone if it does so this much more often than the others.
+SHARED_CAUSE_FACTOR = 3.0
 DRAINING_AVOIDED_SECONDS = 3.0
 
 
 def take_success(server: Server, now: float) -> None:
     """Count a call that went well; after an ejection it ends the probing."""
+    server.judged_at = now
     server.consecutive_failures = 0
     server.failure_share *= 1.0 - FAILURE_WEIGHT
     if 0.0 < server.ejected_until <= now:
@@ -34,8 +40,16 @@
         server.ejections = 0
 
 
-def take_failure(server: Server, now: float, rng: random.Random) -> None:
-    """Count a failed call; eject when there are too many."""
+def take_failure(
+    server: Server, now: float, rng: random.Random, others: Iterable[Server] = ()
+) -> None:
+    """Count a failed call; eject when there are too many.
+
+    ``others`` are the servers that calls would go to instead. Load pattern: what
+    all servers of a service call fails, and so do they; to send the calls
+    elsewhere, across zones even, would help none of them.
+    """
+    server.judged_at = now
     server.consecutive_failures += 1
     server.failure_share += (1.0 - server.failure_share) * FAILURE_WEIGHT
     probe_failed = 0.0 < server.ejected_until <= now
@@ -44,7 +58,12 @@
         or server.consecutive_failures >= CONSECUTIVE_FAILURES
         or server.failure_share > MAX_FAILURE_SHARE
     ) and server.ejected_until <= now:
-        _eject(server, now, rng)
+        if _others_fail_too(server, now, others):
+            server.ejected_until = 0.0
+            server.ejections = 0
+            server.consecutive_failures = 0
+        else:
+            _eject(server, now, rng)
 
 
 def take_unreachable(server: Server, now: float, rng: random.Random) -> None:
@@ -53,6 +72,19 @@
         _eject(server, now, rng)
 
 
+def _others_fail_too(server: Server, now: float, others: Iterable[Server]) -> bool:
+    """Tell whether the other servers were seen to fail about as often."""
+    shares = [
+        other.failure_share
+        for other in others
+        if other is not server and now - other.judged_at < JUDGED_SECONDS
+    ]
+    if not shares:
+        return False
+    mean = sum(shares) / len(shares)
+    return mean > 0.0 and server.failure_share <= SHARED_CAUSE_FACTOR * mean
+
+
 def take_lost_link(server: Server, now: float, rng: random.Random) -> None:
     """Count the loss of a link once, however many calls were on it.
 
--- a/src/briarslip/request/server.py
+++ b/src/briarslip/request/server.py
@@ -49,6 +49,7 @@
     link_failed_at: float = 0.0
     consecutive_failures: int = 0
     failure_share: float = 0.0
+    judged_at: float = -math.inf
     ejections: int = 0
     ejected_until: float = 0.0
 
--- a/tests/request/test_choice.py
+++ b/tests/request/test_choice.py
@@ -179,6 +179,40 @@
         servers.shares(100)
         self.assertGreater(servers.shares(1000)[2], 0.15)
 
+    def test_cause_that_all_servers_share_leaves_calls_in_their_zone(self) -> None:
+        shares = [self.near_shares(seed) for seed in range(6)]
+        # An ejection a daemon is needed to see that the others do no better.
+        self.assertGreater(sum(during for during, _ in shares) / len(shares), 0.7)
+        self.assertGreater(min(after for _, after in shares), 0.95)
+
+    def near_shares(self, seed: int) -> tuple[float, float]:
+        """Return the own zone's share of calls while all servers fail, and after.
+
+        Half of the calls fail for eight seconds, whichever server runs them: the
+        pattern of a service whose nested calls are turned away.
+        """
+        others = (member(number, zone="johor") for number in (1, 2, 3))
+        bench = Bench(member(0), *others, seed=seed)
+        rng = random.Random(seed)
+        failure_share = 0.5
+
+        def react(sent: Sent) -> None:
+            status = 500 if rng.random() < failure_share else 200
+            bench.time.call_later(0.1, lambda: sent.answer(status=status))
+
+        def near_share() -> float:
+            before = len(bench.sent)
+            for _ in range(160):
+                bench.request("POST")
+                bench.time.advance(0.05)
+            sent = bench.sent[before:]
+            return sum(s.address == address(0) for s in sent) / len(sent)
+
+        bench.react = react
+        during = near_share()
+        failure_share = 0.0
+        return during, near_share()
+
     def test_ejection_and_return_are_logged(self) -> None:
         bench = Bench(*map(member, range(4)))
         servers = Servers(bench, dict.fromkeys(range(4), 0.01))
