--- a/src/briarslip/process/claims/lease.py
+++ b/src/briarslip/process/claims/lease.py
@@ -28,8 +28,8 @@
     lease costs two platform calls an hour. Leases are never renewed.
     """
 
-    def __init__(self, platform: StoreClient, clock: Clock) -> None:
-        self.platform = platform
+    def __init__(self, store: StoreClient, clock: Clock) -> None:
+        self.store = store
         self.clock = clock
         self.lock = DeferredLock()
         self.lease = 0
@@ -51,7 +51,7 @@
 
     async def _grant(self) -> Result[int, StoreError]:
         asked = self.clock.monotonic()
-        reply = await self.platform.grant_lease(timedelta(seconds=LEASE_SECONDS))
+        reply = await self.store.grant_lease(timedelta(seconds=LEASE_SECONDS))
         if isinstance(reply, Ok):
             self.lease = reply.ok_value
             self.granted = {
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -99,7 +99,7 @@
         )
         own_address = settings.listen.peers
         zone = settings.daemon.availability_zone
-        self.platform = edges.store
+        self.store = edges.store
         self.servers = LocalServers(
             reactor,
             clock,
@@ -110,7 +110,7 @@
             edges.dialect,
         )
         self.claims = PlatformClaims(
-            self.platform,
+            self.store,
             clock,
             rng,
             reactor.callLater,
@@ -130,7 +130,7 @@
             settings.membership.seeds,
             settings.membership.heartbeat_interval.total_seconds(),
             lambda peer, version: self.distribution.heard_version(peer, version),
-            self.platform,
+            self.store,
             self.links.send_control,
             settings.membership.contacts_interval.total_seconds(),
         )
@@ -138,7 +138,7 @@
             reactor,
             clock,
             rng,
-            self.platform,
+            self.store,
             own_address,
             zone,
             lambda: self.membership.live,
@@ -148,7 +148,7 @@
             lambda: self.membership.minimum_version,
             edges.make_source,
         )
-        deadlines = RolloutDeadlines(reactor, clock, rng, self.platform)
+        deadlines = RolloutDeadlines(reactor, clock, rng, self.store)
         self.rollouts = RolloutTask(
             reactor,
             clock,
@@ -161,7 +161,7 @@
         )
         self.rollout_reporter = RolloutReporter(
             reactor,
-            self.platform,
+            self.store,
             rng,
             self.rollouts,
             lambda: self.distribution.snapshot.version,
--- a/src/briarslip/process/distribution/bootstrap.py
+++ b/src/briarslip/process/distribution/bootstrap.py
@@ -46,7 +46,7 @@
         reactor: Any,
         clock: Clock,
         rng: random.Random,
-        platform: StoreClient | None,
+        store: StoreClient | None,
         members: Callable[[], tuple[Sequence[Address], Sequence[Address]]],
         ask: Callable[[Address], None],
         own_last_version: Callable[[], int],
@@ -55,7 +55,7 @@
         self.reactor = reactor
         self.clock = clock
         self.rng = rng
-        self.platform = platform
+        self.store = store
         self.members = members
         self.ask = ask
         self.own_last_version = own_last_version
@@ -93,16 +93,16 @@
             *self._sample(far, FAR_MEMBERS_ASKED),
         ):
             self.ask(member)
-        if self.platform is not None and self.head is None and not self.reading:
+        if self.store is not None and self.head is None and not self.reading:
             self.reading = True
-            Deferred.fromCoroutine(self._read_head(self.platform))
+            Deferred.fromCoroutine(self._read_head(self.store))
         self._decide()
 
     def _sample(self, members: Sequence[Address], count: int) -> list[Address]:
         return self.rng.sample(sorted(members), min(count, len(members)))
 
-    async def _read_head(self, platform: StoreClient) -> None:
-        head = await read_head(platform)
+    async def _read_head(self, store: StoreClient) -> None:
+        head = await read_head(store)
         self.reading = False
         if isinstance(head, Err) or self.done:
             return
--- a/src/briarslip/process/distribution/change_status.py
+++ b/src/briarslip/process/distribution/change_status.py
@@ -38,8 +38,8 @@
     What has been written is remembered, to save calls.
     """
 
-    def __init__(self, platform: StoreClient) -> None:
-        self.platform = platform
+    def __init__(self, store: StoreClient) -> None:
+        self.store = store
         self.written: dict[str, bytes] = {}
         self.incomplete: dict[str, float] = {}
         self.lease_id = 0
@@ -85,7 +85,7 @@
         if self.written.get(change) == value:
             return
         key = f"{CHANGE_STATUS_PREFIX}{change}"
-        current = await self.platform.get(key)
+        current = await self.store.get(key)
         if isinstance(current, Err):
             return
         found = current.ok_value
@@ -96,7 +96,7 @@
         if lease_id is None:
             return
         revision = found.mod_revision if found else 0
-        reply = await self.platform.swap(key, value, revision, lease_id)
+        reply = await self.store.swap(key, value, revision, lease_id)
         if isinstance(reply, Err):
             # The lease may be gone; the next status asks for another one.
             self.lease_until = 0.0
@@ -106,7 +106,7 @@
     async def _lease(self, now: float) -> int | None:
         """Return the lease for statuses, None if the platform grants none."""
         if now >= self.lease_until:
-            granted = await self.platform.grant_lease(STATUS_TTL)
+            granted = await self.store.grant_lease(STATUS_TTL)
             if isinstance(granted, Err):
                 return None
             self.lease_id = granted.ok_value
--- a/src/briarslip/process/distribution/change_writer.py
+++ b/src/briarslip/process/distribution/change_writer.py
@@ -104,7 +104,7 @@
 
 
 async def write_change(
-    platform: StoreClient,
+    store: StoreClient,
     records: Sequence[RecordWrite],
     new_id: Callable[[], str],
 ) -> Result[WrittenChange, ChangeError]:
@@ -116,19 +116,19 @@
     change_id = new_id()
     planned: list[_Planned] = []
     for record in records:
-        current = await platform.get(str(record.key))
+        current = await store.get(str(record.key))
         if isinstance(current, Err):
             return Err(WriteFailed(current.err_value.reason, ()))
         found = current.ok_value
         if _is_moved(record, found):
             return Err(LostRace(record.key))
         plan = _plan(record, found, new_id())
-        if not await _stands(platform, record, found):
+        if not await _stands(store, record, found):
             planned.append(plan)
     change = Change(change_id, len(planned))
-    result = await _write_all(platform, change, planned)
+    result = await _write_all(store, change, planned)
     if planned:
-        await _move_marker(platform, change_id)
+        await _move_marker(store, change_id)
     return result
 
 
@@ -149,7 +149,7 @@
 
 
 async def _stands(
-    platform: StoreClient, record: RecordWrite, found: KeyValue | None
+    store: StoreClient, record: RecordWrite, found: KeyValue | None
 ) -> bool:
     """Tell whether a record is in force already as it is asked for."""
     if found is None:
@@ -158,35 +158,35 @@
     if isinstance(stored, Err) or stored.ok_value.write.fields != record.fields:
         return False
     key = f"{CHANGE_STATUS_PREFIX}{stored.ok_value.write.change.id}"
-    status = await platform.get(key)
+    status = await store.get(key)
     if isinstance(status, Err) or status.ok_value is None:
         return False
     return is_accepted(status.ok_value.value)
 
 
 async def _write_all(
-    platform: StoreClient, change: Change, planned: Sequence[_Planned]
+    store: StoreClient, change: Change, planned: Sequence[_Planned]
 ) -> Result[WrittenChange, ChangeError]:
     written: list[tuple[_Planned, int]] = []
     for plan in planned:
         write = replace(plan.stored.write, change=change)
         value = replace(plan.stored, write=write).encode()
-        revision = await _write_one(platform, plan, value, change)
+        revision = await _write_one(store, plan, value, change)
         if isinstance(revision, Err):
             reason = revision.err_value.reason
             keys = tuple(p.key for p, _ in written)
             return Err(WriteFailed(reason, (*keys, plan.key), change.id))
         if not revision.ok_value:
-            return Err(LostRace(plan.key, await _undo(platform, written)))
+            return Err(LostRace(plan.key, await _undo(store, written)))
         written.append((plan, revision.ok_value))
     return Ok(WrittenChange(change.id, tuple(plan.key for plan in planned)))
 
 
 async def _write_one(
-    platform: StoreClient, plan: _Planned, value: bytes, change: Change
+    store: StoreClient, plan: _Planned, value: bytes, change: Change
 ) -> Result[int, StoreError]:
     """Return the revision written, 0 if another writer was first."""
-    reply = await settled_swap(platform, str(plan.key), value, plan.revision)
+    reply = await settled_swap(store, str(plan.key), value, plan.revision)
     if isinstance(reply, Err):
         return reply
     if reply.ok_value.swapped:
@@ -203,7 +203,7 @@
 
 
 async def _undo(
-    platform: StoreClient, written: Sequence[tuple[_Planned, int]]
+    store: StoreClient, written: Sequence[tuple[_Planned, int]]
 ) -> tuple[RecordKey, ...]:
     """Put the earlier values back; return the keys where that was not possible.
 
@@ -212,19 +212,19 @@
     left: list[RecordKey] = []
     for plan, revision in reversed(written):
         value = plan.undo_value
-        reply = await settled_swap(platform, str(plan.key), value, revision)
+        reply = await settled_swap(store, str(plan.key), value, revision)
         if isinstance(reply, Err):
             left.append(plan.key)
     return tuple(left)
 
 
-async def _move_marker(platform: StoreClient, change_id: str) -> None:
+async def _move_marker(store: StoreClient, change_id: str) -> None:
     """Rewrite the marker; when that fails another writer has just done so."""
-    current = await platform.get(MARKER_KEY)
+    current = await store.get(MARKER_KEY)
     if not isinstance(current, Err):
         found = current.ok_value
         revision = found.mod_revision if found else 0
-        await platform.swap(MARKER_KEY, change_id.encode(), revision)
+        await store.swap(MARKER_KEY, change_id.encode(), revision)
 
 
 __all__ = [
--- a/src/briarslip/process/distribution/publisher.py
+++ b/src/briarslip/process/distribution/publisher.py
@@ -62,7 +62,7 @@
 
 
 async def publish(
-    platform: StoreClient,
+    store: StoreClient,
     statuses: ChangeStatuses,
     running: Snapshot,
     now: float,
@@ -73,34 +73,34 @@
     puts a version in force. Records are read after the head, so that they are
     never older than it. Return the snapshot in force.
     """
-    found = await _head_not_behind(platform, running)
+    found = await _head_not_behind(store, running)
     if isinstance(found, Err):
         return found
     head = found.ok_value
-    base = await read_version(platform, head, running)
+    base = await read_version(store, head, running)
     if isinstance(base, Err):
         return base
-    stored = await platform.range(RECORDS_PREFIX)
+    stored = await store.range(RECORDS_PREFIX)
     if isinstance(stored, Err):
         return stored
     acceptance = accept(base.ok_value, _stored_records(stored.ok_value.items))
     if acceptance.accepted:
-        moved = await _put_in_force(platform, head, base.ok_value, acceptance)
+        moved = await _put_in_force(store, head, base.ok_value, acceptance)
         if isinstance(moved, Err):
             return moved
         if acceptance.snapshot.version % WHOLE_INTERVAL_VERSIONS == 0:
-            await delete_old_versions(platform, acceptance.snapshot.version)
-            await _delete_removed(platform, base.ok_value, stored.ok_value)
+            await delete_old_versions(store, acceptance.snapshot.version)
+            await _delete_removed(store, base.ok_value, stored.ok_value)
     elif head.version:
-        await _repeat_statuses(platform, statuses, head, now)
+        await _repeat_statuses(store, statuses, head, now)
     await statuses.report(acceptance, now)
     return Ok(acceptance.snapshot)
 
 
 async def _head_not_behind(
-    platform: StoreClient, running: Snapshot
+    store: StoreClient, running: Snapshot
 ) -> Result[Head, PublishError]:
-    found = await read_head(platform)
+    found = await read_head(store)
     if isinstance(found, Err):
         return found
     head = found.ok_value
@@ -110,21 +110,21 @@
 
 
 async def _put_in_force(
-    platform: StoreClient, head: Head, base: Snapshot, acceptance: Acceptance
+    store: StoreClient, head: Head, base: Snapshot, acceptance: Acceptance
 ) -> Result[None, PublishError]:
     snapshot = acceptance.snapshot
     changes = list(acceptance.accepted)
-    written = await write_version(platform, base, snapshot, changes)
+    written = await write_version(store, base, snapshot, changes)
     if isinstance(written, Err):
         return written
-    moved = await move_head(platform, head, snapshot)
+    moved = await move_head(store, head, snapshot)
     if isinstance(moved, Err):
         return moved
     return Ok(None) if moved.ok_value else Err(LostHead())
 
 
 async def _delete_removed(
-    platform: StoreClient, base: Snapshot, stored: RangeReply
+    store: StoreClient, base: Snapshot, stored: RangeReply
 ) -> None:
     """Delete keys of records whose removal has long been in force.
 
@@ -142,14 +142,14 @@
             continue
         write = record.ok_value.write
         if write.fields is None and write.revision == origin.revision:
-            await platform.swap(item.key, None, item.mod_revision)
+            await store.swap(item.key, None, item.mod_revision)
 
 
 async def _repeat_statuses(
-    platform: StoreClient, statuses: ChangeStatuses, head: Head, now: float
+    store: StoreClient, statuses: ChangeStatuses, head: Head, now: float
 ) -> None:
     """Report the head's changes: its publisher may have died before that."""
-    entry = await read_entry(platform, head.version, head.digest)
+    entry = await read_entry(store, head.version, head.digest)
     if not isinstance(entry, Err):
         await statuses.report_accepted(entry.ok_value.changes, head.version, now)
 
--- a/src/briarslip/process/distribution/relay.py
+++ b/src/briarslip/process/distribution/relay.py
@@ -60,7 +60,7 @@
         reactor: Any,
         clock: Clock,
         rng: random.Random,
-        platform: StoreClient,
+        store: StoreClient,
         running: Callable[[], Snapshot],
         on_snapshot: Callable[[Snapshot], None],
         on_check: Callable[[], None],
@@ -68,13 +68,13 @@
         self.reactor = reactor
         self.clock = clock
         self.rng = rng
-        self.platform = platform
+        self.store = store
         self.running = running
         self.on_snapshot = on_snapshot
         self.on_check = on_check
         self.active = False
         self.rank = 0
-        self.statuses = ChangeStatuses(platform)
+        self.statuses = ChangeStatuses(store)
         self.records = self._watch(RECORDS_PREFIX, self._records_changed)
         self.head = self._watch(HEAD_KEY, self._head_changed)
         self.publishing = Job(reactor, rng, self._publish)
@@ -87,7 +87,7 @@
         self, prefix: str, on_events: Callable[[tuple[WatchEvent, ...]], None]
     ) -> StoreWatch:
         return StoreWatch(
-            self.reactor, self.rng, self.platform, prefix, on_events, self._resync
+            self.reactor, self.rng, self.store, prefix, on_events, self._resync
         )
 
     def set_active(self, active: bool) -> None:
@@ -114,7 +114,7 @@
         """Read the head and start the watches; tell whether it succeeded."""
         if not self.active:
             return True
-        found = await self.platform.range(HEAD_KEY)
+        found = await self.store.range(HEAD_KEY)
         if not self.active:
             return True
         if isinstance(found, Err):
@@ -133,7 +133,7 @@
             return False
         if head.ok_value.version <= self.running().version:
             return True
-        snapshot = await read_version(self.platform, head.ok_value, self.running())
+        snapshot = await read_version(self.store, head.ok_value, self.running())
         if isinstance(snapshot, Err):
             reason = snapshot.err_value.reason
             emit(Event.HEAD_REFUSED, reason=reason, version=head.ok_value.version)
@@ -169,7 +169,7 @@
         ):
             return True
         published = await publish(
-            self.platform, self.statuses, self.running(), self.clock.monotonic()
+            self.store, self.statuses, self.running(), self.clock.monotonic()
         )
         if not isinstance(published, Ok):
             self.waiting = {**waiting, **self.waiting}
@@ -201,7 +201,7 @@
         self.on_check()
 
     async def _check_marker(self) -> None:
-        found = await self.platform.get(MARKER_KEY)
+        found = await self.store.get(MARKER_KEY)
         if isinstance(found, Err) or found.ok_value is None:
             return
         if found.ok_value.value != self.marker or self.statuses.is_waiting:
--- a/src/briarslip/process/distribution/settled_swap.py
+++ b/src/briarslip/process/distribution/settled_swap.py
@@ -20,7 +20,7 @@
 
 
 async def settled_swap(
-    platform: StoreClient, key: str, value: bytes | None, expected_revision: int
+    store: StoreClient, key: str, value: bytes | None, expected_revision: int
 ) -> Result[SwapReply, StoreError]:
     """Swap, and after an unclear answer try the same swap again.
 
@@ -29,13 +29,13 @@
     effect. So ``value`` must be one that nobody else writes, or that is as
     good when somebody else wrote it.
     """
-    reply = await platform.swap(key, value, expected_revision)
+    reply = await store.swap(key, value, expected_revision)
     unclear = False
     for _ in range(ATTEMPTS - 1):
         if not isinstance(reply, Err) or not reply.err_value.maybe_applied:
             break
         unclear = True
-        reply = await platform.swap(key, value, expected_revision)
+        reply = await store.swap(key, value, expected_revision)
     if isinstance(reply, Err) or reply.ok_value.swapped or not unclear:
         return reply
     current = reply.ok_value.current
--- a/src/briarslip/process/distribution/version_store.py
+++ b/src/briarslip/process/distribution/version_store.py
@@ -92,13 +92,13 @@
     return Ok(Head(version, digest, found.mod_revision))
 
 
-async def read_head(platform: StoreClient) -> Result[Head, StoreError]:
+async def read_head(store: StoreClient) -> Result[Head, StoreError]:
     """Return the head."""
-    return (await platform.get(HEAD_KEY)).and_then(parse_head)
+    return (await store.get(HEAD_KEY)).and_then(parse_head)
 
 
 async def read_version(
-    platform: StoreClient, head: Head, known: Snapshot
+    store: StoreClient, head: Head, known: Snapshot
 ) -> Result[Snapshot, StoreError]:
     """Return a published snapshot with its digest checked.
 
@@ -112,12 +112,12 @@
             return _apply_steps(known, steps)
         if not version:
             return _apply_steps(EMPTY_SNAPSHOT, steps)
-        entry = await read_entry(platform, version, digest)
+        entry = await read_entry(store, version, digest)
         if isinstance(entry, Err):
             return entry
         found = entry.ok_value
         if found.chunks:
-            whole = await _read_chunks(platform, version, digest, found.chunks)
+            whole = await _read_chunks(store, version, digest, found.chunks)
             return whole.and_then(lambda base: _apply_steps(base, steps))
         steps.append(found.delta)
         version, digest = found.base_version, found.base_digest
@@ -125,10 +125,10 @@
 
 
 async def read_entry(
-    platform: StoreClient, version: int, digest: str
+    store: StoreClient, version: int, digest: str
 ) -> Result[VersionEntry, StoreError]:
     """Read what stands at one version."""
-    found = await platform.get(_entry_key(version, digest))
+    found = await store.get(_entry_key(version, digest))
     if isinstance(found, Err):
         return found
     if found.ok_value is None:
@@ -149,7 +149,7 @@
 
 
 async def write_version(
-    platform: StoreClient, base: Snapshot, snapshot: Snapshot, changes: list[str]
+    store: StoreClient, base: Snapshot, snapshot: Snapshot, changes: list[str]
 ) -> Result[None, StoreError]:
     """Write a version beside the others; only the head puts it in force."""
     delta = compress(delta_between(base, snapshot).encode())
@@ -158,7 +158,7 @@
     chunks = _chunks(snapshot) if due or not is_small or not base.version else []
     key = _entry_key(snapshot.version, snapshot.digest)
     for number, chunk in enumerate(chunks):
-        written = await _write_content(platform, f"{key}/{number}", chunk)
+        written = await _write_content(store, f"{key}/{number}", chunk)
         if isinstance(written, Err):
             return written
     entry = VersionEntry(
@@ -168,24 +168,24 @@
         len(chunks),
         tuple(sorted(changes)),
     )
-    return await _write_content(platform, key, entry.encode())
+    return await _write_content(store, key, entry.encode())
 
 
 async def move_head(
-    platform: StoreClient, head: Head, snapshot: Snapshot
+    store: StoreClient, head: Head, snapshot: Snapshot
 ) -> Result[bool, StoreError]:
     """Put a version in force; false if another publisher moved the head."""
     body = {"version": snapshot.version, "digest": snapshot.digest}
     value = json.dumps(body, sort_keys=True).encode()
-    reply = await settled_swap(platform, HEAD_KEY, value, head.revision)
+    reply = await settled_swap(store, HEAD_KEY, value, head.revision)
     return reply.map(lambda r: r.swapped)
 
 
 async def delete_old_versions(
-    platform: StoreClient, head_version: int
+    store: StoreClient, head_version: int
 ) -> Result[int, StoreError]:
     """Delete versions that no reader needs; return how many keys went."""
-    found = await platform.range(VERSIONS_PREFIX)
+    found = await store.range(VERSIONS_PREFIX)
     if isinstance(found, Err):
         return found
     oldest = head_version - KEPT_VERSIONS
@@ -194,7 +194,7 @@
         number = item.key.removeprefix(VERSIONS_PREFIX).partition("/")[0]
         if number.isdigit() and int(number) >= oldest:
             continue
-        reply = await platform.swap(item.key, None, item.mod_revision)
+        reply = await store.swap(item.key, None, item.mod_revision)
         if isinstance(reply, Err):
             return reply
         deleted += reply.ok_value.swapped
@@ -202,11 +202,11 @@
 
 
 async def _read_chunks(
-    platform: StoreClient, version: int, digest: str, count: int
+    store: StoreClient, version: int, digest: str, count: int
 ) -> Result[Snapshot, StoreError]:
     parts: list[bytes] = []
     for number in range(count):
-        found = await platform.get(f"{_entry_key(version, digest)}/{number}")
+        found = await store.get(f"{_entry_key(version, digest)}/{number}")
         if isinstance(found, Err):
             return found
         if found.ok_value is None:
@@ -216,19 +216,19 @@
 
 
 async def _write_content(
-    platform: StoreClient, key: str, value: bytes
+    store: StoreClient, key: str, value: bytes
 ) -> Result[None, StoreError]:
     """Write a key whose content follows from its name.
 
     Another publisher may have written it; what differs is damaged, and is
     replaced.
     """
-    reply = await settled_swap(platform, key, value, 0)
+    reply = await settled_swap(store, key, value, 0)
     if isinstance(reply, Err):
         return reply
     current = reply.ok_value.current
     if not reply.ok_value.swapped and current and current.value != value:
-        again = await settled_swap(platform, key, value, current.mod_revision)
+        again = await settled_swap(store, key, value, current.mod_revision)
         return again.map(lambda _: None)
     return Ok(None)
 
--- a/src/briarslip/process/membership/contacts.py
+++ b/src/briarslip/process/membership/contacts.py
@@ -67,14 +67,14 @@
     return (kept + added)[:CONTACTS_PER_ZONE]
 
 
-async def find_contacts(platform: StoreClient, own: Member) -> Contacts:
+async def find_contacts(store: StoreClient, own: Member) -> Contacts:
     """Read the own zone's contacts; none if the platform does not answer.
 
     A daemon that finds too few adds itself, so that the first ones of a zone
     find each other. Whoever loses the swap reads again at its next attempt.
     """
     key = contacts_key(own.availability_zone)
-    found = await platform.get(key)
+    found = await store.get(key)
     if isinstance(found, Err):
         emit(Event.STORE_FAILED, reason=found.err_value.reason)
         return ()
@@ -82,7 +82,7 @@
     contacts = decode_contacts(item.value) if item else ()
     if len(contacts) < LEAST_LIVE_CONTACTS and own.address not in contacts:
         revision = item.mod_revision if item else 0
-        written = await platform.swap(
+        written = await store.swap(
             key, encode_contacts((*contacts, own.address)), revision
         )
         if isinstance(written, Err):
@@ -91,13 +91,13 @@
 
 
 async def check_contacts(
-    platform: StoreClient, table: Membership
+    store: StoreClient, table: Membership
 ) -> Result[Mapping[str, Contacts], StoreError]:
     """Read every zone's contacts and rewrite the own zone's if need be.
 
     A lost swap means that another daemon has just written them.
     """
-    found = await platform.range(CONTACTS_PREFIX)
+    found = await store.range(CONTACTS_PREFIX)
     if isinstance(found, Err):
         return found
     items = {
@@ -110,7 +110,7 @@
     if chosen is not None:
         revision = own.mod_revision if own else 0
         key = contacts_key(table.zone)
-        written = await platform.swap(key, encode_contacts(chosen), revision)
+        written = await store.swap(key, encode_contacts(chosen), revision)
         if isinstance(written, Err):
             return written
     return found.map(
--- a/src/briarslip/process/membership/task.py
+++ b/src/briarslip/process/membership/task.py
@@ -64,7 +64,7 @@
         seeds: tuple[Address, ...],
         interval_seconds: float,
         on_version: Callable[[Address, int], None],
-        platform: StoreClient,
+        store: StoreClient,
         send: Callable[[Address, Topic, bytes], None],
         check_seconds: float = CHECK_SECONDS,
     ) -> None:
@@ -74,7 +74,7 @@
         self.seeds = seeds
         self.tick_seconds = interval_seconds / TICKS_PER_INTERVAL
         self.on_version = on_version
-        self.platform = platform
+        self.store = store
         self.send_control = send
         self.check_seconds = check_seconds
         self.state = Protocol.from_member(
@@ -190,7 +190,7 @@
         self.state.bootstrap.contacts_wanted = False
 
     async def _read_contacts(self) -> None:
-        contacts = await find_contacts(self.platform, self.state.own)
+        contacts = await find_contacts(self.store, self.state.own)
         self.state.bootstrap.contacts = (*self.seeds, *contacts)
 
     def _check_contacts(self) -> None:
@@ -200,7 +200,7 @@
             self._start_reading(self._keep_contacts())
 
     async def _keep_contacts(self) -> None:
-        found = await check_contacts(self.platform, self.state.table)
+        found = await check_contacts(self.store, self.state.table)
         if isinstance(found, Err):
             emit(Event.STORE_FAILED, reason=found.err_value.reason)
             return
--- a/src/briarslip/process/rollouts/report.py
+++ b/src/briarslip/process/rollouts/report.py
@@ -56,14 +56,14 @@
     def __init__(
         self,
         reactor: Any,
-        platform: StoreClient,
+        store: StoreClient,
         rng: random.Random,
         task: RolloutTask,
         configuration_version: Callable[[], int],
         words: RolloutWords = OWN_WORDS,
     ) -> None:
         self.reactor = reactor
-        self.platform = platform
+        self.store = store
         self.rng = rng
         self.task = task
         self.configuration_version = configuration_version
@@ -134,7 +134,7 @@
         """Return the document that stands on the platform in the end."""
         key = f"{self.words.prefix}{mine['rollout']}"
         while True:
-            found = await self.platform.get(key)
+            found = await self.store.get(key)
             if isinstance(found, Err):
                 return found
             item = found.ok_value
@@ -146,7 +146,7 @@
             if value is None:
                 return Ok(document)
             revision = item.mod_revision if item else 0
-            swapped = await self.platform.swap(key, value, revision)
+            swapped = await self.store.swap(key, value, revision)
             if isinstance(swapped, Err):
                 return swapped
             if swapped.ok_value.swapped:
@@ -162,7 +162,7 @@
         waited = self.task.clock.monotonic() - self.began
         if waited < SYNC_WAIT_SECONDS or not self._reads():
             return
-        found = await self.platform.range(self.words.prefix)
+        found = await self.store.range(self.words.prefix)
         if isinstance(found, Err):
             emit(Event.STORE_FAILED, reason=found.err_value.reason)
             return
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -34,14 +34,14 @@
         self,
         reactor: Any,
         rng: random.Random,
-        platform: StoreClient,
+        store: StoreClient,
         prefix: str,
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_lost: Callable[[], None],
     ) -> None:
         self.reactor = reactor
         self.rng = rng
-        self.platform = platform
+        self.store = store
         self.prefix = prefix
         self.on_events = on_events
         self.on_lost = on_lost
@@ -66,7 +66,7 @@
     def _open(self, generation: int) -> None:
         if generation != self.generation:
             return
-        self.watch = self.platform.watch(
+        self.watch = self.store.watch(
             self.prefix, self.next_revision, self._events, self._closed
         )
 
