--- a/src/briarslip/request/ejection.py
+++ b/src/briarslip/request/ejection.py
@@ -45,9 +45,9 @@
 ) -> None:
     """Count a failed call; eject when there are too many.
 
-    ``others`` are the servers that calls would go to instead. Load pattern: what
-    all servers of a service call fails, and so do they; to send the calls
-    elsewhere, across zones even, would help none of them.
+    ``others`` are the servers that calls would go to instead. Load pattern: a
+    service that all of these servers call fails, so each of them fails about as
+    often; sending the calls to another one, even in another zone, helps nobody.
     """
     server.judged_at = now
     server.consecutive_failures += 1
