A daemon that reads the store itself is slow to pull from peers what it is about to read

Change: a daemon with a source of its own waits 1.25 s first, a rest and a read; one without any configuration still pulls at once. Test: a version that comes another way meanwhile is not pulled.

--- a/src/briarslip/process/distribution/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -131,4 +131,4 @@
             self.on_snapshot(snapshot.ok_value)
 
 
-__all__ = ["StoredConfiguration"]
+__all__ = ["REST_SECONDS", "StoredConfiguration"]
--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -11,6 +11,7 @@
 from briarslip.finding import report
 from briarslip.process.distribution.bootstrap import Bootstrap
 from briarslip.process.distribution.relay import Relay
+from briarslip.process.distribution.stored_configuration import REST_SECONDS
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.version.configuration_codec import Busy
@@ -63,6 +64,8 @@
 # How long a daemon has to be chosen before it acts as a relay, so that those
 # which know few members yet, as when many return at once, leave the platform alone.
 RELAY_PATIENCE_SECONDS = 2.0
+# A daemon that reads the store itself has what its peers run after a rest and a read.
+OWN_SOURCE_PATIENCE_SECONDS = 1.25 * REST_SECONDS
 
 
 class DistributionTask:
@@ -108,6 +111,7 @@
         self.wake_call: Any = None
         self.chosen_since: float | None = None
         self.started = False
+        self.patience = 0.0 if make_source is None else OWN_SOURCE_PATIENCE_SECONDS
         self.relay: ConfigurationSource
         if make_source is None:
             self.relay = Relay(
@@ -281,7 +285,9 @@
         """Take note of what a peer runs, and pull it if it is newer."""
         self._note(peer, version)
         if version > self.state.held_version and peer != self.own_address:
-            hear(self.puller, peer, version, self.clock.monotonic(), self.rng)
+            now = self.clock.monotonic()
+            patience = self.patience if self.snapshot.version else 0.0
+            hear(self.puller, peer, version, now, self.rng, patience)
             self._pull()
 
     def take_message(self, sender: Address, payload: bytes) -> None:
--- a/src/briarslip/version/puller.py
+++ b/src/briarslip/version/puller.py
@@ -42,11 +42,19 @@
 
 
 def hear(
-    puller: Puller, peer: Address, version: int, now: float, rng: random.Random
+    puller: Puller,
+    peer: Address,
+    version: int,
+    now: float,
+    rng: random.Random,
+    patience: float = 0.0,
 ) -> None:
-    """Take note of a peer that is ahead."""
+    """Take note of a peer that is ahead.
+
+    ``patience`` is for how many seconds the version may still come another way.
+    """
     if not puller.sources and puller.asked is None:
-        delay = rng.uniform(0, FIRST_DELAY_SECONDS)
+        delay = patience + rng.uniform(0, FIRST_DELAY_SECONDS)
         puller.next_at = max(puller.next_at, now + delay)
     puller.sources[peer] = max(version, puller.sources.get(peer, 0))
 
--- a/tests/version/test_puller.py
+++ b/tests/version/test_puller.py
@@ -43,6 +43,19 @@
             hear(self.puller, peer, 2, 0.0, self.rng)
         self.now = FIRST_DELAY_SECONDS
 
+    def test_a_version_that_comes_another_way_is_not_pulled(self) -> None:
+        # The pattern: every daemon reads the store, some of them a second later.
+        patience = 1.25
+        for comes in (True, False):
+            puller = Puller()
+            hear(puller, PEERS[0], 7, 0.0, self.rng, patience)
+            self.assertIsNone(next_source(puller, patience - 0.01, self.rng))
+            if comes:
+                puller.forget(7)
+            late = patience + FIRST_DELAY_SECONDS
+            asked = next_source(puller, late, self.rng)
+            self.assertEqual(asked, None if comes else PEERS[0])
+
     def test_unanswered_pulls_go_elsewhere(self) -> None:
         first = next_source(self.puller, self.now, self.rng)
         self.assertIsNone(next_source(self.puller, self.now + 1.0, self.rng))
