--- a/tests/platform/test_reports.py
+++ b/tests/platform/test_reports.py
@@ -104,7 +104,7 @@
 
     def test_readiness(self) -> None:
         for is_ready, status in ((True, 200), (False, 503)):
-            endpoints = readiness_endpoints(lambda answer=is_ready: answer)  # type: ignore[misc]
+            endpoints = readiness_endpoints(lambda answer=is_ready: answer)  # type: ignore[misc]  # binds the loop's value
             reply = endpoints["GET", "/-/ready"](b"")
             self.assertEqual(status, reply.status)
 
