An unknown or malformed value in the configuration leaves the other routes in force

Found on the way: a route of schema 3 that is not idempotent was still repeated for GET, PUT and DELETE, though its kind alone decides.

--- a/src/briarslip/platform/adapters.py
+++ b/src/briarslip/platform/adapters.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briarslip.platform.configuration import OPERATOR_PREFIX
-from briarslip.platform.configuration import read_configuration
+from briarslip.platform.configuration import ConfigurationReader
 from briarslip.platform.header_conventions import PLATFORM_CONVENTIONS
 from briarslip.platform.rollouts import PLATFORM_ROLLOUT_CODEC
 from briarslip.platform.server_reports import readiness_endpoints
@@ -35,7 +35,7 @@
 
     def make_source(on_snapshot: Callable[[Snapshot], None]) -> StoredConfiguration:
         return StoredConfiguration(
-            reactor, rng, store, OPERATOR_PREFIX, read_configuration, on_snapshot
+            reactor, rng, store, OPERATOR_PREFIX, ConfigurationReader(), on_snapshot
         )
 
     return Adapters(
--- a/src/briarslip/platform/json_object.py
+++ b/src/briarslip/platform/json_object.py
@@ -92,6 +92,17 @@
             return minimum
         return int(value)
 
+    def whole_part(
+        self, name: str, default: float | None = None, minimum: int = 0
+    ) -> int:
+        """Return the whole part of a number field that is at least ``minimum``."""
+        value = self.number(name, default)
+        if value < minimum:
+            if self.has(name):
+                self.add_finding(name, f"{value} is below {minimum}")
+            return minimum
+        return int(value)
+
     def number(self, name: str, default: float | None = None) -> float:
         """Return a number field that must be finite and not negative."""
         value = self.values.get(name, default)
@@ -122,15 +133,14 @@
             value = {}
         return self._child(name, value)
 
-    def nested_map(self, name: str) -> dict[str, JsonObject]:
-        """Return the nested objects of an object, by their keys."""
-        outer = self.nested(name)
-        for key, value in outer.values.items():
+    def objects(self) -> dict[str, JsonObject]:
+        """Return the fields that are objects, by their names."""
+        for key, value in self.values.items():
             if not isinstance(value, dict):
-                outer.add_finding(key, "is not an object")
+                self.add_finding(key, "is not an object")
         return {
-            key: outer._child(key, value)
-            for key, value in outer.values.items()
+            key: self._child(key, value)
+            for key, value in self.values.items()
             if isinstance(value, dict)
         }
 
--- a/src/briarslip/platform/server_reports.py
+++ b/src/briarslip/platform/server_reports.py
@@ -44,7 +44,7 @@
         info = document.nested("info")
         status = document.nested("status")
         # The number of requests that the server runs at once.
-        slots = min(info.integer("capacity", minimum=1), MAX_SLOTS)
+        slots = min(info.whole_part("capacity", minimum=1), MAX_SLOTS)
         endpoint = Endpoint(
             service=info.text("service"),
             version=info.text("version"),
--- a/src/briarslip/platform/settings.py
+++ b/src/briarslip/platform/settings.py
@@ -65,7 +65,7 @@
     limits = document.nested("bounds")
     first_port, _ = _read_port_range(document)
     host = document.text("ip")
-    heartbeat = timedelta(milliseconds=document.integer("heartbeat-ms", minimum=1))
+    heartbeat = _read_positive_milliseconds(document, "heartbeat-ms")
     grace = timedelta(seconds=limits.number("grace-s"))
     settings = Settings(
         daemon=DaemonSettings(document.text("zone"), document.text("region")),
@@ -85,13 +85,21 @@
             default_timeout=DEFAULT_TIMEOUT,
             announcement_lease=heartbeat * REPORTS_PER_LEASE,
             stop_grace=grace * STOP_GRACE_SHARE,
-            retry_slack=limits.integer("budget-slack", default=DEFAULT_RETRY_SLACK),
+            retry_slack=limits.number("budget-slack", default=DEFAULT_RETRY_SLACK),
         ),
         log=LogSettings("json", "info"),
     )
     return PlatformSettingsFile(settings, document.text("service"))
 
 
+def _read_positive_milliseconds(document: JsonObject, name: str) -> timedelta:
+    """Return a duration field, which may be a fraction but must be above 0."""
+    milliseconds = document.number(name)
+    if not milliseconds and document.has(name):
+        document.add_finding(name, "is not above 0")
+    return timedelta(milliseconds=milliseconds)
+
+
 def _read_port_range(document: JsonObject) -> tuple[int, int]:
     """Return the first and last port that daemons may use among themselves."""
     ports = document.values.get("internal-port-range")
--- a/src/briarslip/process/settings.py
+++ b/src/briarslip/process/settings.py
@@ -86,7 +86,7 @@
     default_timeout: timedelta
     announcement_lease: timedelta
     stop_grace: timedelta | None = None
-    retry_slack: int | None = None
+    retry_slack: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,7 +158,7 @@
             FieldSpec("max_body_bytes", fields.integer(0, 1 << 30), 8 << 20),
             _duration("default_timeout_ms", 5000),
             _duration("announcement_lease_ms", 5000),
-            FieldSpec("retry_slack", fields.integer(1, 1_000_000), None),
+            FieldSpec("retry_slack", fields.fraction(1, 1_000_000), None),
             FieldSpec("stop_grace_ms", fields.milliseconds(1, MAX_DURATION_MS), None),
         ),
     ),
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -133,7 +133,8 @@
             service_version=self.dependencies.version_for(service),
             route=route.name,
             urgent=route.priority == "urgent" and not context.is_bulk,
-            idempotent=route.idempotent or request.method in IDEMPOTENT_METHODS,
+            idempotent=route.idempotent
+            or (route.trusts_method and request.method in IDEMPOTENT_METHODS),
             depth=request.depth + 1,
             deadline=now + timeout,
             flow=request.flow,
--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -188,6 +188,7 @@
             FieldSpec("parts", fields.comma_separated(_weighted_service), ()),
             FieldSpec("target_ms", fields.milliseconds(1, MAX_TIMEOUT_MS), None),
         ),
+        lambda values: {**values, "trusts_method": False},
     ),
     ("rollout", 1): RecordSchema(
         Rollout,
--- a/src/briarslip/version/typed_record.py
+++ b/src/briarslip/version/typed_record.py
@@ -37,7 +37,9 @@
     and its prefix is compared as a plain string. ``attempts`` is the maximum
     number of attempts per request. ``parts`` splits the requests among services
     by weight; if it is empty, all go to ``service``. ``target`` is the latency
-    target: the response time that callers expect, None without one.
+    target: the response time that callers expect, None without one. With
+    ``trusts_method``, requests with an idempotent method may be repeated even if the
+    route is not ``idempotent``.
     """
 
     name: str
@@ -52,6 +54,7 @@
     attempts: int = DEFAULT_MAX_ATTEMPTS
     parts: tuple[WeightedService, ...] = ()
     target: timedelta | None = None
+    trusts_method: bool = True
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,13 @@
         assert grace is not None
         self.assertLess(grace, timedelta(seconds=6))
 
+    def test_bounds_and_intervals_may_be_fractions(self) -> None:
+        bounds = {"grace-s": 6.5, "budget-slack": 36.6}
+        file = read_settings(raw(bounds=bounds, **{"heartbeat-ms": 869.5}), "s")
+        limits = file.unwrap().settings.limits
+        self.assertEqual(36.6, limits.retry_slack)
+        self.assertEqual(timedelta(milliseconds=4 * 869.5), limits.announcement_lease)
+
     def test_findings_name_the_invalid_field(self) -> None:
         for field, value in (
             ("ip", 3),
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -118,6 +118,15 @@
             harness.sent[0].sink.failed(UNKNOWN, None)
             self.assertEqual(len(harness.sent), attempts, method)
 
+    def test_method_does_not_decide_on_routes_that_do_not_trust_it(self) -> None:
+        route = replace(ROUTE, trusts_method=False)
+        harness = ForwarderHarness(member(1), member(2), route=route)
+        for method in ("GET", "PUT", "DELETE"):
+            sink, _ = harness.request(method)
+            harness.sent[-1].sink.failed(UNKNOWN, None)
+            self.assertIs(sink.outcome, Outcome.UNKNOWN)
+        self.assertEqual(3, len(harness.sent))
+
     def test_unknown_outcome_stays_unknown_after_a_rejected_retry(self) -> None:
         for rejection in (Reason.CONNECT_FAILED, Reason.QUEUE_FULL, Reason.DRAINING):
             harness = ForwarderHarness(member(1), member(2))
