Two commands that race always read the same revision in the test of the mesh

Cause: the test delayed the store's answers by 200 ms and hoped that both commands read within that time; beside load none of five tries did. Ruled out: a fault of the product, as each command that was first succeeded.

Change: the store's stand-in holds the reads of a key until there are two, so the commands conflict in the first try.

--- a/standins/in_memory_store.py
+++ b/standins/in_memory_store.py
@@ -89,6 +89,9 @@
         self.call_counts: Counter[str] = Counter()
         self.delay_ms = 0
         self.lose_answers = 0
+        # Reads of this key are held until there are ``gather_count`` of them.
+        self.gather_key = ""
+        self.gather_count = 0
         self._outage = OUTAGE_NONE
         self._freeze_watches = False
         self.history_limit = history_limit
@@ -277,6 +280,8 @@
         "outage",
         "delay_ms",
         "lose_answers",
+        "gather_key",
+        "gather_count",
         "freeze_watches",
         "lapse_lease",
     }
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -80,6 +80,7 @@
         self.isLeaf = True
         self.store = store
         self.progress_interval = progress_interval
+        self.gathered_reads: list[tuple[Any, dict[str, Any]]] = []
         self.handlers = {
             "range": self._range,
             "txn": self._txn,
@@ -132,6 +133,9 @@
             if kind == "watch":
                 self._watch(request, message["create_request"])
                 return
+            if kind == "range" and self._is_gathered(message):
+                self._gather(request, message)
+                return
             response = json.dumps(self.handlers[kind](message)).encode()
         except LeaseNotFoundError:
             response = _make_error(request, HTTPStatus.NOT_FOUND, 5, "lease not found")
@@ -146,6 +150,23 @@
         request.write(response)
         request.finish()
 
+    def _is_gathered(self, message: dict[str, Any]) -> bool:
+        key, range_end = _decode_range(message)
+        gather_key = self.store.gather_key
+        return bool(gather_key) and not range_end and key.decode() == gather_key
+
+    def _gather(self, request: Any, message: dict[str, Any]) -> None:
+        """Hold a read; answer all of them once there are enough."""
+        self.gathered_reads.append((request, message))
+        if len(self.gathered_reads) < self.store.gather_count:
+            return
+        reads, self.gathered_reads = self.gathered_reads, []
+        self.store.gather_key = ""
+        for held_request, held_message in reads:
+            if not held_request._disconnected:
+                held_request.write(json.dumps(self._range(held_message)).encode())
+                held_request.finish()
+
     def _header(self) -> dict[str, str]:
         return {"revision": str(self.store.revision)}
 
--- a/tests/process/distribution/test_mesh.py
+++ b/tests/process/distribution/test_mesh.py
@@ -23,7 +23,7 @@
 from tests.support.records import service
 
 
-MAX_RACES = 5
+RACE_KEY = "records/route/r/1"
 RECORDS = "[service a]\n[route r]\nservice = a\npath_prefix = {path}\nclaims = none\n"
 
 
@@ -130,35 +130,22 @@
         self.assertEqual(raised.exception.returncode, 3)
 
     def race_two_commands(self) -> None:
-        """Run two commands until they conflict: one succeeds, the other reports it."""
-        self.set_switches(delay_ms=200)
-        for attempt in range(MAX_RACES):
-            if self.is_one_rejected(attempt):
-                break
-        else:
-            self.fail("the operators never met")
-        self.set_switches(delay_ms=0)
+        """Let two commands read one revision: one succeeds, the other reports it."""
+        self.set_switches(gather_key=RACE_KEY, gather_count=2)
+        commands = [self.start_apply(name) for name in ("left", "right")]
+        errors = [command.communicate(timeout=60)[1] for command in commands]
+        results = sorted(
+            (c.returncode, e) for c, e in zip(commands, errors, strict=True)
+        )
+        self.assertEqual([exit_code for exit_code, _ in results], [0, 3], results)
+        self.assertIn(RACE_KEY, results[1][1])
         self.mesh.wait_for_version(6)
-        # Attempts without a conflict may have published further versions.
         wait_until(lambda: len(self.running_digests()) == 1)
 
     def running_digests(self) -> set[str]:
         """Return the digests of the versions that the daemons run."""
         return {get_json(n.admin, "/v1/status")["digest"] for n in self.mesh.nodes}
 
-    def is_one_rejected(self, attempt: int) -> bool:
-        """Run two commands concurrently; return whether they conflicted."""
-        commands = [self.start_apply(f"{name}-{attempt}") for name in ("left", "right")]
-        errors = [command.communicate(timeout=60)[1] for command in commands]
-        results = sorted(
-            (c.returncode, e) for c, e in zip(commands, errors, strict=True)
-        )
-        if [exit_code for exit_code, _ in results] == [0, 0]:
-            return False
-        self.assertEqual([exit_code for exit_code, _ in results], [0, 3], results)
-        self.assertIn("records/route/r/1", results[1][1])
-        return True
-
     def start_apply(self, name: str) -> subprocess.Popen[str]:
         """Start the command ``apply`` with a changed route."""
         path = self.mesh.directory / f"{name}.ini"
