A request on a kept connection is not cut off while a daemon closes

Change: the last phase also waits for requests in flight; a request that arrives after the notice is accepted only if it can run until its deadline within the grace period, and else rejected as not run at once.

--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -231,6 +231,7 @@
             max_retry_tokens=self.max_retry_tokens,
             request_id=self.adapters.conventions.request_id_text_of,
             claims=self.claims,
+            can_finish=self.shutdown.can_finish,
         )
 
     def start(self) -> None:
--- a/src/briarslip/process/shutdown.py
+++ b/src/briarslip/process/shutdown.py
@@ -64,8 +64,11 @@
             or elapsed_seconds >= max_timeout_seconds + RESPONSE_GRACE_SECONDS
         ):
             return Phase.CLOSING
-        case Phase.CLOSING if (
-            not remaining.connections or elapsed_seconds >= CLOSE_TIMEOUT_SECONDS
+        case Phase.CLOSING if not remaining.connections:
+            return Phase.STOPPED
+        # A caller may send another request on a connection that is not closed yet.
+        case Phase.CLOSING if elapsed_seconds >= CLOSE_TIMEOUT_SECONDS + (
+            max_timeout_seconds + RESPONSE_GRACE_SECONDS if remaining.requests else 0.0
         ):
             return Phase.STOPPED
     return phase
@@ -108,6 +111,17 @@
         """Whether calls of peers are rejected."""
         return self.phase not in (Phase.RUNNING, Phase.NOTICE)
 
+    def can_finish(self, deadline: float) -> bool:
+        """Return whether a request that begins now can run until its deadline.
+
+        Requests that arrive while callers may not know of the shutdown yet are
+        accepted whatever their deadline. ``deadline`` is a time of the clock.
+        """
+        return (
+            not self.is_rejecting_calls
+            or deadline <= self.began_at + self.grace_seconds
+        )
+
     def begin(self) -> None:
         """Begin the shutdown; do nothing if it has begun already."""
         if not self.is_draining:
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -90,6 +90,8 @@
         if len(context.idempotency_key) > MAX_KEY_BYTES:
             return self._reject(request, sink, Reason.BAD_REQUEST)
         call = self._make_call(request, route, context)
+        if not self.dependencies.can_finish(call.deadline):
+            return self._reject(request, sink, Reason.DRAINING)
         if not self.outstanding_requests.pool(call.urgent).try_add(call.service):
             return self._reject(request, sink, Reason.TOO_MANY_OUTSTANDING)
         exchange = Exchange(self, call, context.is_retry, sink, route.attempts)
