Fewer heartbeats on links, and no checks of links at rest

Cause: a link with a call pings after 0.25 s without bytes, so on the large sites, whose calls take 0.24 to 0.59 s, every call cost a heartbeat and its reply; and each of up to 190 links was checked eight times a second, most of them without a call.

Change: a ping comes after 1.5 mean service times of the peer's server, which each response tells, between 0.25 and 0.6 s; links without calls are passed over. A silent link is found up to 0.35 s later where calls are that slow.

Ruled out: 0.6 s for all links, since callers of the small sites wait 0.6 to 1.5 s in all. Not measured yet.

--- a/src/briarslip/connection/heartbeat.py
+++ b/src/briarslip/connection/heartbeat.py
@@ -8,6 +8,10 @@
 
 CHECK_INTERVAL_SECONDS = 0.125
 PING_AFTER_SECONDS = 0.25
+# Load pattern: calls that take longer than ``PING_AFTER_SECONDS`` as a rule. A
+# heartbeat for each of them costs both ends a quarter of the call itself.
+MAX_PING_AFTER_SECONDS = 0.6
+PING_AFTER_SERVICE_TIMES = 1.5
 HEARTBEAT_TIMEOUT_SECONDS = 0.75
 # New calls prefer other peers while a heartbeat has been unanswered this long.
 SILENT_AFTER_SECONDS = 0.2
@@ -35,13 +39,24 @@
 
     ``received_at`` is when bytes last arrived, ``used_at`` when a call was last
     sent while no other was pending. ``pinged_at`` is when the unanswered
-    heartbeat was sent, None if there is none.
+    heartbeat was sent, None if there is none. A heartbeat is sent after
+    ``ping_after_seconds`` without bytes.
     """
 
     received_at: float
     used_at: float
     pinged_at: float | None
     has_pending_calls: bool
+    ping_after_seconds: float = PING_AFTER_SECONDS
+
+
+def ping_delay(service_seconds: float) -> float:
+    """Return the seconds without bytes after which a heartbeat is sent.
+
+    ``service_seconds`` is the mean service time that the peer's last response told.
+    """
+    delay_seconds = PING_AFTER_SERVICE_TIMES * service_seconds
+    return min(MAX_PING_AFTER_SECONDS, max(PING_AFTER_SECONDS, delay_seconds))
 
 
 def is_silent(activity: LinkActivity, now: float) -> bool:
@@ -59,7 +74,7 @@
         quiet_seconds = now - max(activity.received_at, activity.used_at)
         return (
             LinkAction.PING
-            if quiet_seconds >= PING_AFTER_SECONDS
+            if quiet_seconds >= activity.ping_after_seconds
             else LinkAction.NOTHING
         )
     idle_seconds = now - max(activity.received_at, activity.used_at)
@@ -70,10 +85,13 @@
 
 __all__ = [
     "CHECK_INTERVAL_SECONDS",
+    "IDLE_TIMEOUT_SECONDS",
     "MAX_DETECTION_SECONDS",
+    "PING_AFTER_SECONDS",
     "VERIFY_AFTER_SECONDS",
     "LinkAction",
     "LinkActivity",
     "is_silent",
     "next_action",
+    "ping_delay",
 ]
--- a/src/briarslip/connection/link_stream.py
+++ b/src/briarslip/connection/link_stream.py
@@ -7,6 +7,7 @@
 from briarslip.connection.frame import Credit
 from briarslip.connection.frame import FailureFrame
 from briarslip.connection.frame import ResponseFrame
+from briarslip.connection.heartbeat import ping_delay
 from briarslip.connection.outgoing_body import PART_BYTES
 from briarslip.connection.outgoing_body import WINDOW_BYTES
 from briarslip.connection.outgoing_body import OutgoingBody
@@ -67,6 +68,7 @@
         if not frame.last:
             self.call.flow.on_change = self._on_flow_change
         service_time = frame.service_micros / MICROSECONDS_PER_SECOND
+        self.link.ping_after_seconds = ping_delay(service_time)
         load = Load(frame.in_flight, frame.slots, service_time)
         self.sink.head(ResponseHead(frame.status, frame.headers, frame.outcome, load))
         self._forward(frame.body, frame.last)
--- a/src/briarslip/connection/peer_link.py
+++ b/src/briarslip/connection/peer_link.py
@@ -23,6 +23,8 @@
 from briarslip.connection.frame import RequestFrame
 from briarslip.connection.frame import ResponseFrame
 from briarslip.connection.frame import decode_frame
+from briarslip.connection.heartbeat import IDLE_TIMEOUT_SECONDS
+from briarslip.connection.heartbeat import PING_AFTER_SECONDS
 from briarslip.connection.heartbeat import LinkActivity
 from briarslip.connection.link_stream import MS_PER_SECOND
 from briarslip.connection.link_stream import ClientStream
@@ -88,6 +90,7 @@
         self.partial_requests: dict[int, PartialRequest] = {}
         self.received_at = self.used_at = clock.monotonic()
         self.pinged_at: float | None = None
+        self.ping_after_seconds = PING_AFTER_SECONDS
         self.loss_reason = Reason.CONNECTION_LOST
         self.going_away = False
 
@@ -99,6 +102,15 @@
             used_at=self.used_at,
             pinged_at=self.pinged_at,
             has_pending_calls=bool(self.client_streams),
+            ping_after_seconds=self.ping_after_seconds,
+        )
+
+    def is_at_rest(self, now: float) -> bool:
+        """Return whether no heartbeat action can be due: most links carry no call."""
+        return (
+            self.pinged_at is None
+            and not self.client_streams
+            and now - self.received_at < IDLE_TIMEOUT_SECONDS
         )
 
     def connectionMade(self) -> None:
--- a/src/briarslip/connection/peer_link_pool.py
+++ b/src/briarslip/connection/peer_link_pool.py
@@ -146,6 +146,8 @@
         now = self.clock.monotonic()
         silent_peers: set[Address] = set()
         for peer, link in list(self.opened_links.items()):
+            if link.is_at_rest(now):
+                continue
             if is_silent(link.activity, now):
                 silent_peers.add(peer)
             match next_action(link.activity, now):
