--- a/bench/chaos/faults.py
+++ b/bench/chaos/faults.py
@@ -10,7 +10,6 @@
 import time
 from contextlib import contextmanager
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from bench.chaos.fault_log import ALL_DAEMONS
@@ -59,14 +58,6 @@
             relay.stop()
 
 
-@dataclass
-class FaultSequence:
-    """One of several fault sequences that run concurrently."""
-
-    rng: random.Random
-    order: list[Callable[[random.Random], str]] = field(default_factory=list)
-
-
 class FaultInjector:
     """Injects faults into a mesh, in concurrent sequences, and logs them.
 
--- a/src/briarslip/burn/report.py
+++ b/src/briarslip/burn/report.py
@@ -14,9 +14,6 @@
     from collections.abc import Sequence
 
 
-LOWEST_MICROSECONDS = 1
-HIGHEST_MICROSECONDS = 600_000_000
-SIGNIFICANT_FIGURES = 1
 MICROSECONDS_PER_MILLISECOND = 1000
 QUANTILES = (50.0, 90.0, 99.0)
 GroupKey = tuple[str, str, str, str]
--- a/src/briarslip/process/membership/member_table.py
+++ b/src/briarslip/process/membership/member_table.py
@@ -41,27 +41,19 @@
 
 @dataclass(frozen=True, slots=True)
 class View:
-    """The live members indexed by zone and service; rebuilt when the table changes."""
+    """The live members, indexed by zone; rebuilt when the table changes."""
 
     live: tuple[Member, ...]
     by_zone: dict[str, tuple[Member, ...]]
-    by_service: dict[str, tuple[Member, ...]]
 
     @classmethod
     def from_members(cls, members: Iterable[Member]) -> View:
-        """Index members by zone and by service."""
+        """Index members by zone."""
         live = tuple(members)
         zones: dict[str, list[Member]] = {}
-        services: dict[str, list[Member]] = {}
         for member in live:
             zones.setdefault(member.availability_zone, []).append(member)
-            for service in {endpoint.service for endpoint in member.endpoints}:
-                services.setdefault(service, []).append(member)
-        return cls(
-            live,
-            {zone: tuple(group) for zone, group in zones.items()},
-            {service: tuple(group) for service, group in services.items()},
-        )
+        return cls(live, {zone: tuple(group) for zone, group in zones.items()})
 
 
 @dataclass(slots=True)
--- a/src/briarslip/process/membership/task.py
+++ b/src/briarslip/process/membership/task.py
@@ -115,10 +115,6 @@
         """Return the live members of one availability zone."""
         return self.state.table.zone_members(availability_zone)
 
-    def members_serving(self, service: str) -> tuple[Member, ...]:
-        """Return the live members with a backend server of a service."""
-        return self.state.table.view.by_service.get(service, ())
-
     def start(self) -> None:
         """Listen for datagrams and start the periodic work."""
         host, port = self.state.own_member.address
--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -15,6 +15,7 @@
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
+from briarslip.request.retry import STALE_MEMBERSHIP_REASONS
 from briarslip.request.server import record_latency
 from briarslip.request.server import record_load
 from briarslip.request.server import record_service_time
@@ -33,9 +34,6 @@
 
 FIRST_SERVER_ERROR_STATUS = 500
 MIN_LATENCY_SECONDS = 1e-6
-NOT_SERVING_REASONS = frozenset(
-    (Reason.DRAINING, Reason.NO_SERVER, Reason.VERSION_EXCLUDED)
-)
 LINK_FAILURE_REASONS = frozenset((Reason.CONNECTION_LOST, Reason.STALLED))
 OVERLOAD_REASONS = frozenset((Reason.QUEUE_FULL, Reason.SHED, Reason.DEADLINE))
 
@@ -164,7 +162,7 @@
         self, outcome: Outcome, reason: Reason | None, failed: bool, now: float
     ) -> None:
         server = self.server
-        if reason in NOT_SERVING_REASONS:
+        if reason in STALE_MEMBERSHIP_REASONS:
             server.avoid_until = now + DRAINING_AVOIDANCE_SECONDS
         elif outcome is Outcome.NOT_RUN and (
             reason is None or reason in OVERLOAD_REASONS
--- a/src/briarslip/request/retry.py
+++ b/src/briarslip/request/retry.py
@@ -108,6 +108,7 @@
     "MAX_HOPS",
     "MAX_RETRY_TOKENS",
     "NEVER_SENT_REASONS",
+    "STALE_MEMBERSHIP_REASONS",
     "RetryBudget",
     "is_retryable",
 ]
