--- a/src/briarslip/platform/configuration.py
+++ b/src/briarslip/platform/configuration.py
@@ -158,12 +158,17 @@
 def _make_records(
     services: JsonObject, routes: Iterable[ReadRoute], findings: list[Finding]
 ) -> Records:
-    """Return the records of services and routes, and add the findings."""
+    """Return the records of services and routes, and add the findings.
+
+    ``findings`` has one for each route so far that is no object.
+    """
     records: Records = {}
-    for name in services.values:
-        _add_record(records, "service", name, 1, {})
     if findings:
         _add_unreadable_route(records)
+    # Nothing but its name is read of a service, so a malformed one is only reported.
+    services.objects()
+    for name in services.values:
+        _add_record(records, "service", name, 1, {})
     for route in routes:
         findings.extend(route.findings)
         if route.record is None:
--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -200,9 +200,10 @@
             or len(addresses) <= MAX_WATCHING_ZONE_MEMBERS
         ):
             return
+        heartbeat = encode_message(Offer(self.snapshot.version))
         for peer in addresses:
             if peer != self.own_address:
-                self._send(peer, Offer(self.snapshot.version))
+                self.send(peer, Topic.CONFIGURATION, heartbeat)
 
     def _record_relay_heartbeat(self, sender: Address) -> None:
         """Rely on the relays of this zone while they are heard."""
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -268,6 +268,14 @@
         table = compiled(item(CONFIGURATION_KEY, document))
         self.assertEqual(2, len(table.routes))
 
+    def test_malformed_service_is_reported_and_keeps_its_routes(self) -> None:
+        document = configuration()
+        document["services"]["holds"] = 3
+        self.assertEqual({"services holds"}, findings(document))
+        table = compiled(item(CONFIGURATION_KEY, document))
+        self.assertEqual({"r-hold", "r-shelf"}, {route.name for route in table.routes})
+        self.assertIsNone(table.match("/other/", "GET", "jepu9.example"))
+
     def test_document_without_routes_is_rejected(self) -> None:
         for field in ("routes", "services"):
             with self.subTest(field):
