Revert the stages of short rollouts: a late ramp hides a fault of the ramp

What was learned: the ramp must begin early enough for its evidence, and late enough for the exposure of small fleets; the next try should count calls in flight that are slow beyond doubt.

--- a/src/briarslip/version/rollout.py
+++ b/src/briarslip/version/rollout.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING
 
 from briarslip.version.decision import RolloutId
+from briarslip.version.traffic_share import FULL_SHARE_PROGRESS
+from briarslip.version.traffic_share import RAMP_START_PROGRESS
 from briarslip.version.traffic_share import rollout_progress
-from briarslip.version.traffic_share import schedule_of
 from briarslip.version.traffic_share import server_subset
 from briarslip.version.traffic_share import traffic_share
 
@@ -123,10 +124,7 @@
     started = decisions.started.get(rollout_id)
     if started is None or not servers.get(rollout.version):
         return _state_without_servers(rollout, now)
-    old_servers = sum(len(s) for v, s in servers.items() if v != rollout.version)
-    return _state_with_servers(
-        rollout, rollout_id, started, old_servers, decisions, now
-    )
+    return _state_with_servers(rollout, rollout_id, started, decisions, now)
 
 
 def _state_without_servers(rollout: Rollout, now: datetime) -> tuple[State, float, str]:
@@ -140,14 +138,13 @@
     rollout: Rollout,
     rollout_id: RolloutId,
     started: datetime,
-    old_servers: int,
     decisions: Decisions,
     now: datetime,
 ) -> tuple[State, float, str]:
     progress = rollout_progress(rollout, started, now)
     held_until = decisions.held_until.get(rollout_id)
     is_held = held_until is not None and now < held_until
-    share = traffic_share(rollout, progress, is_held, old_servers)
+    share = traffic_share(rollout, progress, is_held)
     if progress < 0:
         return State.PENDING, 0.0, "the window has not begun"
     if share >= 1.0:
@@ -155,10 +152,9 @@
     if now >= rollout.deadline:
         reason = "held by evidence" if is_held else f"servers first seen {started}"
         return State.DEADLINE_MISSED, share, reason
-    is_small = progress < schedule_of(rollout).loaded
-    if is_held and not is_small:
+    if is_held and progress >= RAMP_START_PROGRESS:
         return State.HELD, share, "the evidence is suspicious"
-    state = State.SMALL_SHARE if is_small else State.RAMPING
+    state = State.SMALL_SHARE if progress < RAMP_START_PROGRESS else State.RAMPING
     return state, share, ""
 
 
@@ -167,7 +163,7 @@
 ) -> tuple[State, float, str]:
     """Return done, or deadline missed if the full share came after the deadline."""
     start = max(rollout.deadline - rollout.window, started)
-    full_share_at = start + (now - start) * (schedule_of(rollout).full_share / progress)
+    full_share_at = start + (now - start) * (FULL_SHARE_PROGRESS / progress)
     if full_share_at > rollout.deadline:
         return State.DEADLINE_MISSED, 1.0, f"servers first seen {started}"
     return State.DONE, 1.0, ""
@@ -208,12 +204,7 @@
         shares[version] = share
         if share < 1.0:
             server_subsets[version] = server_subset(
-                servers[version],
-                old_server_count,
-                share,
-                status.progress,
-                rollout.name,
-                schedule_of(rollout),
+                servers[version], old_server_count, share, status.progress, rollout.name
             )
     nonzero_shares = tuple(
         (version, share) for version, share in shares.items() if share > 0
