A deregistration without a start ends every earlier start, also after a restart

The end was remembered as that of start 0, so the report registered the server again. Ruled out: a daemon restarted after its acknowledgement.

Change: where neither the call nor the registration names the start, every start before the arrival has ended.

--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -29,6 +29,7 @@
 
 MAX_SERVERS = 6
 # Ended servers that are remembered to recognise their late announcements.
+MS_PER_SECOND = 1000
 MAX_ENDED_SERVERS = 64
 
 
@@ -158,8 +159,14 @@
         return True
 
     def deregister(self, server_id: str, incarnation: int = 0) -> None:
-        """Stop new calls to a server that is ending; running calls continue."""
-        self.ended_incarnations[server_id] = incarnation
+        """Stop new calls to a server that is ending; running calls continue.
+
+        ``incarnation`` is 0 if the server does not name its start. If it is not
+        registered either, as after a restart of this daemon, every start before now
+        has ended: a late report must not register the server again.
+        """
+        now_ms = int(self.clock.now().timestamp() * MS_PER_SECOND)
+        self.ended_incarnations[server_id] = incarnation or now_ms
         for server in self.servers.values():
             announcement = server.announcement
             if announcement.server_id != server_id:
--- a/tests/process/test_local_servers.py
+++ b/tests/process/test_local_servers.py
@@ -10,6 +10,7 @@
 from briarslip.address import Address
 from briarslip.process.announcements import Announcement
 from briarslip.process.local_servers import MAX_SERVERS
+from briarslip.process.local_servers import MS_PER_SECOND
 from briarslip.process.local_servers import LocalServers
 from tests.support.members import endpoint
 
@@ -135,6 +136,22 @@
         self.report(6, 1)
         self.assertIsNotNone(self.servers.admission_for("holds", ""))
 
+    def test_deregistration_without_a_start_ends_every_earlier_start(self) -> None:
+        """A daemon is restarted, and then its server leaves without naming its start.
+
+        A report that the server sent before is late and reaches the daemon last.
+        """
+        started_at = int(FleetClock(self.time).now().timestamp() * MS_PER_SECOND)
+        self.time.advance(20.0)
+        self.servers.deregister("i")
+        self.time.advance(1.5)
+        late = replace(announcement(), server_id="i", incarnation=started_at)
+        self.servers.receive(late)
+        self.assertEqual((), self.servers.endpoints)
+        next_start = started_at + 21 * MS_PER_SECOND
+        self.servers.receive(replace(late, incarnation=next_start))
+        self.assertEqual(1, len(self.servers.endpoints))
+
     def test_deregistration_before_any_report_is_remembered(self) -> None:
         self.servers.deregister("i", 5)
         self.report(5, 9)
