Close listeners and callers' connections without a reset of what has arrived

Twisted closes a listening socket and a connection one iteration of the reactor after it is told to, and reads nothing in between: connections that wait in the backlog and requests that arrive meanwhile are reset. A reset by unread bytes also destroys a response that the caller has not read.

Change: the backlog is accepted and the listening socket closed in one step; an idle connection is read once more before it is closed; only the write side is closed after the last response, and the caller has 1 s to close its own. While writing the tests a second fault was seen: TCP_USER_TIMEOUT also ends the connection of a caller that reads nothing for 2 s; callers' sockets no longer set it, the read timeout bounds them.

--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -22,6 +22,9 @@
 from briarslip.connection.immediate_write import write_immediately
 from briarslip.connection.request_body import BodyState
 from briarslip.connection.request_body import RequestBody
+from briarslip.connection.socket_close import close_writing
+from briarslip.connection.socket_close import has_unsent_data
+from briarslip.connection.socket_close import read_pending
 from briarslip.connection.socket_options import set_socket_options
 from briarslip.request.forwarder import CallerRequest
 from briarslip.request.outcome import Outcome
@@ -45,6 +48,8 @@
 HEAD_TOO_LARGE = 431
 SWEEP_SECONDS = 0.5
 DRAIN_IDLE_SECONDS = 1.0
+# Time for the caller to read the last response and to close its side.
+LINGER_SECONDS = 1.0
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -68,7 +73,8 @@
 
     def connectionMade(self) -> None:
         """Register the connection and receive backpressure of its transport."""
-        set_socket_options(self.transport)
+        # The read timeout alone bounds how long a caller may stop reading.
+        set_socket_options(self.transport, user_timeout_ms=None)
         self.transport.registerProducer(self, True)
         self.factory.connections.add(self)
 
@@ -81,7 +87,12 @@
             exchange.caller_disconnected()
 
     def dataReceived(self, data: bytes) -> None:
-        """Receive bytes; a pipelined request waits for the response before it."""
+        """Receive bytes; a pipelined request waits for the response before it.
+
+        Bytes that arrive after the last response are discarded.
+        """
+        if self.closed:
+            return
         self.last_active_at = self.factory.now
         self.buffer = self.buffer + data if self.buffer else data
         if self.exchange is None:
@@ -125,14 +136,28 @@
             self._process_buffer()
 
     def close(self) -> None:
-        """Close the connection once everything written has been sent."""
+        """Close the write side once everything written has been sent.
+
+        The caller closes its side when it has read the last response; what it sends
+        until then would destroy that response if the socket was closed already.
+        """
         if self.closed:
             return
         self.closed = True
         self.close_after_response = True
         self.buffer = b""
+        self.last_active_at = self.factory.now
         self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self.paused = False
+        if not self.reading:
+            self.transport.resumeProducing()
+        close_writing(self.transport)
+
+    def close_if_idle(self) -> None:
+        """Close the connection, unless a request has arrived meanwhile."""
+        read_pending(self.transport)
+        if self.exchange is None and self.request_head is None and not self.buffer:
+            self.close()
 
     def abort(self) -> None:
         """Abort the connection, discarding unsent bytes."""
@@ -300,10 +325,14 @@
     def _close_if_inactive(self, connection: CallerConnection) -> None:
         inactive_seconds = self.now - connection.last_active_at
         limits = self.limits()
-        if connection.paused:
+        if connection.paused or has_unsent_data(connection.transport):
             if inactive_seconds > limits.read_timeout_seconds:
                 connection.abort()
             return
+        if connection.closed:
+            if inactive_seconds > LINGER_SECONDS:
+                connection.transport.loseConnection()
+            return
         if connection.exchange is not None:
             return
         request_started = connection.buffer or connection.request_head is not None
@@ -317,7 +346,7 @@
         if request_started:
             connection.reject(http.REQUEST_TIMEOUT, "the request took too long")
         else:
-            connection.close()
+            connection.close_if_idle()
 
 
 __all__ = ["CallerConnection", "CallerHttpFactory"]
--- a/src/briarslip/connection/socket_options.py
+++ b/src/briarslip/connection/socket_options.py
@@ -9,18 +9,23 @@
 TCP_USER_TIMEOUT_MS = 2000
 
 
-def set_socket_options(transport: Any, keepalive_seconds: int | None = None) -> None:
+def set_socket_options(
+    transport: Any,
+    keepalive_seconds: int | None = None,
+    user_timeout_ms: int | None = TCP_USER_TIMEOUT_MS,
+) -> None:
     """Disable Nagle's algorithm, and set keepalive and the TCP user timeout.
 
     ``keepalive_seconds`` is the interval of probes on an idle connection; None for
-    that of the system.
+    that of the system. The user timeout also ends connections whose other end reads
+    nothing for that time; None for no such timeout.
     """
     transport.setTcpNoDelay(True)
     transport.setTcpKeepAlive(True)
     handle = getattr(transport, "getHandle", None)
     option = getattr(socket, "TCP_USER_TIMEOUT", None)
-    if handle is not None and option is not None:
-        handle().setsockopt(socket.IPPROTO_TCP, option, TCP_USER_TIMEOUT_MS)
+    if handle is not None and option is not None and user_timeout_ms is not None:
+        handle().setsockopt(socket.IPPROTO_TCP, option, user_timeout_ms)
     if handle is not None and keepalive_seconds is not None:
         for name in ("TCP_KEEPIDLE", "TCP_KEEPINTVL"):
             keepalive_option = getattr(socket, name, None)
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -14,6 +14,7 @@
 from briarslip.connection.frame import Topic
 from briarslip.connection.local_http import LocalHttpFactory
 from briarslip.connection.peer_link_pool import PeerLinkPool
+from briarslip.connection.socket_close import close_listener
 from briarslip.process.adapters import Adapters
 from briarslip.process.adapters import ServerCallbacks
 from briarslip.process.admin import admin_endpoints
@@ -372,8 +373,8 @@
             case Phase.NOTICE:
                 self.update_membership()
             case Phase.FINISHING:
-                self.caller_port.stopListening()
                 self.callers.drain()
+                close_listener(self.caller_port, lambda: len(self.callers.connections))
                 self.links.drain()
             case Phase.STOPPED:
                 self.reactor.stop()
--- a/tests/connection/support.py
+++ b/tests/connection/support.py
@@ -54,6 +54,10 @@
         self.aborted = True
         self.disconnecting = True
 
+    def loseWriteConnection(self) -> None:  # noqa: N802 (Twisted)
+        """Record the end of the stream."""
+        self.disconnecting = True
+
     def take_written(self) -> bytes:
         """Return and clear the bytes written since the last call."""
         data: bytes = self.value()
