Daemons hear of a rollout's agreed deadline from their peers

Cause: every daemon read or created the deadline of an ordered rollout in the store: one or two calls a daemon and rollout.

Change: the two analyzers of the service in each zone ask the store within 0.2 s, and what was agreed is disseminated as decisions are; the others ask after 0.4 to 0.8 s if they have not heard of it. The store's answer stays the only source: only what was read or created there is passed on, so that all daemons use one deadline. A start that a merged message brings about is now disseminated too; before, it waited for a digest.

Ruled out: a single daemon that asks (its failure would cost the others a timeout).

--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -32,7 +32,6 @@
 from briarslip.process.membership.member import Status
 from briarslip.process.membership.task import MembershipTask
 from briarslip.process.metrics import Metrics
-from briarslip.process.rollouts.deadlines import RolloutDeadlines
 from briarslip.process.rollouts.report import RolloutReporter
 from briarslip.process.rollouts.task import RolloutTask
 from briarslip.process.service_levels import ServiceLevels
@@ -150,7 +149,6 @@
             lambda: self.membership.minimum_version,
             adapters.make_source,
         )
-        rollout_deadlines = RolloutDeadlines(reactor, clock, rng, self.store)
         self.rollouts = RolloutTask(
             reactor,
             clock,
@@ -159,7 +157,7 @@
             lambda: self.distribution.table,
             lambda: self.membership.live,
             self.links.send_control,
-            rollout_deadlines.with_deadline,
+            self.store,
         )
         self.rollout_reporter = RolloutReporter(
             reactor,
--- a/src/briarslip/process/rollouts/deadlines.py
+++ b/src/briarslip/process/rollouts/deadlines.py
@@ -19,6 +19,8 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
+    from collections.abc import Mapping
 
     from briarslip.process.clock import Clock
     from briarslip.process.store.client import StoreClient
@@ -26,8 +28,11 @@
 
 
 DEADLINE_PREFIX = "rollout-deadlines/"
-# Upper bound of a random delay: all daemons receive an order at the same moment.
-MAX_FIRST_DELAY_SECONDS = 0.4
+# All daemons receive an order at the same moment. The analyzers of its service ask the
+# store first, the others only if they have not heard of its deadline by then.
+MAX_ANALYZER_DELAY_SECONDS = 0.2
+OTHERS_DELAY_SECONDS = 0.4
+MAX_ADDED_DELAY_SECONDS = 0.4
 RETRY_BASE_SECONDS = 0.25
 RETRY_CAP_SECONDS = 2.0
 # Time between the last increase of the traffic share and the end of the ordered
@@ -35,25 +40,38 @@
 FINISH_ALLOWANCE = timedelta(seconds=3.5)
 # Limits the allowance in a short window, which it would otherwise use up.
 MAX_FINISH_FRACTION = 0.25
-MAX_AGREED_DEADLINES = 64
 
 
 class RolloutDeadlines:
-    """The agreed deadlines of ordered rollouts, by store key.
+    """Agrees on the deadlines of ordered rollouts.
 
-    The first daemon creates the deadline in the store by compare-and-swap; all
-    others read it. All daemons therefore use the same deadline, even after every
-    daemon was restarted. A failed agreement is retried with exponential backoff.
+    The first daemon creates the deadline in the store by compare-and-swap; others
+    read it, or hear of it from their peers. All daemons therefore use the same
+    deadline, even after every daemon was restarted. A failed agreement is retried
+    with exponential backoff.
+
+    ``agreed`` has the known deadlines by store key; ``on_agreed`` is called with a
+    key and its deadline once the store has it. ``is_analyzer_for`` returns whether
+    this daemon analyzes a service.
     """
 
     def __init__(
-        self, reactor: Any, clock: Clock, rng: random.Random, store: StoreClient
+        self,
+        reactor: Any,
+        clock: Clock,
+        rng: random.Random,
+        store: StoreClient,
+        agreed: Mapping[str, datetime],
+        on_agreed: Callable[[str, datetime], None],
+        is_analyzer_for: Callable[[str], bool],
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.rng = rng
         self.store = store
-        self.agreed: dict[str, datetime] = {}
+        self.agreed = agreed
+        self.on_agreed = on_agreed
+        self.is_analyzer_for = is_analyzer_for
         self.first_seen: dict[str, datetime] = {}
 
     def with_deadline(self, rollout: Rollout) -> Rollout:
@@ -69,11 +87,18 @@
             return replace(rollout, deadline=deadline)
         if key not in self.first_seen:
             self.first_seen[key] = self.clock.now()
-            delay = MAX_FIRST_DELAY_SECONDS * self.rng.random()
+            delay = self._first_delay(rollout.service)
             self.reactor.callLater(delay, self._start_agreement, key, rollout.window, 0)
         return rollout
 
+    def _first_delay(self, service: str) -> float:
+        if self.is_analyzer_for(service):
+            return MAX_ANALYZER_DELAY_SECONDS * self.rng.random()
+        return OTHERS_DELAY_SECONDS + MAX_ADDED_DELAY_SECONDS * self.rng.random()
+
     def _start_agreement(self, key: str, window: timedelta, failures: int) -> None:
+        if key in self.agreed:
+            return
         agreement = Deferred.fromCoroutine(self._read_or_create(key, window))
         agreement.addBoth(self._end_agreement, key, window, failures)
 
@@ -81,9 +106,7 @@
         self, deadline: Any, key: str, window: timedelta, failures: int
     ) -> None:
         if isinstance(deadline, datetime):
-            self.agreed[key] = deadline
-            while len(self.agreed) > MAX_AGREED_DEADLINES:
-                del self.agreed[next(iter(self.agreed))]
+            self.on_agreed(key, deadline)
             return
         delay = full_jitter(self.rng, failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS)
         self.reactor.callLater(
--- a/src/briarslip/process/rollouts/dissemination.py
+++ b/src/briarslip/process/rollouts/dissemination.py
@@ -23,12 +23,13 @@
 
 
 def full_state(decisions: Decisions) -> DecisionsState:
-    """Return a message with all decisions, starts and holds of this daemon."""
+    """Return a message with the whole state of this daemon."""
     return DecisionsState(
         is_complete=decisions.is_synced,
         decisions=tuple(decisions.rolled_back.values()),
         started=tuple(decisions.started.items()),
         held_until=tuple(decisions.held_until.items()),
+        deadlines=tuple(decisions.deadlines.items()),
     )
 
 
@@ -36,9 +37,10 @@
     decisions: tuple[Decision, ...] = (),
     started: tuple[tuple[RolloutId, datetime], ...] = (),
     held_until: tuple[tuple[RolloutId, datetime], ...] = (),
+    deadlines: tuple[tuple[str, datetime], ...] = (),
 ) -> DecisionsState:
     """Return a message with new entries only."""
-    return DecisionsState(False, decisions, started, held_until)
+    return DecisionsState(False, decisions, started, held_until, deadlines)
 
 
 def merge_state(decisions: Decisions, state: DecisionsState) -> DecisionsState | None:
@@ -54,10 +56,15 @@
         for rollout, until in state.held_until
         if decisions.extend_hold(rollout, until)
     )
+    deadlines = tuple(
+        (order, deadline)
+        for order, deadline in state.deadlines
+        if decisions.add_deadline(order, deadline)
+    )
     decisions.is_synced = decisions.is_synced or state.is_complete
     return (
-        state_update(new_decisions, started, held)
-        if new_decisions or started or held
+        state_update(new_decisions, started, held, deadlines)
+        if new_decisions or started or held or deadlines
         else None
     )
 
--- a/src/briarslip/process/rollouts/task.py
+++ b/src/briarslip/process/rollouts/task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -11,6 +12,7 @@
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.rollouts.analysis import RolloutAnalysis
+from briarslip.process.rollouts.deadlines import RolloutDeadlines
 from briarslip.process.rollouts.dissemination import DIGEST_PEERS
 from briarslip.process.rollouts.dissemination import full_state
 from briarslip.process.rollouts.dissemination import is_sender_behind
@@ -34,13 +36,14 @@
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
+    from datetime import datetime
 
     from briarslip.address import Address
     from briarslip.process.clock import Clock
     from briarslip.process.membership.member import Member
+    from briarslip.process.store.client import StoreClient
     from briarslip.version.evidence import Report
     from briarslip.version.evidence_codec import EvidenceMessage
-    from briarslip.version.record import Rollout
     from briarslip.version.rollout import RolloutStatus
     from briarslip.version.routing_table import RoutingTable
 
@@ -59,7 +62,8 @@
     each daemon sends its evidence to the analyzers of its availability zone. They
     forward it to the analyzers of other zones after ``FORWARD_DELAY_SECONDS`` and
     evaluate it after ``EVALUATION_DELAY_SECONDS``. ``send`` sends a control message
-    to a peer.
+    to a peer. ``store`` is where the deadlines of ordered rollouts are agreed on; if
+    it is None, these do not begin.
     """
 
     def __init__(
@@ -71,7 +75,7 @@
         routing_table: Callable[[], RoutingTable],
         members: Callable[[], tuple[Member, ...]],
         send: Callable[[Address, Topic, bytes], None],
-        with_deadline: Callable[[Rollout], Rollout] | None = None,
+        store: StoreClient | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -84,8 +88,17 @@
             own_member.address, own_member.availability_zone, members
         )
         self.tracker = RolloutTracker(clock, routing_table, members)
-        if with_deadline is not None:
-            self.tracker.with_deadline = with_deadline
+        if store is not None:
+            deadlines = RolloutDeadlines(
+                reactor,
+                clock,
+                rng,
+                store,
+                self.tracker.decisions.deadlines,
+                self._share_deadline,
+                self.is_analyzer_for,
+            )
+            self.tracker.with_deadline = deadlines.with_deadline
         self.collector = EvidenceCollector(
             clock,
             str(own_member.address),
@@ -206,6 +219,9 @@
     def _decide(self, decision: Decision) -> None:
         self._merge_state(state_update(decisions=(decision,)))
 
+    def _share_deadline(self, order: str, deadline: datetime) -> None:
+        self._merge_state(state_update(deadlines=((order, deadline),)))
+
     def _hold(self, status: RolloutStatus) -> None:
         now = self.clock.now()
         duration = hold_duration(status.rollout)
@@ -264,8 +280,8 @@
                 new=decision.fault.new_value,
                 old=decision.fault.old_value,
             )
-        self.tracker.refresh()
-        self._disseminate(update)
+        started = self.tracker.refresh()
+        self._disseminate(replace(update, started=update.started + started))
 
     def _disseminate(self, state: DecisionsState) -> None:
         payload = encode_message(state)
--- a/src/briarslip/version/decision.py
+++ b/src/briarslip/version/decision.py
@@ -21,6 +21,7 @@
 
 MAX_DECISIONS = 128
 MAX_STARTS = 64
+MAX_DEADLINES = 64
 
 
 class RolloutId(NamedTuple):
@@ -88,7 +89,8 @@
     """Decisions, start times and holds of all rollouts.
 
     Every daemon merges them to the same result. ``started`` has the earliest time at
-    which any daemon saw a rollout together with servers of its version. ``is_synced``
+    which any daemon saw a rollout together with servers of its version. ``deadlines``
+    has the deadline of each order that was agreed in the store, by key. ``is_synced``
     is false until the state of a peer or of the store is merged. No traffic is
     shifted before that, nor while ``is_stale``: after a pause of this daemon, when it
     may have missed decisions.
@@ -97,6 +99,7 @@
     rolled_back: dict[RolloutId, Decision] = field(default_factory=dict)
     started: dict[RolloutId, datetime] = field(default_factory=dict)
     held_until: dict[RolloutId, datetime] = field(default_factory=dict)
+    deadlines: dict[str, datetime] = field(default_factory=dict)
     is_synced: bool = False
     is_stale: bool = False
 
@@ -130,6 +133,15 @@
         self.held_until[rollout] = until
         return True
 
+    def add_deadline(self, order: str, deadline: datetime) -> bool:
+        """Add the agreed deadline of an order; return whether it was not known."""
+        if order in self.deadlines:
+            return False
+        self.deadlines[order] = deadline
+        if len(self.deadlines) > MAX_DEADLINES:
+            del self.deadlines[next(iter(self.deadlines))]
+        return True
+
     def merge(
         self,
         decisions: Iterable[Decision],
--- a/src/briarslip/version/evidence.capnp
+++ b/src/briarslip/version/evidence.capnp
@@ -43,11 +43,18 @@
   atMs @1 :UInt64;            # since 1970
 }
 
+# The agreed deadline of an ordered rollout.
+struct Deadline {
+  order @0 :Text;             # key of the order in the store
+  atUs @1 :UInt64;            # since 1970
+}
+
 struct State {
   whole @0 :Bool;             # the full state of a synchronized daemon
   decisions @1 :List(Decision);
   started @2 :List(Moment);
   heldUntil @3 :List(Moment);
+  deadlines @4 :List(Deadline);
 }
 
 struct Message {
--- a/src/briarslip/version/evidence_codec.py
+++ b/src/briarslip/version/evidence_codec.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import UTC
 from datetime import datetime
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -24,8 +25,11 @@
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("evidence.capnp")))
 MS_PER_SECOND = 1000
+EPOCH = datetime(1970, 1, 1, tzinfo=UTC)
+MICROSECOND = timedelta(microseconds=1)
 
 RolloutTimes = tuple[tuple[RolloutId, datetime], ...]
+OrderDeadlines = tuple[tuple[str, datetime], ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,15 +48,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DecisionsState:
-    """Decisions, start times and ends of holds: all of a daemon's, or new ones.
+    """Decisions, start times, ends of holds and deadlines: a daemon's, or new ones.
 
     ``is_complete`` means that the sender is synchronized and this is its full state.
+    ``deadlines`` has the agreed deadline of each order by its key.
     """
 
     is_complete: bool
     decisions: tuple[Decision, ...]
     started: RolloutTimes
     held_until: RolloutTimes
+    deadlines: OrderDeadlines = ()
 
 
 EvidenceMessage = Reports | StateDigest | DecisionsState
@@ -105,6 +111,11 @@
         _encode_decision(entry, decision)
     _encode_times(target.init("started", len(state.started)), state.started)
     _encode_times(target.init("heldUntil", len(state.held_until)), state.held_until)
+    deadlines = target.init("deadlines", len(state.deadlines))
+    for entry, (order, deadline) in zip(deadlines, state.deadlines, strict=True):
+        entry.order = order
+        # The identity of a rollout covers its deadline to the microsecond.
+        entry.atUs = (deadline - EPOCH) // MICROSECOND
 
 
 def _encode_decision(target: Any, decision: Decision) -> None:
@@ -178,6 +189,10 @@
         decisions=tuple(_decode_decision(entry) for entry in source.decisions),
         started=_decode_times(source.started),
         held_until=_decode_times(source.heldUntil),
+        deadlines=tuple(
+            (entry.order, EPOCH + entry.atUs * MICROSECOND)
+            for entry in source.deadlines
+        ),
     )
 
 
@@ -216,6 +231,7 @@
 __all__ = [
     "DecisionsState",
     "EvidenceMessage",
+    "OrderDeadlines",
     "Reports",
     "RolloutTimes",
     "StateDigest",
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -118,6 +118,7 @@
         )
         reactor = PausableReactor(self.time)
         rng = random.Random(self.rng.random())
+        store_client = LocalStoreClient(self.store, self.time.call_later)
         task = RolloutTask(
             reactor,
             self.time,
@@ -128,8 +129,8 @@
             ),
             lambda: self.reachable_members(member),
             lambda peer, _topic, payload: self._send(member, peer, payload),
+            store_client,
         )
-        store_client = LocalStoreClient(self.store, self.time.call_later)
         reporter = RolloutReporter(
             reactor, store_client, rng, task, lambda: self.configuration_version
         )
--- a/tests/process/rollouts/test_deadlines.py
+++ b/tests/process/rollouts/test_deadlines.py
@@ -4,14 +4,19 @@
 
 import random
 import unittest
+from dataclasses import replace
 from datetime import UTC
 from datetime import datetime
 from datetime import timedelta
 from typing import Any
+from unittest.mock import patch
 
+from briarslip.process.rollouts.deadlines import DEADLINE_PREFIX
 from briarslip.process.rollouts.deadlines import RolloutDeadlines
+from briarslip.process.rollouts.peers import ANALYZERS_PER_ZONE
 from briarslip.version.record import DEADLINE_NOT_AGREED
 from briarslip.version.record import Rollout
+from standins.rollout_fleet import Fleet
 from standins.simulated_store import SimulatedStore
 
 
@@ -46,8 +51,15 @@
         """Return the deadlines of one daemon."""
         clock = OffsetClock(self.simulated_store.clock, offset_seconds)
         rng = random.Random(seed)
+        agreed: dict[str, datetime] = {}
         return RolloutDeadlines(
-            self.simulated_store.clock, clock, rng, self.simulated_store.client
+            self.simulated_store.clock,
+            clock,
+            rng,
+            self.simulated_store.client,
+            agreed,
+            agreed.__setitem__,
+            lambda service: bool(seed % 2),
         )
 
     def wait(self, seconds: float) -> None:
@@ -98,6 +110,27 @@
         record = Rollout("r", "holds", "2", START, WINDOW, 0.05)
         self.assertIs(record, self.make_daemon(1).with_deadline(record))
 
+    def test_few_daemons_ask_the_store(self) -> None:
+        """The others hear of the deadline from their peers.
+
+        Zones of the size of the users' largest site; one call each was two.
+        """
+        fleet = Fleet("abcde" * 20, "12" * 50)
+        fleet.advance(5)
+        store = fleet.store
+        with (
+            patch.object(store, "get", wraps=store.get) as get,
+            patch.object(store, "swap", wraps=store.swap) as swap,
+        ):
+            fleet.set_rollouts(replace(ROLLOUT, name="r"))
+            fleet.advance(2)
+        keys = [call.args[0] for call in (*get.mock_calls, *swap.mock_calls)]
+        calls = sum(key.startswith(DEADLINE_PREFIX) for key in keys)
+        self.assertLessEqual(calls, 2 * 5 * ANALYZERS_PER_ZONE)
+        deadlines = {n.task.statuses[0].rollout.deadline for n in fleet.nodes}
+        self.assertEqual(1, len(deadlines))
+        self.assertNotIn(DEADLINE_NOT_AGREED, deadlines)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/version/test_rollout.py
+++ b/tests/version/test_rollout.py
@@ -155,7 +155,14 @@
         )
 
     def test_state_message_is_lossless(self) -> None:
-        state = DecisionsState(True, (make_decision(),), ((ID, BEGIN),), ((ID, BEGIN),))
+        deadline = BEGIN + timedelta(microseconds=1)
+        state = DecisionsState(
+            True,
+            (make_decision(),),
+            ((ID, BEGIN),),
+            ((ID, BEGIN),),
+            (("rollout-deadlines/holds/9", deadline),),
+        )
         self.assertEqual(decode_message(encode_message(state)).unwrap(), state)
         self.assertTrue(decode_message(b"\x01\x02").is_err())
 
