Unexpected errors fail one request, are logged with their place and counted

Cause: the reactor caught errors of handlers and timers, but no observer was installed: nothing was written to the log. An error in the handling of one call ended the link with all calls on it, one in a periodic check left the rest unchecked, one at the start of a time slice ended rollouts for good, one in a step of the shutdown ended the shutdown; errors of background reads of the store were dropped.

Change: event 107 with error and place, also for what the reactor catches; calls, control messages, callers' requests, endpoints and steps of the shutdown are isolated from one another; timers are scheduled before their work. A failed report of a removed rollout is logged.

Ruled out: a general wrapper of all timers; the reactor already isolates them, only the order of scheduling and work mattered.

--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -26,7 +27,10 @@
 from briarslip.connection.socket_close import has_unsent_data
 from briarslip.connection.socket_close import read_pending
 from briarslip.connection.socket_options import set_socket_options
+from briarslip.process.error_log import record_error
+from briarslip.process.error_log import run_each
 from briarslip.request.forwarder import CallerRequest
+from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
 
@@ -244,7 +248,12 @@
             flow=exchange.flow,
             host=head.host,
         )
-        cancel = self.factory.forward(request, exchange)
+        try:
+            cancel = self.factory.forward(request, exchange)
+        except Exception as error:
+            record_error(error)
+            exchange.failed(Failure(Outcome.UNKNOWN, Reason.INTERNAL_ERROR), None)
+            return
         if not exchange.ended:
             exchange.cancel = cancel
 
@@ -319,8 +328,8 @@
     def sweep(self) -> None:
         """Close the connections that have been inactive for too long."""
         self.sweep_call = self.reactor.callLater(SWEEP_SECONDS, self.sweep)
-        for connection in list(self.connections):
-            self._close_if_inactive(connection)
+        connections = tuple(self.connections)
+        run_each(partial(self._close_if_inactive, c) for c in connections)
 
     def _close_if_inactive(self, connection: CallerConnection) -> None:
         inactive_seconds = self.now - connection.last_active_at
--- a/src/briarslip/connection/link_stream.py
+++ b/src/briarslip/connection/link_stream.py
@@ -163,6 +163,12 @@
             outgoing_body.credit_bytes += size_bytes
             self.link.writer.enqueue(outgoing_body)
 
+    def cancel_call(self) -> None:
+        """Cancel the call, since the link is lost."""
+        self.ended = True
+        if self.cancel is not None:
+            self.cancel()
+
     def failed(self, failure: Failure, load: Load | None) -> None:
         """Send the failure."""
         if self.ended:
--- a/src/briarslip/connection/local_http.py
+++ b/src/briarslip/connection/local_http.py
@@ -11,6 +11,9 @@
 
 from twisted.web import http
 
+from briarslip.process.error_log import record_error
+from briarslip.request.outcome import Reason
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,10 +53,11 @@
         path = self.path.decode("latin-1")
         method = self.method.decode("latin-1")
         endpoint = self.channel.factory.find_endpoint(method, path)
+        reply: Reply
         if endpoint is None:
             reply = JsonReply(http.NOT_FOUND, {"error": f"no such endpoint: {path}"})
         else:
-            reply = endpoint(self.content.getvalue())
+            reply = self._call_endpoint(endpoint)
         if isinstance(reply, TextReply):
             body, content_type = reply.body.encode(), b"text/plain; version=0.0.4"
         else:
@@ -67,6 +71,14 @@
         self.write(body)
         self.finish()
 
+    def _call_endpoint(self, endpoint: Callable[[bytes], Reply]) -> Reply:
+        try:
+            return endpoint(self.content.getvalue())
+        except Exception as error:
+            record_error(error)
+            text = Reason.INTERNAL_ERROR.value
+            return JsonReply(http.INTERNAL_SERVER_ERROR, {"error": text})
+
 
 class LocalHttpFactory(http.HTTPFactory):
     """Serves endpoints by method and path.
--- a/src/briarslip/connection/peer_link.py
+++ b/src/briarslip/connection/peer_link.py
@@ -34,6 +34,8 @@
 from briarslip.connection.outgoing_body import PART_BYTES
 from briarslip.connection.outgoing_body import OutgoingBody
 from briarslip.connection.socket_options import set_socket_options
+from briarslip.process.error_log import record_error
+from briarslip.process.error_log import run_each
 from briarslip.request.call import Call
 from briarslip.request.call import Load
 from briarslip.request.flow_control import FlowControl
@@ -129,12 +131,8 @@
         self.writer.stopProducing()
         self.on_lost(self)
         failure = Failure(Outcome.UNKNOWN, self.loss_reason)
-        for stream in client_streams.values():
-            stream.fail(failure, None)
-        for server_stream in server_streams.values():
-            server_stream.ended = True
-            if server_stream.cancel is not None:
-                server_stream.cancel()
+        run_each((s.fail for s in client_streams.values()), failure, None)
+        run_each(s.cancel_call for s in server_streams.values())
 
     def send(self, frame: Frame) -> None:
         """Send one frame, or nothing if the link is lost."""
@@ -213,7 +211,8 @@
         match frame:
             case ControlFrame():
                 if self.peer is not None:
-                    self.on_control(self.peer, frame)
+                    # The calls on this link do not depend on the control message.
+                    run_each((self.on_control,), self.peer, frame)
             case Hello():
                 return self._receive_hello(frame)
             case GoAway():
@@ -317,7 +316,13 @@
         )
         stream = ServerStream(self, frame.stream, call)
         self.server_streams[frame.stream] = stream
-        cancel = self.dispatch(call, stream)
+        try:
+            cancel = self.dispatch(call, stream)
+        except Exception as error:
+            # The other calls on this link must not fail with this one.
+            record_error(error)
+            stream.failed(Failure(Outcome.UNKNOWN, Reason.INTERNAL_ERROR), None)
+            return
         if frame.stream in self.server_streams:
             stream.cancel = cancel
 
--- a/src/briarslip/console/daemon.py
+++ b/src/briarslip/console/daemon.py
@@ -104,9 +104,11 @@
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
+    from briarslip.process.error_log import log_reactor_errors
     from briarslip.process.events import install_log
 
     install_log(log)
+    log_reactor_errors()
     daemon = make_daemon(reactor)
     failures: list[CannotListenError] = []
 
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -58,6 +58,11 @@
         Level.WARNING,
         "log lines are dropped: rate limit or slow reader",
     )
+    UNEXPECTED_ERROR = (
+        107,
+        Level.ERROR,
+        "unexpected error; the daemon continues",
+    )
     SERVER_ANNOUNCED = (201, Level.INFO, "new backend server is registered")
     SERVER_EXPIRED = (202, Level.WARNING, "backend server's announcement lease expires")
     MEMBER_DEAD = (
--- a/src/briarslip/process/membership/task.py
+++ b/src/briarslip/process/membership/task.py
@@ -12,6 +12,7 @@
 
 from briarslip.address import Address
 from briarslip.connection.frame import Topic
+from briarslip.process.error_log import record_failure
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.membership import protocol
@@ -185,9 +186,11 @@
 
     def _start_store_access(self, access: Any) -> None:
         self.is_accessing_contact_points = True
-        Deferred.fromCoroutine(access).addBoth(self._store_access_ended)
+        access_ended = Deferred.fromCoroutine(access)
+        access_ended.addErrback(record_failure)
+        access_ended.addCallback(self._store_access_ended)
 
-    def _store_access_ended(self, result: object) -> None:
+    def _store_access_ended(self, result: None) -> None:
         self.is_accessing_contact_points = False
         self.state.sync_state.needs_contact_points = False
 
--- a/src/briarslip/process/rollouts/deadlines.py
+++ b/src/briarslip/process/rollouts/deadlines.py
@@ -13,6 +13,7 @@
 
 from briarslip import fields
 from briarslip.backoff import full_jitter
+from briarslip.process.error_log import record_failure
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 
@@ -100,12 +101,13 @@
         if key in self.agreed:
             return
         agreement = Deferred.fromCoroutine(self._read_or_create(key, window))
-        agreement.addBoth(self._end_agreement, key, window, failures)
+        agreement.addErrback(record_failure)
+        agreement.addCallback(self._end_agreement, key, window, failures)
 
     def _end_agreement(
-        self, deadline: Any, key: str, window: timedelta, failures: int
+        self, deadline: datetime | None, key: str, window: timedelta, failures: int
     ) -> None:
-        if isinstance(deadline, datetime):
+        if deadline is not None:
             self.on_agreed(key, deadline)
             return
         delay = full_jitter(self.rng, failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS)
--- a/src/briarslip/process/rollouts/report.py
+++ b/src/briarslip/process/rollouts/report.py
@@ -9,6 +9,7 @@
 from result import Ok
 from twisted.internet.defer import Deferred
 
+from briarslip.process.error_log import record_failure
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.rendezvous import rank_by_hash
@@ -81,7 +82,9 @@
         self.reactor.callLater(delay, self._start_round)
 
     def _start_round(self) -> None:
-        Deferred.fromCoroutine(self.run_round()).addBoth(lambda _: self.start())
+        round_ = Deferred.fromCoroutine(self.run_round())
+        round_.addErrback(record_failure)
+        round_.addCallback(lambda _: self.start())
 
     async def run_round(self) -> None:
         """Report states and removals that are not yet in the store; sync first."""
@@ -133,9 +136,11 @@
             self.written_documents[name], self.task.clock.now(), version
         )
         written = await self._write(document)
-        if not isinstance(written, Err):
-            del self.written_documents[name]
-            self.reported_states.pop(name, None)
+        if isinstance(written, Err):
+            emit(Event.STORE_FAILED, reason=written.err_value.reason)
+            return
+        del self.written_documents[name]
+        self.reported_states.pop(name, None)
 
     async def _write(self, own_document: Document) -> Result[Document, StoreError]:
         """Write a document unless the store has one as recent; return the result."""
--- a/src/briarslip/process/rollouts/task.py
+++ b/src/briarslip/process/rollouts/task.py
@@ -141,9 +141,9 @@
 
     def _end_slice(self) -> None:
         self.slice_count += 1
-        self._detect_pause()
         schedule = self.reactor.callLater
         schedule(SLICE_SECONDS - self._seconds_into_slice(), self._end_slice)
+        self._detect_pause()
         self.peers.refresh()
         started = self.tracker.refresh()
         if started:
--- a/src/briarslip/process/shutdown.py
+++ b/src/briarslip/process/shutdown.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from briarslip.process.error_log import record_error
+from briarslip.process.error_log import run_each
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 
@@ -133,12 +135,20 @@
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
         self.phase_started_at = self.clock.monotonic()
-        self.on_phase(phase)
+        # The shutdown goes on even if a part of it fails.
+        run_each((self.on_phase,), phase)
+
+    def _remaining(self) -> Remaining:
+        try:
+            return self.count_remaining()
+        except Exception as error:
+            record_error(error)
+            return Remaining(1, 1)
 
     def _poll(self) -> None:
         now = self.clock.monotonic()
         elapsed_seconds = now - self.phase_started_at
-        remaining = self.count_remaining()
+        remaining = self._remaining()
         phase = next_phase(
             self.phase, elapsed_seconds, self.max_timeout_seconds(), remaining
         )
--- a/src/briarslip/request/outcome.py
+++ b/src/briarslip/request/outcome.py
@@ -36,6 +36,7 @@
     TOO_MANY_OUTSTANDING = "too many requests of the service are under way"
     NO_CLAIM = "no claim could be made for the idempotency key"
     KEY_MISMATCH = "the idempotency key belongs to another request"
+    INTERNAL_ERROR = "an unexpected error of the daemon"
     ALREADY_FORWARDED = "already handed over, outcome unknown"
 
 
