Move a daemon's own watch of the store out of the distribution task

The task keeps who is a relay; StoreWatch keeps the source active while this daemon must watch and checks for silence. The check for silence now uses the role and the size of the zone of the last second instead of computing them again; behaviour is otherwise as before (tests of the distribution pass).

--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -11,10 +11,9 @@
 from briarslip.finding import format_findings
 from briarslip.process.distribution.bootstrap import Bootstrap
 from briarslip.process.distribution.relay import Relay
+from briarslip.process.distribution.store_watch import StoreWatch
 from briarslip.process.distribution.stored_configuration import READ_INTERVAL_SECONDS
 from briarslip.process.distribution.watch_duty import MAX_WATCHING_ZONE_MEMBERS
-from briarslip.process.distribution.watch_duty import RELAY_SILENCE_SECONDS
-from briarslip.process.distribution.watch_duty import WatchDuty
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.version.configuration_codec import Busy
@@ -70,7 +69,6 @@
 # A daemon with its own source has its peers' version after one read interval and the
 # read itself, so a pull is needed only after that.
 OWN_SOURCE_GRACE_SECONDS = 1.25 * READ_INTERVAL_SECONDS
-TIMER_MARGIN_SECONDS = 0.01
 
 
 class DistributionTask:
@@ -120,8 +118,7 @@
         self.is_relay = False
         self.started = False
         # None if only relays read the store.
-        self.watch_duty = None if make_source is None else WatchDuty()
-        self.watch_timer: Any = None
+        self.store_watch: StoreWatch | None = None
         self.relay: ConfigurationSource
         if make_source is None:
             self.relay = Relay(
@@ -135,6 +132,7 @@
             )
         else:
             self.relay = make_source(self._activate_newest)
+            self.store_watch = StoreWatch(reactor, clock, self.relay)
         self.bootstrap = Bootstrap(
             reactor,
             clock,
@@ -173,24 +171,16 @@
         self.is_relay = active
         if active:
             self.relay.rank = self._rank(relays_by_zone)
-        if self.watch_duty is None:
+        if self.store_watch is None:
             self.relay.set_active(active)
         else:
-            self._update_watch()
+            is_chosen = self.chosen_as_relay_since is not None
+            self.store_watch.update(is_chosen, len(self._zone_addresses()))
             self._send_relay_heartbeat()
         if not self.started:
             self.started = True
             self.bootstrap.start()
 
-    def _update_watch(self) -> None:
-        """Start or stop the own watch of the store."""
-        if self.watch_duty is None:
-            return
-        is_chosen = self.chosen_as_relay_since is not None
-        zone_members = len(self._zone_addresses())
-        now = self.clock.monotonic()
-        self.relay.set_active(self.watch_duty.must_watch(is_chosen, zone_members, now))
-
     def _send_relay_heartbeat(self) -> None:
         """Tell the zone that this relay is in touch with the store."""
         addresses = self._zone_addresses()
@@ -206,29 +196,10 @@
                 self.send(peer, Topic.CONFIGURATION, heartbeat)
 
     def _record_relay_heartbeat(self, sender: Address) -> None:
-        """Rely on the relays of this zone while they are heard."""
-        if self.watch_duty is None or sender not in self.relays_by_zone.get(
-            self.availability_zone, ()
-        ):
-            return
-        self.watch_duty.record_relay(self.clock.monotonic())
-        if self.watch_timer is None:
-            self._schedule_watch_check(RELAY_SILENCE_SECONDS)
-
-    def _schedule_watch_check(self, seconds: float) -> None:
-        self.watch_timer = self.reactor.callLater(seconds, self._check_relay_silence)
-
-    def _check_relay_silence(self) -> None:
-        """Watch the store at once if the relays have become silent."""
-        self.watch_timer = None
-        if self.watch_duty is None:
-            return
-        now = self.clock.monotonic()
-        if self.watch_duty.is_silent(now):
-            self._update_watch()
-        else:
-            silent_at = self.watch_duty.heard_at + RELAY_SILENCE_SECONDS
-            self._schedule_watch_check(silent_at - now + TIMER_MARGIN_SECONDS)
+        """Tell the watch of the store that a relay of this zone was heard."""
+        relays = self.relays_by_zone.get(self.availability_zone, ())
+        if self.store_watch is not None and sender in relays:
+            self.store_watch.record_relay()
 
     def _is_relay_delay_over(self) -> bool:
         """Return whether this daemon has been chosen for the relay start delay."""
@@ -355,7 +326,7 @@
         self._record_peer_version(peer, version)
         if version > self.state.newest_version and peer != self.own_address:
             now = self.clock.monotonic()
-            has_own_source = self.watch_duty is not None and self.relay.active
+            has_own_source = self.store_watch is not None and self.relay.active
             pull_grace_seconds = (
                 OWN_SOURCE_GRACE_SECONDS
                 if has_own_source and self.snapshot.version
