Read the fields of records with patterns and cached parsers

Ruled out: server choice (a few lists a call) and the index of servers.

Change: patterns instead of loops over characters; parsers of numbers, durations and lists remember the last 64 texts; unknown fields are looked for only if there are any.

--- a/src/briarslip/fields.py
+++ b/src/briarslip/fields.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from datetime import UTC
 from datetime import datetime
 from datetime import timedelta
+from functools import lru_cache
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -19,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
 
     from briarslip.address import Address
@@ -27,6 +30,9 @@
 
 
 REQUIRED = object()
+NAME_PATTERN = re.compile(r"[A-Za-z0-9._-]+")
+# The routes of one configuration have few different durations, counts and splits.
+CACHED_TEXTS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +57,7 @@
 def name(value: str) -> Result[str, str]:
     """Parse a name of ASCII letters, digits, dots, dashes and underscores."""
     stripped = value.strip()
-    if stripped and all(c.isascii() and (c.isalnum() or c in "._-") for c in stripped):
+    if NAME_PATTERN.fullmatch(stripped):
         return Ok(stripped)
     return Err(f"{value!r} is not a name of letters, digits, '.', '_', '-'")
 
@@ -59,6 +65,7 @@
 def integer(minimum: int, maximum: int) -> Callable[[str], Result[int, str]]:
     """Return a parser of integers from ``minimum`` to ``maximum`` inclusive."""
 
+    @lru_cache(CACHED_TEXTS)
     def parse(value: str) -> Result[int, str]:
         try:
             number = int(value)
@@ -89,9 +96,15 @@
 def milliseconds(minimum: int, maximum: int) -> Callable[[str], Result[timedelta, str]]:
     """Return a parser of durations given in whole milliseconds."""
     parse = integer(minimum, maximum)
-    return lambda value: parse(value).map(lambda ms: timedelta(milliseconds=ms))
 
+    @lru_cache(CACHED_TEXTS)
+    def parse_duration(value: str) -> Result[timedelta, str]:
+        return parse(value).map(lambda ms: timedelta(milliseconds=ms))
 
+    return parse_duration
+
+
+@lru_cache(CACHED_TEXTS)
 def boolean(value: str) -> Result[bool, str]:
     """Parse ``true`` or ``false``, in any case."""
     words = {"true": True, "false": False}
@@ -128,6 +141,7 @@
 ) -> Callable[[str], Result[tuple[Any, ...], str]]:
     """Return a parser of comma-separated lists; empty items are skipped."""
 
+    @lru_cache(CACHED_TEXTS)
     def parse(value: str) -> Result[tuple[Any, ...], str]:
         results = [parse_item(part) for part in value.split(",") if part.strip()]
         reasons = [result.err_value for result in results if isinstance(result, Err)]
@@ -144,7 +158,7 @@
 
 
 def read_fields(
-    source: str, section: IniSection, specs: Iterable[FieldSpec]
+    source: str, section: IniSection, specs: Collection[FieldSpec]
 ) -> Result[dict[str, Any], tuple[Finding, ...]]:
     """Parse the fields of a section; the error holds all findings.
 
@@ -152,10 +166,12 @@
     value: durations in milliseconds are parsed into a timedelta.
     """
     findings: list[Finding] = []
-    unparsed = dict(section.fields)
+    given = section.fields
+    known_count = 0
     values: dict[str, Any] = {}
     for spec in specs:
-        field = unparsed.pop(spec.name, None)
+        field = given.get(spec.name)
+        known_count += field is not None
         result = _parse_field(spec, field)
         if isinstance(result, Err):
             line = section.line if field is None else field.line
@@ -164,10 +180,13 @@
             )
         else:
             values[spec.name.removesuffix("_ms")] = result.ok_value
-    findings.extend(
-        Finding(source, field.line, section.name, field.key, "unknown field")
-        for field in unparsed.values()
-    )
+    if known_count < len(given):
+        known = {spec.name for spec in specs}
+        findings.extend(
+            Finding(source, field.line, section.name, field.key, "unknown field")
+            for name, field in given.items()
+            if name not in known
+        )
     return Err(tuple(findings)) if findings else Ok(values)
 
 
--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import re
 from dataclasses import dataclass
 from datetime import timedelta
 from functools import cached_property
@@ -53,6 +54,8 @@
 RETRY_NOT_RUN = "not-run"
 RETRY_UNKNOWN = "unknown"
 CONTENT_DIGEST_BYTES = 8
+NOT_IN_PATH = re.compile(r"[?#\s]")
+NOT_IN_HOST = re.compile(r"[/?#@\s]")
 
 
 class RecordKey(NamedTuple):
@@ -119,7 +122,7 @@
 def _path(value: str) -> Result[str, str]:
     """Parse an absolute path without a query; a trailing slash is removed."""
     path = value.strip()
-    if not path.startswith("/") or any(c in "?#" or c.isspace() for c in path):
+    if not path.startswith("/") or NOT_IN_PATH.search(path):
         return Err(f"{value!r} is not a path that begins with '/'")
     path = path.rstrip("/")
     if "//" in path or any(part in {".", ".."} for part in path.split("/")):
@@ -139,7 +142,7 @@
     prefix = value.strip()
     if not prefix.startswith("/") or not prefix.endswith("/"):
         return Err(f"{value!r} does not begin and end with '/'")
-    if any(c in "?#" or c.isspace() for c in prefix):
+    if NOT_IN_PATH.search(prefix):
         return Err(f"{value!r} is not a path")
     return Ok(prefix)
 
@@ -147,7 +150,7 @@
 def _host(value: str) -> Result[str, str]:
     """Parse a host name without a port, and convert it to lower case."""
     host = value.strip().lower()
-    if not host or any(c in "/?#@" or c.isspace() for c in host):
+    if not host or NOT_IN_HOST.search(host):
         return Err(f"{value!r} is not a host")
     return Ok(host)
 
