The traffic share of a held rollout does not rise

Ruled out: a late suspicion; a late decision (the old servers fail as well, of another cause, so the test needs more of their calls).

Change: a hold keeps the share that the rollout had when this daemon saw the hold, or one half if that is less. Evidence for and against it goes on at that share.

--- a/src/briarslip/process/rollouts/tracker.py
+++ b/src/briarslip/process/rollouts/tracker.py
@@ -81,6 +81,7 @@
     def refresh(self) -> tuple[tuple[RolloutId, datetime], ...]:
         """Recompute traffic plans and states; return the rollouts that started now."""
         now = self.clock.now()
+        self.decisions.update_holds(now)
         members = self.members()
         for member in members:
             self.zones_last_seen[member.availability_zone] = now
--- a/src/briarslip/version/decision.py
+++ b/src/briarslip/version/decision.py
@@ -89,7 +89,9 @@
     """Decisions, start times and holds of all rollouts.
 
     Every daemon merges them to the same result. ``started`` has the earliest time at
-    which any daemon saw a rollout together with servers of its version. ``deadlines``
+    which any daemon saw a rollout together with servers of its version.
+    ``held_since`` has the time at which this daemon first saw the hold of a rollout
+    that is held now. ``deadlines``
     has the deadline of each order that was agreed in the store, by key. ``is_synced``
     is false until the state of a peer or of the store is merged. No traffic is
     shifted before that, nor while ``is_stale``: after a pause of this daemon, when it
@@ -99,6 +101,7 @@
     rolled_back: dict[RolloutId, Decision] = field(default_factory=dict)
     started: dict[RolloutId, datetime] = field(default_factory=dict)
     held_until: dict[RolloutId, datetime] = field(default_factory=dict)
+    held_since: dict[RolloutId, datetime] = field(default_factory=dict)
     deadlines: dict[str, datetime] = field(default_factory=dict)
     is_synced: bool = False
     is_stale: bool = False
@@ -133,6 +136,14 @@
         self.held_until[rollout] = until
         return True
 
+    def update_holds(self, now: datetime) -> None:
+        """Record since when each rollout is held, and forget the holds that ended."""
+        self.held_since = {
+            rollout: self.held_since.get(rollout, now)
+            for rollout, until in self.held_until.items()
+            if now < until
+        }
+
     def add_deadline(self, order: str, deadline: datetime) -> bool:
         """Add the agreed deadline of an order; return whether it was not known."""
         if order in self.deadlines:
--- a/src/briarslip/version/rollout.py
+++ b/src/briarslip/version/rollout.py
@@ -144,7 +144,11 @@
     progress = rollout_progress(rollout, started, now)
     held_until = decisions.held_until.get(rollout_id)
     is_held = held_until is not None and now < held_until
-    share = traffic_share(rollout, progress, is_held)
+    held_progress = None
+    if is_held:
+        held_since = decisions.held_since.get(rollout_id, now)
+        held_progress = rollout_progress(rollout, started, held_since)
+    share = traffic_share(rollout, progress, held_progress)
     if progress < 0:
         return State.PENDING, 0.0, "the window has not begun"
     if share >= 1.0:
--- a/src/briarslip/version/traffic_share.py
+++ b/src/briarslip/version/traffic_share.py
@@ -50,15 +50,25 @@
     return (now - start).total_seconds() / span
 
 
-def traffic_share(rollout: Rollout, progress: float, is_held: bool) -> float:
+def traffic_share(
+    rollout: Rollout, progress: float, held_progress: float | None = None
+) -> float:
     """Return the version's traffic share, from 0 to 1.
 
     The share is small up to ``RAMP_START_PROGRESS`` and then ramps up. The old version
-    keeps ``MIN_CONTROL_SHARE`` for comparison until ``FULL_SHARE_PROGRESS``. While
-    the rollout is held on suspicion, the share is at most ``MAX_HELD_SHARE``.
+    keeps ``MIN_CONTROL_SHARE`` for comparison until ``FULL_SHARE_PROGRESS``.
+    ``held_progress`` is the progress at which the rollout was held on suspicion, None
+    if it is not held: the share does not rise then, and is at most
+    ``MAX_HELD_SHARE``.
+
+    Load pattern: a version that fails only under load, while servers of the old one
+    fail as well. It takes some seconds to tell the causes apart, in which the ramp
+    would multiply the requests that the faulty version gets.
     """
-    share = _planned_share(rollout.max_traffic_share, progress)
-    return min(share, MAX_HELD_SHARE) if is_held else share
+    if held_progress is None:
+        return _planned_share(rollout.max_traffic_share, progress)
+    share = _planned_share(rollout.max_traffic_share, min(progress, held_progress))
+    return min(share, MAX_HELD_SHARE)
 
 
 def hold_duration(rollout: Rollout) -> timedelta:
--- a/tests/process/rollouts/test_task.py
+++ b/tests/process/rollouts/test_task.py
@@ -310,6 +310,23 @@
         node.task.receive_message(fleet.nodes[1].member.address, b"\xff\x07nonsense")
         self.assertEqual(node.task.version_for(ROUTE.service), "")
 
+    def test_share_does_not_rise_while_the_evidence_is_suspicious(self) -> None:
+        """A daemon that hears late of a hold keeps the share that it has then."""
+        fleet = synced_fleet()
+        rollout = fleet.add_rollout(WINDOW)
+        fleet.advance(WINDOW * 0.6)
+        until = fleet.time.now() + timedelta(seconds=WINDOW * 0.2)
+        for node in fleet.nodes:
+            node.task.tracker.decisions.extend_hold(
+                RolloutId.from_rollout(rollout), until
+            )
+            node.task.tracker.refresh()
+        share = max(fleet.shares())
+        fleet.advance(WINDOW * 0.15)
+        self.assertAlmostEqual(share, max(fleet.shares()))
+        fleet.advance(WINDOW * 0.1)
+        self.assertGreater(min(fleet.shares()), 2 * share)
+
     def test_hold_expires(self) -> None:
         fleet = synced_fleet()
         rollout = fleet.add_rollout(WINDOW)
--- a/tests/version/test_traffic_share.py
+++ b/tests/version/test_traffic_share.py
@@ -42,7 +42,7 @@
     progress = rollout_progress(
         rollout, BEGIN + timedelta(seconds=started_seconds), now
     )
-    return traffic_share(rollout, progress, is_held=False)
+    return traffic_share(rollout, progress)
 
 
 class TrafficShareTest(unittest.TestCase):
@@ -77,12 +77,20 @@
 
     def test_without_small_share_the_share_still_becomes_full(self) -> None:
         rollout = make_rollout(MINUTE, small_share=0.0)
-        self.assertEqual(traffic_share(rollout, 0.4, is_held=False), 0.0)
-        self.assertGreater(traffic_share(rollout, 0.6, is_held=False), 0.0)
-        self.assertEqual(traffic_share(rollout, 0.95, is_held=False), 1.0)
+        self.assertEqual(traffic_share(rollout, 0.4), 0.0)
+        self.assertGreater(traffic_share(rollout, 0.6), 0.0)
+        self.assertEqual(traffic_share(rollout, 0.95), 1.0)
 
     def test_hold_leaves_traffic_to_the_old_version(self) -> None:
-        self.assertEqual(traffic_share(make_rollout(MINUTE), 1.0, is_held=True), 0.5)
+        self.assertEqual(
+            traffic_share(make_rollout(MINUTE), 1.0, held_progress=1.0), 0.5
+        )
+
+    def test_share_does_not_rise_during_a_hold(self) -> None:
+        rollout = make_rollout(MINUTE)
+        at_hold = traffic_share(rollout, 0.6)
+        self.assertEqual(at_hold, traffic_share(rollout, 0.8, held_progress=0.6))
+        self.assertGreater(traffic_share(rollout, 0.8), at_hold)
 
 
 class ServerSubsetTest(unittest.TestCase):
