--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -23,6 +23,7 @@
 from briarslip.version.delta import delta_between
 from briarslip.version.record import Limits
 from briarslip.version.record import RecordKey
+from briarslip.version.record import Route
 from briarslip.version.record import WeightedService
 from briarslip.version.routing_table import RoutingTable
 from briarslip.version.routing_table import compile_snapshot
@@ -69,6 +70,18 @@
     return compile_snapshot(snapshot).unwrap()
 
 
+def matches_with_changed_hold(field: str, value: Any) -> tuple[Route, Route]:
+    """Change a field of the route r-hold; return what matches its and r-shelf's calls."""
+    document = configuration()
+    document["routes"]["r-hold"][field] = value
+    table = compiled(item(CONFIGURATION_KEY, document))
+    hold = table.match("/puka111/", "POST", "jepu9.example")
+    shelf = table.match("/leny950/", "GET", "hulo84.example")
+    assert hold is not None
+    assert shelf is not None
+    return hold, shelf
+
+
 class ConfigurationTest(unittest.TestCase):
     """Valid items become records; invalid ones are rejected or skipped."""
 
@@ -226,27 +239,15 @@
             ("traffic-split", [{"service": "holds"}]),
         ):
             with self.subTest(field=field, value=value):
-                document = configuration()
-                document["routes"]["r-hold"][field] = value
-                table = compiled(item(CONFIGURATION_KEY, document))
-                hold = table.match("/puka111/", "POST", "jepu9.example")
-                assert hold is not None
+                hold, shelf = matches_with_changed_hold(field, value)
                 self.assertEqual((UNSERVED,), hold.services)
-                shelf = table.match("/leny950/", "GET", "hulo84.example")
-                assert shelf is not None
                 self.assertEqual(("shelves", "lots"), shelf.services)
 
     def test_without_a_readable_prefix_no_request_is_called_unknown(self) -> None:
         for field, value in (("prefix", None), ("prefix", "x"), ("host", 1)):
             with self.subTest(field=field, value=value):
-                document = configuration()
-                document["routes"]["r-hold"][field] = value
-                table = compiled(item(CONFIGURATION_KEY, document))
-                other = table.match("/puka111/", "POST", "jepu9.example")
-                assert other is not None
+                other, shelf = matches_with_changed_hold(field, value)
                 self.assertEqual((UNSERVED,), other.services)
-                shelf = table.match("/leny950/", "GET", "hulo84.example")
-                assert shelf is not None
                 self.assertEqual("r-shelf", shelf.name)
 
     def test_two_routes_of_the_same_requests_are_rejected_as_not_run(self) -> None:
--- a/tests/process/test_error_log.py
+++ b/tests/process/test_error_log.py
@@ -99,7 +99,7 @@
 
     def test_agreement_on_a_deadline_is_tried_again(self) -> None:
         clock = FakeClock()
-        clock.now = lambda: ROLLOUT.deadline  # type: ignore[method-assign]
+        clock.now = lambda: ROLLOUT.deadline  # type: ignore[method-assign]  # wall clock
         failing = type("FailingStore", (), {"get": fail})
         agreed: dict[str, Any] = {}
         deadlines = RolloutDeadlines(
