A resumed daemon checks for a pause before it sends requests to a new version

Cause: a pause was detected at the next time slice only. After a pause the reactor handles what its sockets have received before it runs the timers that are due, so the requests that arrived meanwhile went to a version that had been rolled back. A suspended machine, whose monotonic clock stands still, was not detected at all.

Change: the choice of a version and the excluded versions check the age of the last slice by both clocks first; after a pause the decisions are stale and give no share.

Ruled out: claims and relays (leases are checked at the act, by existing tests).

--- a/src/briarslip/process/rollouts/task.py
+++ b/src/briarslip/process/rollouts/task.py
@@ -109,6 +109,7 @@
         self.unforwarded_reports: dict[tuple[str, str], Report] = {}
         self.slice_count = 0
         self.last_slice_at = clock.monotonic()
+        self.last_slice_wall_time = clock.now()
         self.stale_until = self.last_slice_at
 
     @property
@@ -122,11 +123,13 @@
 
     def version_for(self, service: str) -> str:
         """Return the service version that a call must go to, empty for any version."""
+        self._check_pause()
         plan = self.tracker.plans.get(service)
         return "" if plan is None else plan.choose_version(self.rng.random())
 
     def excluded_versions(self, service: str) -> frozenset[str]:
         """Return the service versions that must not receive work."""
+        self._check_pause()
         plan = self.tracker.plans.get(service)
         return frozenset() if plan is None else plan.excluded_versions
 
@@ -154,6 +157,27 @@
         if self.slice_count % DIGEST_INTERVAL_SLICES == 0:
             self._send_digest()
 
+    def _was_paused(self) -> bool:
+        """Whether the last slice is so old, by either clock, that there was a pause.
+
+        The monotonic clock may stand still while the whole machine is suspended.
+        """
+        return (
+            self.clock.monotonic() - self.last_slice_at > MIN_PAUSE_SECONDS
+            or (self.clock.now() - self.last_slice_wall_time).total_seconds()
+            > MIN_PAUSE_SECONDS
+        )
+
+    def _check_pause(self) -> None:
+        """Detect a pause before a request is sent by decisions that may be stale.
+
+        After a pause the reactor handles the requests that have arrived meanwhile
+        before it runs the timers that are due.
+        """
+        if self._was_paused():
+            self._detect_pause()
+            self.tracker.refresh()
+
     def _detect_pause(self) -> None:
         """After a pause of the process, mark the decisions as stale and send a digest.
 
@@ -161,10 +185,11 @@
         syncing and get no traffic share for ``STALE_AFTER_PAUSE_SECONDS``.
         """
         now = self.clock.monotonic()
-        if now - self.last_slice_at > MIN_PAUSE_SECONDS:
+        if self._was_paused():
             self.stale_until = now + STALE_AFTER_PAUSE_SECONDS
             self._send_digest()
         self.last_slice_at = now
+        self.last_slice_wall_time = self.clock.now()
         self.tracker.decisions.is_stale = now < self.stale_until
 
     def _seconds_into_slice(self) -> float:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -71,7 +71,7 @@
 
 
 def matches_with_changed_hold(field: str, value: Any) -> tuple[Route, Route]:
-    """Change a field of the route r-hold; return what matches its and r-shelf's calls."""
+    """Change a field of r-hold; return what matches its requests and r-shelf's."""
     document = configuration()
     document["routes"]["r-hold"][field] = value
     table = compiled(item(CONFIGURATION_KEY, document))
--- a/tests/process/rollouts/test_task.py
+++ b/tests/process/rollouts/test_task.py
@@ -5,6 +5,7 @@
 import unittest
 from dataclasses import replace
 from datetime import timedelta
+from unittest.mock import patch
 
 from briarslip.version.decision import RolloutId
 from briarslip.version.record import DEADLINE_NOT_AGREED
@@ -162,6 +163,24 @@
             self.assertLessEqual(traffic_share_at(self.paused_node, "2"), share_before)
         self.assert_no_traffic(30)
 
+    def test_resumed_daemon_sends_no_request_before_its_timers_run(self) -> None:
+        """Requests that arrived during the pause are handled before any timer."""
+        self.fleet.advance(5)
+        task = self.paused_node.task
+        self.assertGreater(traffic_share_at(self.paused_node, "2"), 0)
+        chosen = {task.version_for(ROUTE.service) for _ in range(1000)}
+        self.assertNotIn("2", chosen)
+
+    def test_suspended_machine_is_noticed_by_the_wall_clock(self) -> None:
+        """The monotonic clock of the paused daemon stands still."""
+        task = self.paused_node.task
+        stopped_at = task.last_slice_at
+        self.fleet.advance(5)
+        with patch.object(task, "clock", wraps=task.clock) as clock:
+            clock.monotonic.side_effect = lambda: stopped_at + 0.1
+            chosen = {task.version_for(ROUTE.service) for _ in range(1000)}
+        self.assertNotIn("2", chosen)
+
     def test_restarted_daemons_give_no_share_before_sync(self) -> None:
         self.fleet.store.outage = "close"
         self.paused_node.reactor.is_paused = False
