A stopping daemon closes idle connections soon, and only when nothing is in flight

A stop kept its port closed for at least a second after the last request, only to wait for idle connections; these were closed while requests were still in flight, and their callers could not connect again.

Ruled out: keeping the port open until the end: what is accepted last must be finished with the port closed all the same.

Change: idle connections stay open, and are served, while requests are in flight; then they are closed once idle for 0.2 s, checked each 0.1 s (1 s and 0.5 s before).

--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -51,7 +51,9 @@
 MAX_DEPTH = 64
 HEAD_TOO_LARGE = 431
 SWEEP_SECONDS = 0.5
-DRAIN_IDLE_SECONDS = 1.0
+# Time for requests that are on their way when the idle connections are closed.
+CLOSING_IDLE_SECONDS = 0.2
+CLOSING_SWEEP_SECONDS = 0.1
 # Time for the caller to read the last response and to close its side.
 LINGER_SECONDS = 1.0
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -295,6 +297,7 @@
         self.connections: set[CallerConnection] = set()
         self.in_flight = 0
         self.draining = False
+        self.closing = False
         self.sweep_call: Any = None
 
     @property
@@ -320,14 +323,26 @@
         return CallerConnection(self)
 
     def drain(self) -> None:
-        """Close each connection after its next response, or once it is idle."""
+        """Close each connection after its next response."""
         self.draining = True
         for connection in self.connections:
             connection.close_after_response = True
 
+    def close_idle(self) -> None:
+        """Close each connection once it is idle for ``CLOSING_IDLE_SECONDS``.
+
+        Load pattern: most daemons of a zone are restarted one after the other while
+        their callers keep sending. Each of them refuses connections from the time
+        when its port is closed until it has started again.
+        """
+        self.closing = True
+        if self.sweep_call is not None and self.sweep_call.active():
+            self.sweep_call.reset(CLOSING_SWEEP_SECONDS)
+
     def sweep(self) -> None:
         """Close the connections that have been inactive for too long."""
-        self.sweep_call = self.reactor.callLater(SWEEP_SECONDS, self.sweep)
+        seconds = CLOSING_SWEEP_SECONDS if self.closing else SWEEP_SECONDS
+        self.sweep_call = self.reactor.callLater(seconds, self.sweep)
         connections = tuple(self.connections)
         run_each(partial(self._close_if_inactive, c) for c in connections)
 
@@ -346,7 +361,7 @@
             return
         request_started = connection.buffer or connection.request_head is not None
         idle_limit = (
-            DRAIN_IDLE_SECONDS if self.draining else limits.idle_timeout_seconds
+            CLOSING_IDLE_SECONDS if self.closing else limits.idle_timeout_seconds
         )
         if inactive_seconds <= (
             limits.read_timeout_seconds if request_started else idle_limit
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -374,6 +374,8 @@
                 self.callers.drain()
                 close_listener(self.caller_port, lambda: len(self.callers.connections))
                 self.links.drain()
+            case Phase.CLOSING:
+                self.callers.close_idle()
             case Phase.STOPPED:
                 self.reactor.stop()
 
--- a/tests/connection/test_caller_http.py
+++ b/tests/connection/test_caller_http.py
@@ -228,6 +228,29 @@
         self.assertIn(b"Connection: close\r\n", self.transport.take_written())
         self.assertTrue(self.transport.disconnecting)
 
+    def test_idle_connections_are_kept_while_others_finish_then_closed(self) -> None:
+        """A planned stop refuses new connections for as short a time as possible."""
+        self.factory.startFactory()
+        self.factory.drain()
+        self.clock.pump([0.1] * 20)
+        self.assertFalse(self.transport.disconnecting)
+        self.factory.close_idle()
+        self.receive(GET)
+        self.clock.pump([0.1] * 4)
+        self.assertFalse(self.transport.disconnecting)
+        sink = self.forwarded.calls[0][1]
+        sink.head(OK)
+        sink.body(b"", True)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_idle_connections_are_closed_soon_at_the_end_of_a_stop(self) -> None:
+        self.factory.startFactory()
+        self.clock.pump([0.1] * 12)
+        self.factory.drain()
+        self.factory.close_idle()
+        self.clock.pump([0.1] * 2)
+        self.assertTrue(self.transport.disconnecting)
+
     @settings(max_examples=150, derandomize=True, deadline=None)
     @given(st.data())
     def test_damaged_requests_never_raise(self, data: st.DataObject) -> None:
--- a/tests/connection/test_socket_close.py
+++ b/tests/connection/test_socket_close.py
@@ -12,7 +12,7 @@
 from twisted.internet.selectreactor import SelectReactor
 from twisted.python.failure import Failure
 
-from briarslip.connection.caller_http import DRAIN_IDLE_SECONDS
+from briarslip.connection.caller_http import CLOSING_IDLE_SECONDS
 from briarslip.connection.caller_http import LINGER_SECONDS
 from briarslip.connection.caller_http import CallerHttpFactory
 from briarslip.connection.socket_close import close_listener
@@ -128,7 +128,8 @@
         caller = self.connect()
         self.run_reactor(0.05)
         self.drain()
-        time.sleep(DRAIN_IDLE_SECONDS + 0.1)
+        self.factory.close_idle()
+        time.sleep(CLOSING_IDLE_SECONDS + 0.1)
         caller.sendall(REQUEST)
         self.factory.sweep()
         self.assertTrue(self.receive(caller).endswith(self.body))
