--- a/src/briarslip/process/error_log.py
+++ b/src/briarslip/process/error_log.py
@@ -14,6 +14,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
     from types import TracebackType
 
     from twisted.logger import LogEvent
@@ -39,7 +41,7 @@
     _record(failure.value, failure.getTracebackObject())
 
 
-def run_each(callbacks: Any, *arguments: Any) -> None:
+def run_each(callbacks: Iterable[Callable[..., object]], *arguments: Any) -> None:
     """Call each function; an error in one is logged and does not prevent the others."""
     for callback in callbacks:
         try:
