--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -146,6 +146,11 @@
         "server is ejected and gets no calls for a while",
     )
     SERVER_READMITTED = (411, Level.INFO, "ejected server gets calls again")
+    RETRY_BUDGET_EMPTY = (
+        412,
+        Level.INFO,
+        "request is not retried because the retry budget is empty",
+    )
     CLAIMS_UNAVAILABLE = (
         451,
         Level.WARNING,
--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -178,19 +178,25 @@
             or not is_retryable(failure, self.call.idempotent)
         ):
             return False
-        if failure.reason in NEVER_SENT_REASONS and failure.outcome is Outcome.NOT_RUN:
+        was_sent = not (
+            failure.reason in NEVER_SENT_REASONS and failure.outcome is Outcome.NOT_RUN
+        )
+        if not was_sent:
             # The attempt does not count: no server has seen the request.
             self.attempts -= 1
-            budget = self.forwarder.retry_budget
-            return self._choose_server() is not None and budget.try_withdraw_rejected(
-                failure.reason
-            )
-        if self.attempts >= self.max_attempts:
+        elif self.attempts >= self.max_attempts:
+            return False
+        if self._choose_server() is None:
             return False
-        return (
-            self._choose_server() is not None
-            and self.forwarder.retry_budget.try_withdraw()
+        budget = self.forwarder.retry_budget
+        has_withdrawn = (
+            budget.try_withdraw()
+            if was_sent
+            else budget.try_withdraw_rejected(failure.reason)
         )
+        if not has_withdrawn:
+            self._log(Event.RETRY_BUDGET_EMPTY, failure)
+        return has_withdrawn
 
     def retry(self, failure: Failure) -> None:
         """Start another attempt; ``try_withdraw_retry`` must have returned true."""
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -7,6 +7,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from briarslip.process.events import EVENT_COUNTS
+from briarslip.process.events import Event
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
 from briarslip.request.claim import MAX_STORED_RESPONSE_BYTES
@@ -192,6 +194,18 @@
         self.assertLessEqual(budget.tokens, 1.5)
         self.assertEqual([True, False], [budget.try_withdraw(), budget.try_withdraw()])
 
+    def test_request_that_the_budget_does_not_cover_is_logged(self) -> None:
+        for failure in (NOT_RUN, UNKNOWN):
+            harness = ForwarderHarness(*map(member, range(8)))
+            harness.forwarder.retry_budget.tokens = 0.0
+            harness.forwarder.retry_budget.rejected_tokens = 0.0
+            harness.fail_all(failure)
+            before = EVENT_COUNTS[Event.RETRY_BUDGET_EMPTY.number]
+            harness.request("GET")
+            self.assertEqual(1, len(harness.sent))
+            after = EVENT_COUNTS[Event.RETRY_BUDGET_EMPTY.number]
+            self.assertEqual(before + 1, after)
+
     def test_full_outage_adds_at_most_a_tenth_of_attempts(self) -> None:
         for failure in (NOT_RUN, UNKNOWN):
             harness = ForwarderHarness(*map(member, range(8)))
