--- a/bench/fleet_daemon.py
+++ b/bench/fleet_daemon.py
@@ -28,7 +28,9 @@
     from twisted.internet.base import DelayedCall
 
     from bench.fleet import Fleet
+    from briarslip.process.distribution.source import ConfigurationSource
     from briarslip.process.membership.member import Endpoint
+    from briarslip.version.snapshot import Snapshot
 
 
 RELAY_ROLE_INTERVAL_SECONDS = 0.5
@@ -57,6 +59,10 @@
             delay, self.run, lambda: call(*args, **kw), False
         )
 
+    def seconds(self) -> float:
+        """Return the virtual time in seconds."""
+        return float(self.fleet.clock.seconds())
+
     def run(self, call: Callable[[], None], is_datagram: bool) -> None:
         """Run a call now, or when the daemon resumes."""
         if self.is_dead:
@@ -177,6 +183,16 @@
             self.record_active_version,
             self.membership.last_known_version,
             lambda: self.membership.minimum_version,
+            self.fleet.make_source and self._make_source,
+        )
+
+    def _make_source(
+        self, on_snapshot: Callable[[Snapshot], None]
+    ) -> ConfigurationSource:
+        """Return this daemon's own source, in a fleet that has them."""
+        assert self.fleet.make_source is not None
+        return self.fleet.make_source(
+            self.reactor, self.rng, self.store_client, on_snapshot
         )
 
     def start(self) -> None:
--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -58,9 +58,11 @@
         on_lost: Callable[[BackendConnection], None],
         on_connected: Callable[[BackendConnection], None],
         conventions: HeaderConventions = DEFAULT_CONVENTIONS,
+        keepalive_seconds: int | None = None,
     ) -> None:
         self.load = load
         self.conventions = conventions
+        self.keepalive_seconds = keepalive_seconds
         self.on_idle = on_idle
         self.on_lost = on_lost
         self.on_connected: Callable[[BackendConnection], None] | None = on_connected
@@ -80,7 +82,7 @@
 
     def connectionMade(self) -> None:
         """Set the socket options and call ``on_connected``."""
-        set_socket_options(self.transport)
+        set_socket_options(self.transport, self.keepalive_seconds)
         on_connected, self.on_connected = self.on_connected, None
         if on_connected is not None:
             on_connected(self)
--- a/src/briarslip/connection/backend_pool.py
+++ b/src/briarslip/connection/backend_pool.py
@@ -52,7 +52,9 @@
         slots: int,
         connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
         conventions: HeaderConventions = DEFAULT_CONVENTIONS,
+        keepalive_seconds: int | None = None,
     ) -> None:
+        self.keepalive_seconds = keepalive_seconds
         self.reactor = reactor
         self.address = address
         self.slots = slots
@@ -207,6 +209,7 @@
             on_lost=pool.remove,
             on_connected=self.exchange.start,
             conventions=pool.conventions,
+            keepalive_seconds=pool.keepalive_seconds,
         )
         pool.connections.add(connection)
         return connection
--- a/src/briarslip/platform/configuration.py
+++ b/src/briarslip/platform/configuration.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Any
 
 from result import Err
 from result import Ok
@@ -21,12 +23,12 @@
 from briarslip.version.record import Record
 from briarslip.version.record import RecordKey
 from briarslip.version.record import Route
-from briarslip.version.record import parse_record
 from briarslip.version.routing_table import CALLER_LIMITS_NAME
 from briarslip.version.snapshot import Snapshot
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
     from collections.abc import Mapping
 
@@ -37,6 +39,7 @@
 
 OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+ROUTES_FIELD = "routes"
 # Requests of these kinds may be repeated; those of an unknown kind may not.
 IDEMPOTENT_KINDS = frozenset(("safe", "download"))
 ROUTE_KINDS = IDEMPOTENT_KINDS | {"non_idempotent"}
@@ -49,16 +52,44 @@
 Records = dict[RecordKey, Record]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadRoute:
+    """A route as the operator wrote it, and what was read from it.
+
+    ``record`` is None if the host or the prefix can't be read.
+    """
+
+    values: dict[str, Any]
+    record: Record | None
+    services: tuple[str, ...]
+    findings: tuple[Finding, ...]
+
+    @classmethod
+    def from_values(cls, name: str, values: dict[str, Any]) -> ReadRoute:
+        """Read a route from the fields of its JSON object."""
+        route = JsonObject(values, CONFIGURATION_KEY, f"{ROUTES_FIELD}.{name}")
+        record = Record(RecordKey("route", name, 3), dict(_route_fields(route)))
+        parsed = record.parsed
+        if isinstance(parsed, Err):
+            for finding in parsed.err_value:
+                route.add_finding(finding.field, finding.reason)
+            return cls(values, None, (), tuple(route.findings))
+        typed_record = parsed.ok_value
+        assert isinstance(typed_record, Route)
+        return cls(values, record, typed_record.services, tuple(route.findings))
+
+
 class ConfigurationReader:
     """Converts the operators' items to snapshots.
 
     A route or an order that is invalid in part is logged and leaves the others in
     force. ``reported`` holds the findings of the items read last, which are logged
-    once.
+    once. ``routes`` holds the routes read last, since most stay as they were.
     """
 
     def __init__(self) -> None:
         self.reported: frozenset[Finding] = frozenset()
+        self.routes: dict[str, ReadRoute] = {}
 
     def __call__(
         self, items: Mapping[str, KeyValue]
@@ -75,11 +106,13 @@
         if isinstance(document, Err):
             return Err((document.err_value,))
         services = document.ok_value.nested("services")
-        routes = document.ok_value.nested("routes")
+        routes = document.ok_value.nested(ROUTES_FIELD)
         findings = document.ok_value.findings
         if findings:
             return Err(tuple(findings))
-        records = _read_records(document.ok_value, services, routes)
+        self._read_routes(routes)
+        records = _make_records(services, self.routes.values(), findings)
+        _add_limits(records, document.ok_value)
         version = item.mod_revision
         for key, order in items.items():
             if key.startswith(ROLLOUT_ORDER_PREFIX):
@@ -88,6 +121,15 @@
         self._report(frozenset(findings))
         return Ok(Snapshot.from_records(version, records))
 
+    def _read_routes(self, routes: JsonObject) -> None:
+        """Read the routes that are new or changed."""
+        previous, self.routes = self.routes, {}
+        for name, route in routes.objects().items():
+            read = previous.get(name)
+            if read is None or read.values != route.values:
+                read = ReadRoute.from_values(name, route.values)
+            self.routes[name] = read
+
     def _report(self, findings: frozenset[Finding]) -> None:
         for finding in sorted(findings - self.reported):
             emit(
@@ -107,63 +149,67 @@
     service = record.fields["service"]
     if RecordKey("service", service, 1) not in records:
         return (Finding(item.key, 0, "", "service", f"{service!r} is unknown"),)
-    parsed = parse_record(record)
-    if isinstance(parsed, Err):
-        return parsed.err_value
+    if isinstance(record.parsed, Err):
+        return record.parsed.err_value
     records[record.key] = record
     return ()
 
 
-def _read_records(
-    document: JsonObject, services: JsonObject, routes: JsonObject
+def _make_records(
+    services: JsonObject, routes: Iterable[ReadRoute], findings: list[Finding]
 ) -> Records:
+    """Return the records of services and routes, and add the findings."""
     records: Records = {}
     for name in services.values:
         _add_record(records, "service", name, 1, {})
-    targets: dict[tuple[str, str], RecordKey] = {}
-    for name, route in routes.objects().items():
-        _add_route(records, targets, name, route)
-    if any(finding.section == routes.path for finding in document.findings):
+    if findings:
         _add_unreadable_route(records)
-    _add_limits(records, document)
+    for route in routes:
+        findings.extend(route.findings)
+        if route.record is None:
+            _add_unreadable_route(records)
+        else:
+            records[route.record.key] = route.record
+    _reject_overlaps(records, findings)
+    _add_missing_services(records, routes, findings)
     return records
 
 
-def _add_route(
-    records: Records,
-    targets: dict[tuple[str, str], RecordKey],
-    name: str,
-    route: JsonObject,
-) -> None:
-    """Add the record of a route; requests of an unreadable one will be rejected.
-
-    ``targets`` has the key of each route that was added before by host and prefix.
-    """
-    key = RecordKey("route", name, 3)
-    record = Record(key, dict(_route_fields(route)))
-    parsed = parse_record(record)
-    if isinstance(parsed, Err):
-        for finding in parsed.err_value:
-            route.add_finding(finding.field, finding.reason)
-        _add_unreadable_route(records)
-        return
-    target = (record.fields["host"].lower(), record.fields["path_prefix"])
-    other = targets.setdefault(target, key)
-    if other != key:
-        route.add_finding("prefix", f"matches the same requests as {other.name!r}")
-        values = {**records[other].fields, "service": UNSERVED}
+def _reject_overlaps(records: Records, findings: list[Finding]) -> None:
+    """Reject the requests that two routes match as not run."""
+    first_keys: dict[tuple[str, str], RecordKey] = {}
+    for key, record in list(records.items()):
+        if key.kind != "route" or "host" not in record.fields:
+            continue
+        target = (record.fields["host"].lower(), record.fields["path_prefix"])
+        first = first_keys.setdefault(target, key)
+        if first == key:
+            continue
+        del records[key]
+        values = {**records[first].fields, "service": UNSERVED}
         values.pop("parts", None)
-        records[other] = Record(other, values)
+        records[first] = Record(first, values)
         _add_record(records, "service", UNSERVED, 1, {})
-        return
-    records[key] = record
-    typed_record = parsed.ok_value
-    assert isinstance(typed_record, Route)
-    for service in typed_record.services:
-        if RecordKey("service", service, 1) not in records:
-            if service != UNSERVED:
-                route.add_finding("service", f"{service!r} is not among the services")
+        reason = f"matches the same requests as {first.name!r}"
+        section = f"{ROUTES_FIELD}.{key.name}"
+        findings.append(Finding(CONFIGURATION_KEY, 0, section, "prefix", reason))
+
+
+def _add_missing_services(
+    records: Records, routes: Iterable[ReadRoute], findings: list[Finding]
+) -> None:
+    """Add the services that only routes name; calls to them find no server."""
+    for route in routes:
+        for service in route.services:
+            if RecordKey("service", service, 1) in records:
+                continue
             _add_record(records, "service", service, 1, {})
+            if service != UNSERVED and route.record is not None:
+                section = f"{ROUTES_FIELD}.{route.record.key.name}"
+                reason = f"{service!r} is not among the services"
+                findings.append(
+                    Finding(CONFIGURATION_KEY, 0, section, "service", reason)
+                )
 
 
 def _add_unreadable_route(records: Records) -> None:
@@ -187,9 +233,8 @@
         "idle_ms": str(limits.whole_part("idle-timeout-ms", minimum=1)),
     }
     record = Record(RecordKey("limits", CALLER_LIMITS_NAME, 1), values)
-    parsed = parse_record(record)
-    if isinstance(parsed, Err):
-        for finding in parsed.err_value:
+    if isinstance(record.parsed, Err):
+        for finding in record.parsed.err_value:
             limits.add_finding(finding.field, finding.reason)
     if len(document.findings) == known:
         records[record.key] = record
--- a/src/briarslip/process/distribution/relay.py
+++ b/src/briarslip/process/distribution/relay.py
@@ -92,6 +92,11 @@
             self.reactor, self.rng, self.store, prefix, on_events, self._resync
         )
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the store answered the last read."""
+        return not self.read_job.failures
+
     def set_active(self, active: bool) -> None:
         """Start or stop acting as a relay."""
         if active == self.active:
--- a/src/briarslip/process/distribution/source.py
+++ b/src/briarslip/process/distribution/source.py
@@ -12,11 +12,16 @@
     """Reads new configuration versions from the store while it is active.
 
     ``rank`` is the number of daemons that act on a change before this one.
+    ``is_in_touch`` is whether the store answered the last call.
     """
 
     active: bool
     rank: int
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the store answered the last call."""
+
     def set_active(self, active: bool) -> None:
         """Start or stop watching the store."""
 
--- a/src/briarslip/process/distribution/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -43,8 +43,7 @@
 class StoredConfiguration:
     """Watches the operators' keys under ``prefix`` and converts them to snapshots.
 
-    Every daemon watches the store, whether it is chosen as a relay or not. A change
-    is then in force after one response of the store, whichever daemon fails. A watch
+    The store is watched while the source is active. A watch
     delivers each version of a changed value in full, which is costly when a large
     configuration changes in quick succession, as calls share the links. A change
     that closely follows another one therefore stops the watch, and the newest
@@ -67,7 +66,7 @@
         self.on_snapshot = on_snapshot
         self.active = False
         self.rank = 0
-        self.started = False
+        self.has_read = False
         self.items: dict[str, KeyValue] = {}
         self.reactor = reactor
         self.rng = rng
@@ -77,12 +76,23 @@
         )
         self.read_job = RetryingJob(reactor, rng, self._read_all)
 
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether the store answered the last call."""
+        return self.has_read and not self.read_job.failures and not self.watch.failures
+
     def set_active(self, active: bool) -> None:
-        """Set ``active``; the first call starts the watch, whatever its value."""
+        """Start or stop watching the store; a start reads everything again."""
+        if active == self.active:
+            return
         self.active = active
-        if not self.started:
-            self.started = True
+        if active:
             self._resync()
+        else:
+            self.has_read = False
+            self.items = {}
+            self.watch.stop()
+            self.read_job.cancel()
 
     def _schedule_read(self) -> None:
         """Stop the watch, and read the newest state after an interval with jitter."""
@@ -99,9 +109,12 @@
 
     async def _read_all(self) -> bool:
         reply = await self.store.range(self.prefix)
+        if not self.active:
+            return True
         if isinstance(reply, Err):
             emit(Event.STORE_FAILED, reason=reply.err_value.reason)
             return False
+        self.has_read = True
         previous_items, self.items = (
             self.items,
             {i.key: i for i in reply.ok_value.items},
--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -12,6 +12,9 @@
 from briarslip.process.distribution.bootstrap import Bootstrap
 from briarslip.process.distribution.relay import Relay
 from briarslip.process.distribution.stored_configuration import READ_INTERVAL_SECONDS
+from briarslip.process.distribution.watch_duty import MAX_WATCHING_ZONE_MEMBERS
+from briarslip.process.distribution.watch_duty import RELAY_SILENCE_SECONDS
+from briarslip.process.distribution.watch_duty import WatchDuty
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.version.configuration_codec import Busy
@@ -67,6 +70,7 @@
 # A daemon with its own source has its peers' version after one read interval and the
 # read itself, so a pull is needed only after that.
 OWN_SOURCE_GRACE_SECONDS = 1.25 * READ_INTERVAL_SECONDS
+TIMER_MARGIN_SECONDS = 0.01
 
 
 class DistributionTask:
@@ -113,10 +117,11 @@
         self.last_members: tuple[Member, ...] = ()
         self.pull_timer: Any = None
         self.chosen_as_relay_since: float | None = None
+        self.is_relay = False
         self.started = False
-        self.pull_grace_seconds = (
-            0.0 if make_source is None else OWN_SOURCE_GRACE_SECONDS
-        )
+        # None if only relays read the store.
+        self.watch_duty = None if make_source is None else WatchDuty()
+        self.watch_timer: Any = None
         self.relay: ConfigurationSource
         if make_source is None:
             self.relay = Relay(
@@ -163,15 +168,67 @@
         active = is_chosen and self._is_relay_delay_over()
         if not is_chosen:
             self.chosen_as_relay_since = None
-        if active != self.relay.active:
+        if active != self.is_relay:
             emit(Event.RELAY_STARTED if active else Event.RELAY_STOPPED)
+        self.is_relay = active
         if active:
             self.relay.rank = self._rank(relays_by_zone)
-        self.relay.set_active(active)
+        if self.watch_duty is None:
+            self.relay.set_active(active)
+        else:
+            self._update_watch()
+            self._send_relay_heartbeat()
         if not self.started:
             self.started = True
             self.bootstrap.start()
 
+    def _update_watch(self) -> None:
+        """Start or stop the own watch of the store."""
+        if self.watch_duty is None:
+            return
+        is_chosen = self.chosen_as_relay_since is not None
+        zone_members = len(self._zone_addresses())
+        now = self.clock.monotonic()
+        self.relay.set_active(self.watch_duty.must_watch(is_chosen, zone_members, now))
+
+    def _send_relay_heartbeat(self) -> None:
+        """Tell the zone that this relay is in touch with the store."""
+        addresses = self._zone_addresses()
+        if (
+            not self.is_relay
+            or not self.relay.is_in_touch
+            or len(addresses) <= MAX_WATCHING_ZONE_MEMBERS
+        ):
+            return
+        for peer in addresses:
+            if peer != self.own_address:
+                self._send(peer, Offer(self.snapshot.version))
+
+    def _record_relay_heartbeat(self, sender: Address) -> None:
+        """Rely on the relays of this zone while they are heard."""
+        if self.watch_duty is None or sender not in self.relays_by_zone.get(
+            self.availability_zone, ()
+        ):
+            return
+        self.watch_duty.record_relay(self.clock.monotonic())
+        if self.watch_timer is None:
+            self._schedule_watch_check(RELAY_SILENCE_SECONDS)
+
+    def _schedule_watch_check(self, seconds: float) -> None:
+        self.watch_timer = self.reactor.callLater(seconds, self._check_relay_silence)
+
+    def _check_relay_silence(self) -> None:
+        """Watch the store at once if the relays have become silent."""
+        self.watch_timer = None
+        if self.watch_duty is None:
+            return
+        now = self.clock.monotonic()
+        if self.watch_duty.is_silent(now):
+            self._update_watch()
+        else:
+            silent_at = self.watch_duty.heard_at + RELAY_SILENCE_SECONDS
+            self._schedule_watch_check(silent_at - now + TIMER_MARGIN_SECONDS)
+
     def _is_relay_delay_over(self) -> bool:
         """Return whether this daemon has been chosen for the relay start delay."""
         now = self.clock.monotonic()
@@ -276,7 +333,7 @@
         for peer in targets:
             if self.peer_versions.get(peer, 0) < version:
                 self._send(peer, message)
-        if self.relay.active:
+        if self.is_relay:
             self._offer_to_other_zones()
 
     def _offer_to_other_zones(self) -> None:
@@ -297,8 +354,11 @@
         self._record_peer_version(peer, version)
         if version > self.state.newest_version and peer != self.own_address:
             now = self.clock.monotonic()
+            has_own_source = self.watch_duty is not None and self.relay.active
             pull_grace_seconds = (
-                self.pull_grace_seconds if self.snapshot.version else 0.0
+                OWN_SOURCE_GRACE_SECONDS
+                if has_own_source and self.snapshot.version
+                else 0.0
             )
             record_source(self.puller, peer, version, now, self.rng, pull_grace_seconds)
             self._pull()
@@ -311,6 +371,7 @@
             return
         match message.ok_value:
             case Offer(version):
+                self._record_relay_heartbeat(sender)
                 self.receive_peer_version(sender, version)
             case Pull(running_version):
                 self._record_peer_version(sender, running_version)
--- a/src/briarslip/process/retrying_job.py
+++ b/src/briarslip/process/retrying_job.py
@@ -62,6 +62,12 @@
         elif self.scheduled_call is None:
             self.scheduled_call = self.reactor.callLater(delay_seconds, self._due)
 
+    def cancel(self) -> None:
+        """Cancel the scheduled run and retries; a run in progress ends by itself."""
+        self._cancel_scheduled()
+        self.is_rerun_requested = False
+        self.failures = 0
+
     def _due(self) -> None:
         self.scheduled_call = None
         self.run()
--- a/src/briarslip/process/store/http.py
+++ b/src/briarslip/process/store/http.py
@@ -35,6 +35,11 @@
     from briarslip.request.outcome import Failure
 
 
+# Probes on a connection that waits for changes: one that went silent would hide
+# them until the poll ends.
+KEEPALIVE_SECONDS = 1
+
+
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
     """The status and the body of an HTTP response."""
@@ -80,10 +85,21 @@
         self.reactor = reactor
         header_lines = f"Host: {address}\r\nContent-Type: application/json\r\n"
         self.headers = header_lines.encode("latin-1")
-        self.pool = BackendPool(reactor, address, 0, connect_timeout_seconds)
+        self.pool = self._make_pool(address, connect_timeout_seconds)
         # A separate pool, since a connection that was idle for long could be broken
         # and fail the watch.
-        self.watch_pool = BackendPool(reactor, address, 0, connect_timeout_seconds)
+        self.watch_pool = self._make_pool(address, connect_timeout_seconds)
+
+    def _make_pool(
+        self, address: Address, connect_timeout_seconds: float
+    ) -> BackendPool:
+        return BackendPool(
+            self.reactor,
+            address,
+            0,
+            connect_timeout_seconds,
+            keepalive_seconds=KEEPALIVE_SECONDS,
+        )
 
     def send(
         self, method: str, target: str, message: dict[str, Any] | None = None
--- a/src/briarslip/version/record.py
+++ b/src/briarslip/version/record.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import hashlib
+import json
 from dataclasses import dataclass
 from datetime import timedelta
-from functools import lru_cache
+from functools import cached_property
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -50,7 +52,7 @@
 MAX_WINDOW_MS = 7 * 24 * 3_600_000
 RETRY_NOT_RUN = "not-run"
 RETRY_UNKNOWN = "unknown"
-PARSE_CACHE_SIZE = 4096
+CONTENT_DIGEST_BYTES = 8
 
 
 class RecordKey(NamedTuple):
@@ -67,13 +69,39 @@
         return f"{RECORDS_PREFIX}{self.kind}/{self.name}/{self.schema}"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Record:
-    """An unparsed record in one schema version: its key and its fields as text."""
+    """An unparsed record in one schema version: its key and its fields as text.
+
+    Versions share the records that did not change, so what is derived from a record
+    is computed once.
+    """
 
     key: RecordKey
     fields: Mapping[str, str]
 
+    @cached_property
+    def encoded_fields(self) -> str:
+        """The fields as canonical JSON."""
+        return json.dumps(dict(self.fields), sort_keys=True, separators=(",", ":"))
+
+    @cached_property
+    def content_digest(self) -> str:
+        """A digest of the fields in hexadecimal."""
+        text = repr(sorted(self.fields.items()))
+        digest = hashlib.blake2b(text.encode(), digest_size=CONTENT_DIGEST_BYTES)
+        return digest.hexdigest()
+
+    @cached_property
+    def parsed(self) -> Result[TypedRecord, tuple[Finding, ...]]:
+        """The typed record; the error holds all findings of the record."""
+        section = IniSection(
+            f"{self.key.kind} {self.key.name}",
+            0,
+            {name: IniField(name, value, 0) for name, value in self.fields.items()},
+        )
+        return _parse_section(self.key, section, str(self.key))
+
 
 @dataclass(frozen=True, slots=True)
 class RecordSchema:
@@ -258,20 +286,7 @@
 
     The error holds all findings of the record.
     """
-    return _parse_fields(record.key, tuple(record.fields.items()))
-
-
-@lru_cache(maxsize=PARSE_CACHE_SIZE)
-def _parse_fields(
-    key: RecordKey, values: tuple[tuple[str, str], ...]
-) -> Result[TypedRecord, tuple[Finding, ...]]:
-    """Parse fields; versions with an unchanged record share the cached result."""
-    section = IniSection(
-        f"{key.kind} {key.name}",
-        0,
-        {name: IniField(name, value, 0) for name, value in values},
-    )
-    return _parse_section(key, section, str(key))
+    return record.parsed
 
 
 def records_from_ini(
--- a/src/briarslip/version/snapshot.py
+++ b/src/briarslip/version/snapshot.py
@@ -25,9 +25,6 @@
     from briarslip.version.record import RecordKey
 
 
-ORIGIN_DIGEST_BYTES = 8
-
-
 class Origin(NamedTuple):
     """The change and the store revision that a record was accepted from."""
 
@@ -60,7 +57,9 @@
         The origin of each record is a digest of its content, so that a delta
         contains the records that differ.
         """
-        origins = {key: _content_origin(record) for key, record in records.items()}
+        origins = {
+            key: Origin(record.content_digest, 0) for key, record in records.items()
+        }
         return cls(version, records, origins)
 
     @cached_property
@@ -70,17 +69,20 @@
 
     def encode(self) -> bytes:
         """Encode the snapshot as canonical JSON."""
-        body = {
-            "version": self.version,
-            "records": encode_entries(self.records, self.origins),
-        }
-        return json.dumps(body, sort_keys=True, separators=(",", ":")).encode()
-
-
-def _content_origin(record: Record) -> Origin:
-    text = repr(sorted(record.fields.items()))
-    digest = hashlib.blake2b(text.encode(), digest_size=ORIGIN_DIGEST_BYTES)
-    return Origin(digest.hexdigest(), 0)
+        entries = ",".join(
+            f"{json.dumps(text)}:{self._encode_entry(key)}"
+            for text, key in sorted(
+                (str(key), key) for key in self.records.keys() | self.origins.keys()
+            )
+        )
+        return f'{{"records":{{{entries}}},"version":{self.version}}}'.encode()
+
+    def _encode_entry(self, key: RecordKey) -> str:
+        """Encode a record and its origin as the values of ``encode_entries``."""
+        record = self.records.get(key)
+        fields = "null" if record is None else record.encoded_fields
+        change, revision = self.origins.get(key, NO_ORIGIN)
+        return f"[{fields},{json.dumps(change)},{revision}]"
 
 
 EMPTY_SNAPSHOT = Snapshot(0, {}, {})
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -152,6 +152,19 @@
         table = compiled(item(CONFIGURATION_KEY, document))
         self.assertEqual({"r-hold", "r-shelf"}, {route.name for route in table.routes})
 
+    def test_unchanged_routes_are_not_read_again(self) -> None:
+        reader = ConfigurationReader()
+        document = configuration()
+        before = reader(items(item(CONFIGURATION_KEY, document, 5))).unwrap()
+        document["routes"]["r-hold"]["timeout-ms"] = 1500
+        after = reader(items(item(CONFIGURATION_KEY, document, 6))).unwrap()
+        assert before is not None
+        assert after is not None
+        shelf = RecordKey("route", "r-shelf", 3)
+        hold = RecordKey("route", "r-hold", 3)
+        self.assertIs(before.records[shelf], after.records[shelf])
+        self.assertEqual("1500", after.records[hold].fields["timeout_ms"])
+
     def test_findings_are_logged_once(self) -> None:
         document = configuration()
         document["routes"]["r-shelf"]["kind"] = "odd"
--- a/tests/process/distribution/test_stored_configuration.py
+++ b/tests/process/distribution/test_stored_configuration.py
@@ -65,7 +65,7 @@
 
     def test_initial_value_and_changes(self) -> None:
         first = self.write(b"1")
-        self.source.set_active(False)
+        self.source.set_active(True)
         self.advance(1)
         second = self.write(b"2")
         third = self.write(b"", "given/order")
@@ -73,7 +73,7 @@
         self.assertEqual([first, second, third], self.versions)
 
     def test_no_snapshot_before_the_first_value(self) -> None:
-        self.source.set_active(False)
+        self.source.set_active(True)
         self.advance(1)
         self.assertEqual([], self.versions)
         revision = self.write(b"1")
@@ -82,7 +82,7 @@
 
     def test_unreadable_value_is_skipped(self) -> None:
         self.write(b"1")
-        self.source.set_active(False)
+        self.source.set_active(True)
         self.advance(1)
         self.write(b"bad")
         self.advance(1)
@@ -108,11 +108,34 @@
         self.advance(8)
         self.assertEqual(last, self.versions[-1])
 
+    def test_inactive_source_makes_no_calls_and_reads_again_when_active(self) -> None:
+        self.write(b"1")
+        self.source.set_active(True)
+        self.advance(1)
+        self.source.set_active(False)
+        before = sum(self.world.store.call_counts.values())
+        last = self.write(b"2")
+        self.advance(30)
+        self.assertEqual(before, sum(self.world.store.call_counts.values()))
+        self.source.set_active(True)
+        self.advance(1)
+        self.assertEqual(last, self.versions[-1])
+
+    def test_read_in_progress_when_deactivated_starts_no_watch(self) -> None:
+        self.write(b"1")
+        self.world.store.delay_ms = 500
+        self.source.set_active(True)
+        self.advance(0.2)
+        self.source.set_active(False)
+        self.advance(5)
+        self.assertEqual([], self.versions)
+        self.assertEqual(0, self.world.store.waiting_watches)
+
     def test_last_of_many_quick_changes_arrives_within_a_second(self) -> None:
         # An operator's script makes a change every 0.2 s for 5 s.
         self.world.store.history_limit = 100
         self.write(b"0")
-        self.source.set_active(False)
+        self.source.set_active(True)
         self.advance(1)
         for number in range(25):
             last = self.write(b"%d" % number)
