Log and count what backend servers say about their request rate

The daemon beside the server now decodes the header into ServerStatus, logs each change (event 413) with the calls sent so far, a value that can't be read (414), and has two gauges. Nothing acts on it yet.

--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -34,6 +34,7 @@
     from briarslip.request.call import Call
     from briarslip.request.call import Load
     from briarslip.request.call import ResponseSink
+    from briarslip.request.call import ServerStatus
 
 
 BODILESS_STATUSES = frozenset((204, 304))
@@ -225,7 +226,11 @@
         outcome = Outcome.NOT_RUN if response_head.shed else Outcome.RAN
         sink.head(
             ResponseHead(
-                response_head.status, response_head.headers, outcome, self.load()
+                response_head.status,
+                response_head.headers,
+                outcome,
+                self.load(),
+                self._server_status(response_head),
             )
         )
         if call.method == "HEAD" or response_head.status in BODILESS_STATUSES:
@@ -237,6 +242,20 @@
         if trailing_data or self.remaining_bytes == 0:
             self._receive_body(trailing_data)
 
+    def _server_status(self, response_head: BackendResponseHead) -> ServerStatus | None:
+        """Return what the server states about itself, None if it can't be relied on."""
+        if self.conventions.signature and not response_head.signed:
+            return None
+        status = response_head.server_status
+        if isinstance(status, Err):
+            emit(
+                Event.SERVER_STATUS_UNREADABLE,
+                request=self.request_id.decode("latin-1"),
+                reason=status.err_value,
+            )
+            return None
+        return status.ok_value
+
     def _receive_body(self, data: bytes) -> None:
         if self.skipping and not self._discard(len(data)):
             return
--- a/src/briarslip/connection/header_conventions.py
+++ b/src/briarslip/connection/header_conventions.py
@@ -18,7 +18,9 @@
     request, as does each of ``not_run_statuses``. A server echoes ``request_id``
     and sets ``signature`` on each response of its own. ``expected_server`` names
     the only server that may run a request, ``caller_service`` the service that
-    sent it. ``outcome`` tells a caller whether its request was run.
+    sent it. ``outcome`` tells a caller whether its request was run. On a response,
+    ``request_limit`` holds the requests a second that the server accepts from all
+    instances together.
     ``retry_after_decimals`` is the number of decimals in Retry-After.
     """
 
@@ -30,6 +32,7 @@
     expected_server: bytes = b""
     caller_service: bytes = b""
     outcome: bytes = b"Briarslip-Outcome"
+    request_limit: bytes = b"Briarslip-Request-Limit"
     retry_after_decimals: int = 0
 
     @cached_property
@@ -41,7 +44,7 @@
     @cached_property
     def inspected_names(self) -> frozenset[bytes]:
         """Lower-case names of headers that a daemon reads."""
-        names = (self.not_run, self.request_id, self.signature)
+        names = (self.not_run, self.request_id, self.signature, self.request_limit)
         return self.names_set_by_daemon | {name.lower() for name in names if name}
 
     @cached_property
--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import TYPE_CHECKING
 
 from result import Err
 from result import Ok
@@ -13,6 +14,12 @@
 
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
 from briarslip.connection.header_conventions import HeaderConventions
+from briarslip.connection.server_status import NO_STATUS
+from briarslip.connection.server_status import parse_server_status
+
+
+if TYPE_CHECKING:
+    from briarslip.request.call import ServerStatus
 
 
 MAX_HEAD_BYTES = 32 << 10
@@ -86,7 +93,8 @@
     connection. ``headers`` keeps Content-Length, by which the caller's daemon
     checks the length of the body. ``shed`` means that the server did not run the
     request. ``request_id`` is the id that the server echoed, ``signed`` whether
-    the response has the server's signature.
+    the response has the server's signature. ``server_status`` is what the server
+    states about itself, or the reason why that can't be read.
     """
 
     status: int
@@ -97,6 +105,7 @@
     shed: bool
     request_id: bytes = b""
     signed: bool = False
+    server_status: Result[ServerStatus, str] = NO_STATUS
 
 
 @lru_cache(maxsize=8)
@@ -247,6 +256,7 @@
             or status in conventions.not_run_statuses,
             request_id=inspected.first_value(conventions.request_id),
             signed=conventions.signature.lower() in inspected.values,
+            server_status=parse_server_status(inspected.values, conventions),
         )
     )
 
--- a/src/briarslip/platform/header_conventions.py
+++ b/src/briarslip/platform/header_conventions.py
@@ -17,6 +17,7 @@
     expected_server=b"Expected-Instance",
     caller_service=b"Caller-Service",
     outcome=b"",
+    request_limit=b"Server-Limit",
     retry_after_decimals=3,
 )
 
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -208,6 +208,8 @@
             "requests_in_flight": lambda: self.callers.in_flight,
             "calls_served": lambda: self.links.served_call_count,
             "calls_at_servers": lambda: self.servers.in_flight,
+            "calls_sent_to_servers": lambda: self.servers.sent_calls,
+            "server_request_limit": lambda: self.servers.request_limit,
             "silent_peers": lambda: len(self.links.silent_peers),
             "retry_tokens": lambda: self.forwarder.retry_budget.tokens,
             "ready": lambda: self.is_ready,
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -151,6 +151,16 @@
         Level.INFO,
         "request is not retried because the retry budget is empty",
     )
+    SERVER_LIMIT_CHANGED = (
+        413,
+        Level.WARNING,
+        "backend server states another limit of requests a second",
+    )
+    SERVER_STATUS_UNREADABLE = (
+        414,
+        Level.WARNING,
+        "what a backend server states about itself can't be read and is ignored",
+    )
     CLAIMS_UNAVAILABLE = (
         451,
         Level.WARNING,
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -128,6 +129,17 @@
         servers = (*self.servers.values(), *self.retired)
         return sum(server.admission.in_flight for server in servers)
 
+    @property
+    def sent_calls(self) -> int:
+        """The number of calls that were sent to the registered servers."""
+        return sum(server.admission.sent_calls for server in self.servers.values())
+
+    @property
+    def request_limit(self) -> float:
+        """The sum of the servers' limits in requests a second, infinity without."""
+        limits = [server.admission.request_limit for server in self.servers.values()]
+        return sum(math.inf if limit is None else limit for limit in limits)
+
     def receive(self, announcement: Announcement) -> bool:
         """Register or renew a server; return False if there are too many servers.
 
--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -5,6 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.request.call import Load
 from briarslip.request.call_queue import CallQueue
 from briarslip.request.latency_targets import LatencyTargets
@@ -22,6 +24,7 @@
     from briarslip.request.call import Call
     from briarslip.request.call import Dispatch
     from briarslip.request.call import ResponseSink
+    from briarslip.request.call import ServerStatus
     from briarslip.request.timer import CallLater
 
 
@@ -80,6 +83,8 @@
         self.bulk_queue = CallQueue()
         self.is_starting_calls = False
         self.latency_targets = LatencyTargets()
+        self.request_limit: float | None = None
+        self.sent_calls = 0
 
     @property
     def load(self) -> Load:
@@ -131,6 +136,21 @@
             last.reject(Reason.QUEUE_FULL)
             self._update_urgent_reserve(last.call)
 
+    def receive_status(self, status: ServerStatus, call: Call) -> None:
+        """Apply what the server states about itself in the response to a call."""
+        if status.request_limit == self.request_limit:
+            return
+        emit(
+            Event.SERVER_LIMIT_CHANGED,
+            request=self.request_id(call.headers),
+            service=call.service,
+            limit=status.request_limit,
+            previous=self.request_limit,
+            sent_calls=self.sent_calls,
+            in_flight=self.in_flight,
+        )
+        self.request_limit = status.request_limit
+
     def close(self) -> None:
         """Reject queued and new calls; calls that are running continue."""
         self.closed = True
@@ -260,6 +280,7 @@
             self._update_urgent_reserve(call)
             return
         self.in_flight += 1
+        self.sent_calls += 1
         self.bulk_in_flight += not call.urgent
         pending.start(remaining_seconds)
 
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -83,14 +83,30 @@
     service_time_seconds: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class ServerStatus:
+    """What a backend server states about itself in a response.
+
+    ``request_limit`` is the number of requests a second that it accepts from all
+    instances together, None if it states no limit.
+    """
+
+    request_limit: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Status, headers and outcome of a response, and the load of the server."""
+    """Status, headers and outcome of a response, and the load of the server.
+
+    ``server_status`` is known only to the daemon next to the server, None if the
+    response says nothing about the server that can be relied on.
+    """
 
     status: int
     headers: bytes
     outcome: Outcome
     load: Load
+    server_status: ServerStatus | None = None
 
 
 class ResponseSink(Protocol):
@@ -117,4 +133,4 @@
         """Forward ``call`` and send its response to ``sink``."""
 
 
-__all__ = ["Call", "Dispatch", "Load", "ResponseHead", "ResponseSink"]
+__all__ = ["Call", "Dispatch", "Load", "ResponseHead", "ResponseSink", "ServerStatus"]
--- a/src/briarslip/request/pending_call.py
+++ b/src/briarslip/request/pending_call.py
@@ -72,6 +72,8 @@
         if self.ended:
             return
         self.not_run = head.outcome is Outcome.NOT_RUN
+        if head.server_status is not None:
+            self.admission.receive_status(head.server_status, self.call)
         load = self.admission.load_for(self.call)
         self.sink.head(ResponseHead(head.status, head.headers, head.outcome, load))
 
