Keep the limit of requests a second that a backend server states

What callers saw: a server in trouble that states a limit in its responses got up to 1.7 times the bound of the users' rule LIMIT, and stayed in trouble.

Cause: admission at the daemon beside the server bounds concurrency only; nothing on the path knew a rate. Class: a server's own statement of what it can do is forwarded as payload and changes no decision.

Ruled out: retries (none at this service); slots do not fill (6 to 11 of 12).

Change: Admission has a token bucket for the stated limit. Every call to a server passes the daemon beside it, so the bucket counts all instances without any messages. What does not fit is rejected at once with the wait as Retry-After; half of the burst is kept for urgent calls; the load report shows the slots that the limit leaves. After a restart of that daemon four calls at a time are sent until the first response.

Why it works: test_request_rate replays 16, 66, 196 and 600 daemons at 21.2 and 5.1 requests a second in virtual time. Before: 250 to 265 requests in 4 s at each size. Now within the bound, and at least 85% of the limit is used.

--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -14,6 +14,7 @@
 from briarslip.connection.http_head import MAX_HEAD_BYTES
 from briarslip.connection.http_head import parse_response_head
 from briarslip.connection.immediate_write import write_immediately
+from briarslip.connection.server_status import NO_STATUS
 from briarslip.connection.socket_options import set_socket_options
 from briarslip.process.events import Event
 from briarslip.process.events import emit
@@ -254,6 +255,9 @@
                 reason=status.err_value,
             )
             return None
+        if response_head.shed and status == NO_STATUS:
+            # A limit ends with a response of a call that ran.
+            return None
         return status.ok_value
 
     def _receive_body(self, data: bytes) -> None:
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -29,6 +29,8 @@
 
 
 MAX_SERVERS = 6
+# A server that was there before this daemon may already have stated a limit.
+MAX_FIRST_CALLS = 4
 # Ended servers that are remembered to recognise their late announcements.
 MS_PER_SECOND = 1000
 MAX_ENDED_SERVERS = 64
@@ -68,6 +70,7 @@
             excluded_versions,
             self.backend_headers,
             conventions.request_id_text_of,
+            MAX_FIRST_CALLS,
         )
         self.conventions = conventions
 
@@ -137,7 +140,7 @@
     @property
     def request_limit(self) -> float:
         """The sum of the servers' limits in requests a second, infinity without."""
-        limits = [server.admission.request_limit for server in self.servers.values()]
+        limits = [server.admission.rate.limit for server in self.servers.values()]
         return sum(math.inf if limit is None else limit for limit in limits)
 
     def receive(self, announcement: Announcement) -> bool:
--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -14,6 +14,7 @@
 from briarslip.request.outcome import Reason
 from briarslip.request.pending_call import PendingCall
 from briarslip.request.propagation import deadline_header
+from briarslip.request.request_rate import RequestRate
 from briarslip.request.urgent_reserve import UrgentReserve
 
 
@@ -26,6 +27,7 @@
     from briarslip.request.call import ResponseSink
     from briarslip.request.call import ServerStatus
     from briarslip.request.timer import CallLater
+    from briarslip.request.timer import Timer
 
 
 QUEUE_LENGTH_PER_SLOT = 4
@@ -54,7 +56,8 @@
     Bulk calls wait in a queue of their own and leave a reserve of slots to
     urgent calls. A call that is not expected to finish by its deadline is
     rejected before it is sent to the server, so that its outcome "not run" is
-    certain.
+    certain. Until the server's first response, which may state a limit of
+    requests a second, ``max_first_calls`` are sent at a time.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         excluded_versions: Callable[[str], frozenset[str]] = _no_excluded_versions,
         backend_headers: Callable[[float], bytes] = deadline_header,
         request_id: Callable[[bytes], str] = _no_id,
+        max_first_calls: int | None = None,
     ) -> None:
         self.clock = clock
         self.slots = slots
@@ -74,6 +78,7 @@
         self.excluded_versions = excluded_versions
         self.backend_headers = backend_headers
         self.request_id = request_id
+        self.max_first_calls = max_first_calls or slots
         self.closed = False
         self.urgent_reserve = UrgentReserve(slots, clock.monotonic())
         self.service_times = MovingAverages()
@@ -83,14 +88,24 @@
         self.bulk_queue = CallQueue()
         self.is_starting_calls = False
         self.latency_targets = LatencyTargets()
-        self.request_limit: float | None = None
+        self.rate = RequestRate()
+        self.rate_timer: Timer | None = None
+        self.is_status_known = False
         self.sent_calls = 0
 
     @property
     def load(self) -> Load:
         """The number of calls running at the server or queued for it."""
         waiting = len(self.urgent_queue) + len(self.bulk_queue)
-        return Load(self.in_flight + waiting, self.slots)
+        return Load(self.in_flight + waiting, self.usable_slots)
+
+    @property
+    def usable_slots(self) -> int:
+        """The slots that calls occupy on average at the server's limit, at least 1."""
+        mean = max(self.service_times.mean(URGENT), self.service_times.mean(BULK))
+        if self.rate.limit is None or not mean:
+            return self.slots
+        return max(1, math.ceil(min(self.slots, self.rate.limit * mean)))
 
     def load_for(self, call: Call) -> Load:
         """Return the load with the mean service time of the call's route."""
@@ -130,7 +145,7 @@
 
     def _reject_last_queued(self, queue: CallQueue) -> None:
         """Reject the call that would be served last if the queue is too long."""
-        if len(queue) > self.slots * QUEUE_LENGTH_PER_SLOT:
+        if len(queue) > self.usable_slots * QUEUE_LENGTH_PER_SLOT:
             last = queue.last(self.clock.monotonic())
             queue.remove(last)
             last.reject(Reason.QUEUE_FULL)
@@ -138,18 +153,21 @@
 
     def receive_status(self, status: ServerStatus, call: Call) -> None:
         """Apply what the server states about itself in the response to a call."""
-        if status.request_limit == self.request_limit:
+        self.is_status_known = True
+        previous, limit = self.rate.limit, status.request_limit
+        if limit == previous:
             return
         emit(
             Event.SERVER_LIMIT_CHANGED,
             request=self.request_id(call.headers),
             service=call.service,
-            limit=status.request_limit,
-            previous=self.request_limit,
+            limit=limit,
+            previous=previous,
             sent_calls=self.sent_calls,
             in_flight=self.in_flight,
         )
-        self.request_limit = status.request_limit
+        self.rate.set_limit(limit, self.clock.monotonic())
+        self.start_queued_calls()
 
     def close(self) -> None:
         """Reject queued and new calls; calls that are running continue."""
@@ -172,7 +190,7 @@
         now = self.clock.monotonic()
         self.latency_targets.update(call, now)
         ahead = self.queue(call).count_ahead_of(call, now)
-        if ahead >= self.slots * QUEUE_LENGTH_PER_SLOT:
+        if ahead >= self.usable_slots * QUEUE_LENGTH_PER_SLOT:
             return Reason.QUEUE_FULL
         wait_seconds = self.expected_wait_seconds(call)
         service_seconds = self.expected_service_seconds(call)
@@ -217,6 +235,18 @@
         rejected because of bulk calls.
         """
         now = self.clock.monotonic()
+        return max(
+            self._slot_wait_seconds(call, now), self._rate_wait_seconds(call, now)
+        )
+
+    def _rate_wait_seconds(self, call: Call, now: float) -> float:
+        """Return the wait for the server's limit of requests a second."""
+        ahead = self.queue(call).count_ahead_of(call, now)
+        if not call.urgent:
+            ahead += len(self.urgent_queue)
+        return self.rate.seconds_until_calls(ahead + 1, call.urgent, now)
+
+    def _slot_wait_seconds(self, call: Call, now: float) -> float:
         if call.urgent:
             running = self.in_flight - self.bulk_in_flight
             ahead = (
@@ -244,29 +274,53 @@
         return self.service_times.mean(call.route) if self.in_flight else 0.0
 
     def start_queued_calls(self) -> None:
-        """Start queued calls while slots are free."""
+        """Start queued calls while slots are free and the server's limit allows."""
         if self.is_starting_calls:
             return
         self.is_starting_calls = True
         try:
-            while self.in_flight < self.slots:
+            while self.in_flight < self._max_in_flight:
                 pending = self._next_call()
                 if pending is None:
+                    self._wait_for_rate()
                     break
                 self._start_call(pending)
         finally:
             self.is_starting_calls = False
 
+    @property
+    def _max_in_flight(self) -> int:
+        if self.is_status_known:
+            return self.slots
+        return min(self.slots, self.max_first_calls)
+
     def _next_call(self) -> PendingCall | None:
+        now = self.clock.monotonic()
+        if self.rate.is_exhausted(True, now):
+            return None
         pending = self.urgent_queue.pop(self.expected_end)
         if (
             pending is None
             and self.bulk_queue
             and self.bulk_in_flight < self.bulk_slots
+            and not self.rate.is_exhausted(False, now)
         ):
             pending = self.bulk_queue.pop(self.expected_end)
         return pending
 
+    def _wait_for_rate(self) -> None:
+        """Start queued calls again when the server's limit allows the next one."""
+        if self.rate_timer is not None or not (self.urgent_queue or self.bulk_queue):
+            return
+        now = self.clock.monotonic()
+        delay = self.rate.seconds_until_calls(1, bool(self.urgent_queue), now)
+        if delay > 0.0:
+            self.rate_timer = self.call_later(delay, self._rate_allows_call)
+
+    def _rate_allows_call(self) -> None:
+        self.rate_timer = None
+        self.start_queued_calls()
+
     def _start_call(self, pending: PendingCall) -> None:
         call = pending.call
         remaining_seconds = call.deadline - self.clock.monotonic()
@@ -281,6 +335,7 @@
             return
         self.in_flight += 1
         self.sent_calls += 1
+        self.rate.spend(self.clock.monotonic())
         self.bulk_in_flight += not call.urgent
         pending.start(remaining_seconds)
 
--- a/src/briarslip/request/server.py
+++ b/src/briarslip/request/server.py
@@ -29,8 +29,9 @@
 
     ``slowness`` is the ratio of the server's latency to the mean of the same
     route over all servers. ``reported_occupancy`` is the occupancy in its last
-    report, and ``sent_since_report`` the number of calls sent to it since. Times
-    are readings of the monotonic clock in seconds.
+    report, and ``sent_since_report`` the number of calls sent to it since.
+    ``slots`` is what it can use, fewer if it limits its requests. Times are
+    readings of the monotonic clock in seconds.
     """
 
     address: Address
@@ -93,6 +94,7 @@
 def record_load(server: Server, load: Load, now: float) -> None:
     """Record the load that a response or failure carried."""
     if load.slots:
+        server.slots = load.slots
         server.reported_occupancy = load.in_flight
         server.reported_at = now
         server.sent_since_report = 0
--- a/tests/request/limited_fleet.py
+++ b/tests/request/limited_fleet.py
@@ -50,9 +50,15 @@
         self.routes: list[bool] = []
         self.restart_daemon()
 
-    def restart_daemon(self) -> None:
+    def restart_daemon(self, max_first_calls: int | None = None) -> None:
         """Replace the daemon's admission by one that knows nothing."""
-        self.admission = Admission(self.time, SLOTS, self.run, self.time.call_later)
+        self.admission = Admission(
+            self.time,
+            SLOTS,
+            self.run,
+            self.time.call_later,
+            max_first_calls=max_first_calls,
+        )
 
     def run(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
         """Run a call and state the limit that holds when it ends."""
