A server that says in a response that it is leaving gets no more calls

What callers saw: nothing; a server that leaves says so in all its responses, and requests went on reaching it from daemons that had passed such a response on (the users' rule DRAIN binds each of them, for good).

Cause: of the same class as the limit of requests: what a server states about itself in a response changed no decision. Only its own report to the daemon beside it did, which can be late, contradict it, or be forgotten when that daemon is restarted.

Evidence: test_leaving_server, before the change: a server that says so and then reports ready got calls; a caller's daemon sent to it again after the daemon beside it had been restarted.

Why it works: the daemon beside the server stops at once, for that start of the server, and publishes it as draining; each caller's daemon is told the incarnation with the response and remembers it, so a restart of the other daemon changes nothing.

--- a/src/briarslip/connection/frame.py
+++ b/src/briarslip/connection/frame.py
@@ -67,7 +67,8 @@
     """The head of a response with the first part of its body.
 
     ``service_micros`` is the server's mean service time of the route in
-    microseconds, 0 if unknown.
+    microseconds, 0 if unknown. ``leaving_incarnation`` is the incarnation of a
+    server that is leaving, 0 if it is not.
     """
 
     stream: int
@@ -79,6 +80,7 @@
     body: bytes
     last: bool
     service_micros: int = 0
+    leaving_incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,6 +208,8 @@
     body.body = frame.body
     body.last = frame.last
     body.serviceMicros = frame.service_micros
+    if frame.leaving_incarnation:
+        body.leavingIncarnation = frame.leaving_incarnation
 
 
 def _encode_body(message: Any, frame: BodyFrame) -> None:
@@ -315,6 +319,7 @@
         body=body.body,
         last=body.last,
         service_micros=body.serviceMicros,
+        leaving_incarnation=body.leavingIncarnation,
     )
 
 
--- a/src/briarslip/connection/header_conventions.py
+++ b/src/briarslip/connection/header_conventions.py
@@ -20,7 +20,7 @@
     the only server that may run a request, ``caller_service`` the service that
     sent it. ``outcome`` tells a caller whether its request was run. On a response,
     ``request_limit`` holds the requests a second that the server accepts from all
-    instances together.
+    instances together, and ``leaving`` is 1 if the server is about to end.
     ``retry_after_decimals`` is the number of decimals in Retry-After.
     """
 
@@ -33,6 +33,7 @@
     caller_service: bytes = b""
     outcome: bytes = b"Briarslip-Outcome"
     request_limit: bytes = b"Briarslip-Request-Limit"
+    leaving: bytes = b"Briarslip-Leaving"
     retry_after_decimals: int = 0
 
     @cached_property
@@ -44,7 +45,13 @@
     @cached_property
     def inspected_names(self) -> frozenset[bytes]:
         """Lower-case names of headers that a daemon reads."""
-        names = (self.not_run, self.request_id, self.signature, self.request_limit)
+        names = (
+            self.not_run,
+            self.request_id,
+            self.signature,
+            self.request_limit,
+            self.leaving,
+        )
         return self.names_set_by_daemon | {name.lower() for name in names if name}
 
     @cached_property
--- a/src/briarslip/connection/link_stream.py
+++ b/src/briarslip/connection/link_stream.py
@@ -70,7 +70,15 @@
         service_time = frame.service_micros / MICROSECONDS_PER_SECOND
         self.link.ping_after_seconds = ping_delay(service_time)
         load = Load(frame.in_flight, frame.slots, service_time)
-        self.sink.head(ResponseHead(frame.status, frame.headers, frame.outcome, load))
+        self.sink.head(
+            ResponseHead(
+                frame.status,
+                frame.headers,
+                frame.outcome,
+                load,
+                leaving_incarnation=frame.leaving_incarnation,
+            )
+        )
         self._forward(frame.body, frame.last)
         return True
 
@@ -210,6 +218,7 @@
             body=data,
             last=last,
             service_micros=_service_micros(head.load),
+            leaving_incarnation=head.leaving_incarnation,
         )
 
 
--- a/src/briarslip/connection/peer.capnp
+++ b/src/briarslip/connection/peer.capnp
@@ -39,6 +39,7 @@
   body @6 :Data;
   last @7 :Bool;              # no body frame follows
   serviceMicros @8 :UInt32;   # mean service time of the route; 0: unknown
+  leavingIncarnation @9 :UInt64;  # of a backend server that is leaving; 0: it is not
 }
 
 enum Outcome {
--- a/src/briarslip/connection/server_status.py
+++ b/src/briarslip/connection/server_status.py
@@ -19,6 +19,7 @@
     from briarslip.connection.header_conventions import HeaderConventions
 
 
+LEAVING = b"1"
 NO_STATUS: Result[ServerStatus, str] = Ok(ServerStatus())
 
 
@@ -30,9 +31,10 @@
     If the server states several limits, the lowest one counts. The error says
     which value was received.
     """
+    leaving = LEAVING in values.get(conventions.leaving.lower(), ())
     limit_values = values.get(conventions.request_limit.lower())
     if not limit_values:
-        return NO_STATUS
+        return Ok(ServerStatus(leaving=True)) if leaving else NO_STATUS
     limits: list[float] = []
     for value in limit_values:
         limit = _parse_limit(value)
@@ -41,7 +43,7 @@
             text = value.decode("latin-1")
             return Err(f"{name}: got {text!r}, expected requests a second, 0 or more")
         limits.append(limit)
-    return Ok(ServerStatus(request_limit=min(limits)))
+    return Ok(ServerStatus(min(limits), leaving))
 
 
 def _parse_limit(value: bytes) -> float | None:
--- a/src/briarslip/platform/header_conventions.py
+++ b/src/briarslip/platform/header_conventions.py
@@ -18,6 +18,7 @@
     caller_service=b"Caller-Service",
     outcome=b"",
     request_limit=b"Server-Limit",
+    leaving=b"Server-Leaving",
     retry_after_decimals=3,
 )
 
--- a/src/briarslip/platform/server_reports.py
+++ b/src/briarslip/platform/server_reports.py
@@ -31,6 +31,7 @@
 DRAINING = "draining"
 STATES = frozenset(("ready", DRAINING))
 MAX_SLOTS = 65535
+MAX_STARTED_MS = 2**53
 MS_PER_SECOND = 1000.0
 
 
@@ -45,19 +46,21 @@
         status = document.nested("status")
         # The number of requests that the server runs at once.
         slots = min(info.whole_part("capacity", minimum=1), MAX_SLOTS)
+        # Start of the server in Unix milliseconds.
+        started_ms = document.integer("born", default=0)
         endpoint = Endpoint(
             service=info.text("service"),
             version=info.text("version"),
             slots=slots,
             connections=slots,
             draining=status.choice("state", STATES) == DRAINING,
+            incarnation=started_ms if 0 <= started_ms <= MAX_STARTED_MS else 0,
         )
         return Announcement(
             endpoint=endpoint,
             address=document.address("address"),
             server_id=server_id,
-            # Start of the server in Unix milliseconds.
-            incarnation=document.integer("born", default=0),
+            incarnation=started_ms,
             sequence=status.integer("sequence"),
             warm_up_left_seconds=_read_seconds(status, "warmup-left-ms"),
         )
--- a/src/briarslip/process/announcements.py
+++ b/src/briarslip/process/announcements.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -43,6 +44,10 @@
     sequence: int = 0
     warm_up_left_seconds: float | None = None
 
+    def as_draining(self) -> Announcement:
+        """Return the announcement with an endpoint that takes no more calls."""
+        return replace(self, endpoint=replace(self.endpoint, draining=True))
+
     def is_older_than(self, other: Announcement) -> bool:
         """Return whether the server sent this announcement before another one.
 
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -161,6 +161,11 @@
         Level.WARNING,
         "what a backend server states about itself can't be read and is ignored",
     )
+    SERVER_LEAVING = (
+        415,
+        Level.INFO,
+        "backend server says in a response that it is leaving",
+    )
     CLAIMS_UNAVAILABLE = (
         451,
         Level.WARNING,
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -120,6 +120,7 @@
         self.servers: dict[Address, LocalServer] = {}
         self.retired: list[LocalServer] = []
         self.ended_incarnations: OrderedDict[str, int] = OrderedDict()
+        self.leaving_incarnations: OrderedDict[str, int] = OrderedDict()
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
@@ -156,6 +157,8 @@
             announcement.server_id, -1
         ):
             return True
+        if self._is_leaving(announcement, server):
+            announcement = announcement.as_draining()
         if server is None and len(self.servers) >= MAX_SERVERS:
             return False
         if server is None or _is_other_server(server.announcement, announcement):
@@ -173,6 +176,24 @@
                 self.on_change()
         return True
 
+    def _is_leaving(
+        self, announcement: Announcement, server: LocalServer | None
+    ) -> bool:
+        """Return whether this start of the server has said that it is leaving."""
+        if not announcement.incarnation:
+            return server is not None and server.admission.is_leaving
+        leaving = self.leaving_incarnations.get(announcement.server_id)
+        return announcement.incarnation == leaving
+
+    def _server_leaves(self, server: LocalServer) -> None:
+        """Publish that a server takes no more calls, whatever it reports later."""
+        announcement = server.announcement
+        self.leaving_incarnations[announcement.server_id] = announcement.incarnation
+        _forget_oldest(self.leaving_incarnations)
+        server.admission.leaving_incarnation = announcement.endpoint.incarnation
+        server.announcement = announcement.as_draining()
+        self.on_change()
+
     def deregister(self, server_id: str, incarnation: int = 0) -> None:
         """Stop new calls to a server that is ending; running calls continue.
 
@@ -189,12 +210,10 @@
             self.ended_incarnations[server_id] = max(
                 incarnation, announcement.incarnation
             )
-            endpoint = replace(announcement.endpoint, draining=True)
-            server.announcement = replace(announcement, endpoint=endpoint)
+            server.announcement = announcement.as_draining()
             server.admission.close()
             self.on_change()
-        while len(self.ended_incarnations) > MAX_ENDED_SERVERS:
-            self.ended_incarnations.popitem(last=False)
+        _forget_oldest(self.ended_incarnations)
 
     def expire(self) -> None:
         """Remove the servers whose lease has expired."""
@@ -209,7 +228,7 @@
     def _replace(self, announcement: Announcement) -> None:
         """Register a new server, replacing any other one at its address."""
         self._retire(announcement.address)
-        self.servers[announcement.address] = LocalServer(
+        server = LocalServer(
             announcement,
             self.clock.monotonic(),
             self.reactor,
@@ -218,6 +237,10 @@
             self.instrument,
             self.conventions,
         )
+        server.admission.on_leaving = partial(self._server_leaves, server)
+        if announcement.endpoint.draining:
+            server.admission.close()
+        self.servers[announcement.address] = server
         emit(Event.SERVER_ANNOUNCED, server=announcement.address)
         self.on_change()
 
@@ -242,6 +265,11 @@
         return None
 
 
+def _forget_oldest(incarnations: OrderedDict[str, int]) -> None:
+    while len(incarnations) > MAX_ENDED_SERVERS:
+        incarnations.popitem(last=False)
+
+
 def _is_other_server(registered: Announcement, received: Announcement) -> bool:
     """Return whether the announcement comes from another server or another start."""
     old, new = registered.endpoint, received.endpoint
--- a/src/briarslip/process/membership/codec.py
+++ b/src/briarslip/process/membership/codec.py
@@ -194,6 +194,7 @@
         target.slots = endpoint.slots
         target.connections = endpoint.connections
         target.draining = endpoint.draining
+        target.incarnation = endpoint.incarnation
 
 
 def _read_updates(source: Any, locality: Locality) -> tuple[Member, ...]:
@@ -217,7 +218,14 @@
     entries: Iterable[Any], names: Sequence[str]
 ) -> tuple[Endpoint, ...]:
     return tuple(
-        Endpoint(names[e.service], names[e.version], e.slots, e.connections, e.draining)
+        Endpoint(
+            service=names[e.service],
+            version=names[e.version],
+            slots=e.slots,
+            connections=e.connections,
+            draining=e.draining,
+            incarnation=e.incarnation,
+        )
         for e in entries
     )
 
--- a/src/briarslip/process/membership/member.py
+++ b/src/briarslip/process/membership/member.py
@@ -25,7 +25,8 @@
     """A backend server as its daemon announces it.
 
     ``slots`` is the number of requests that the server runs at a time,
-    ``connections`` the number of connections that it accepts.
+    ``connections`` the number of connections that it accepts. ``incarnation``
+    identifies its start, 0 if it does not tell.
     """
 
     service: str
@@ -33,6 +34,7 @@
     slots: int
     connections: int
     draining: bool
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarslip/process/membership/membership.capnp
+++ b/src/briarslip/process/membership/membership.capnp
@@ -10,6 +10,7 @@
   slots @2 :UInt16;
   connections @3 :UInt16;
   draining @4 :Bool;
+  incarnation @5 :UInt64;     # start of the server; 0: unknown
 }
 
 # An update about one member. `ipv6` is empty for IPv4 addresses.
--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -91,6 +91,9 @@
         self.rate = RequestRate()
         self.rate_timer: Timer | None = None
         self.is_status_known = False
+        self.is_leaving = False
+        self.on_leaving: Callable[[], None] | None = None
+        self.leaving_incarnation = 0
         self.sent_calls = 0
 
     @property
@@ -154,15 +157,31 @@
     def receive_status(self, status: ServerStatus, call: Call) -> None:
         """Apply what the server states about itself in the response to a call."""
         self.is_status_known = True
-        previous, limit = self.rate.limit, status.request_limit
-        if limit == previous:
-            return
+        if status.leaving and not self.is_leaving:
+            self._leave(call)
+        if status.request_limit != self.rate.limit:
+            self._change_limit(status.request_limit, call)
+
+    def _leave(self, call: Call) -> None:
+        """Stop new calls to the server for good."""
+        self.is_leaving = True
+        emit(
+            Event.SERVER_LEAVING,
+            request=self.request_id(call.headers),
+            service=call.service,
+            waiting=len(self.urgent_queue) + len(self.bulk_queue),
+        )
+        self.close()
+        if self.on_leaving is not None:
+            self.on_leaving()
+
+    def _change_limit(self, limit: float | None, call: Call) -> None:
         emit(
             Event.SERVER_LIMIT_CHANGED,
             request=self.request_id(call.headers),
             service=call.service,
             limit=limit,
-            previous=previous,
+            previous=self.rate.limit,
             sent_calls=self.sent_calls,
             in_flight=self.in_flight,
         )
--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -86,6 +86,10 @@
         self.outcome = head.outcome
         self.status = head.status
         record_load(self.server, head.load, now)
+        if head.leaving_incarnation:
+            self.forwarder.directory.record_leaving(
+                self.server.address, head.leaving_incarnation
+            )
         if head.outcome is Outcome.NOT_RUN:
             failure = Failure(Outcome.NOT_RUN, Reason.SHED)
             if self.exchange.try_withdraw_retry(failure):
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -88,10 +88,12 @@
     """What a backend server states about itself in a response.
 
     ``request_limit`` is the number of requests a second that it accepts from all
-    instances together, None if it states no limit.
+    instances together, None if it states no limit. ``leaving`` is whether it will
+    end and must get no more requests.
     """
 
     request_limit: float | None = None
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +101,9 @@
     """Status, headers and outcome of a response, and the load of the server.
 
     ``server_status`` is known only to the daemon next to the server, None if the
-    response says nothing about the server that can be relied on.
+    response says nothing about the server that can be relied on. That daemon sets
+    ``leaving_incarnation`` to the server's incarnation once the server has said that
+    it is leaving.
     """
 
     status: int
@@ -107,6 +111,7 @@
     outcome: Outcome
     load: Load
     server_status: ServerStatus | None = None
+    leaving_incarnation: int = 0
 
 
 class ResponseSink(Protocol):
--- a/src/briarslip/request/pending_call.py
+++ b/src/briarslip/request/pending_call.py
@@ -75,7 +75,15 @@
         if head.server_status is not None:
             self.admission.receive_status(head.server_status, self.call)
         load = self.admission.load_for(self.call)
-        self.sink.head(ResponseHead(head.status, head.headers, head.outcome, load))
+        self.sink.head(
+            ResponseHead(
+                head.status,
+                head.headers,
+                head.outcome,
+                load,
+                leaving_incarnation=self.admission.leaving_incarnation,
+            )
+        )
 
     def body(self, data: bytes, last: bool) -> None:
         """Forward a part of the body; the last one frees the slot."""
--- a/src/briarslip/request/server_directory.py
+++ b/src/briarslip/request/server_directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from briarslip.request.server import Server
@@ -18,7 +20,11 @@
 
 REFRESH_SECONDS = 0.5
 
-ServerKey = tuple["Address", str, str]
+# Leaving servers that are remembered, as the daemon beside one may be restarted.
+MAX_LEAVING_SERVERS = 1024
+
+ServerKey = tuple["Address", str, str, int]
+ServerStart = tuple["Address", int]
 
 
 class ServerDirectory:
@@ -32,9 +38,10 @@
     def __init__(self, members: Callable[[], Iterable[Member]]) -> None:
         self.members = members
         self.indexed_members: Iterable[Member] | None = None
-        self.refreshed_at = float("-inf")
+        self.refreshed_at = -math.inf
         self.servers: dict[ServerKey, Server] = {}
         self.servers_by_service: dict[str, list[Server]] = {}
+        self.leaving: OrderedDict[ServerStart, None] = OrderedDict()
 
     def find(
         self, service: str, version: str, excluded_versions: frozenset[str], now: float
@@ -52,6 +59,17 @@
             and server.version not in excluded_versions
         ]
 
+    def record_leaving(self, address: Address, incarnation: int) -> None:
+        """Send no more calls to a start of the server beside a daemon."""
+        start = (address, incarnation)
+        if start in self.leaving:
+            return
+        self.leaving[start] = None
+        if len(self.leaving) > MAX_LEAVING_SERVERS:
+            self.leaving.popitem(last=False)
+        self.indexed_members = None
+        self.refreshed_at = -math.inf
+
     def refresh(self, now: float) -> None:
         """Rebuild the index if the members have changed."""
         self.refreshed_at = now
@@ -63,9 +81,15 @@
         previous_services, self.servers_by_service = self.servers_by_service, {}
         for member in members:
             for endpoint in member.endpoints:
-                if endpoint.draining:
+                start = (member.address, endpoint.incarnation)
+                if endpoint.draining or start in self.leaving:
                     continue
-                key = (member.address, endpoint.service, endpoint.version)
+                key = (
+                    member.address,
+                    endpoint.service,
+                    endpoint.version,
+                    endpoint.incarnation,
+                )
                 server = previous.get(key)
                 if server is None:
                     # After the daemon starts, all servers are new to it but not cold.
