Log that the store was restored from a copy, and changes that are not run

Event 602 with the number of the store's copy, event 311 for a configuration that is read and older than the running one. The stand-in of the store can be restored from a copy. No decision changes.

--- a/src/briarslip/platform/store.py
+++ b/src/briarslip/platform/store.py
@@ -15,6 +15,9 @@
 from result import Ok
 from result import Result
 
+from briarslip.platform.store_copy import copy_number
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.process.store.client import KeyValue
 from briarslip.process.store.client import RangeReply
 from briarslip.process.store.client import StoreError
@@ -57,6 +60,7 @@
         self.reactor = reactor
         self.http = http
         self.timeout = timeout
+        self.copy: int | None = None
 
     @classmethod
     def from_address(
@@ -185,9 +189,19 @@
         body: dict[str, Any] | None = None,
     ) -> Result[HttpResponse, StoreError]:
         target = f"{path}?{urlencode(query)}" if query else path
-        return await self.http.request(
+        response = await self.http.request(
             method, target, body, self.timeout, is_write=body is not None
         )
+        if isinstance(response, Ok):
+            self.record_copy(response.ok_value)
+        return response
+
+    def record_copy(self, response: HttpResponse) -> None:
+        """Log when the store works on another copy than before."""
+        copy, previous = copy_number(response), self.copy
+        self.copy = copy
+        if previous is not None and copy != previous:
+            emit(Event.STORE_RESTORED, copy=copy, previous=previous)
 
 
 class LongPoll:
@@ -245,6 +259,7 @@
             self._end(result.err_value.reason.value)
             return
         response = result.ok_value
+        self.store.record_copy(response)
         if response.status == GONE:
             self._end(
                 "the history after the watched revision has been compacted",
--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -266,6 +266,12 @@
 
     def _activate_newest(self, snapshot: Snapshot) -> None:
         """Activate a snapshot that the own source reports to be the newest one."""
+        if snapshot.version < self.snapshot.version:
+            emit(
+                Event.VERSION_IGNORED,
+                version=snapshot.version,
+                running=self.snapshot.version,
+            )
         self._set_minimum_version(snapshot.version)
         self.activate_snapshot(snapshot)
 
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -107,6 +107,11 @@
         Level.ERROR,
         "record in the store can't be decoded and is ignored",
     )
+    VERSION_IGNORED = (
+        311,
+        Level.INFO,
+        "configuration read from the store is not newer than the running one",
+    )
     MESSAGE_REJECTED = (401, Level.WARNING, "received message is rejected")
     REQUEST_FAILED = (
         402,
@@ -186,6 +191,11 @@
         "rollout is held because its evidence is suspicious",
     )
     STORE_FAILED = (601, Level.WARNING, "request to the store fails")
+    STORE_RESTORED = (
+        602,
+        Level.WARNING,
+        "the store was restored from a copy; its revisions begin again",
+    )
     LINK_STALLED = (701, Level.WARNING, "peer link stalls and is replaced")
 
     def __init__(self, number: int, level: Level, text: str) -> None:
--- a/src/briarslip/process/store/http.py
+++ b/src/briarslip/process/store/http.py
@@ -42,10 +42,11 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """The status and the body of an HTTP response."""
+    """The status, the body and the header lines of an HTTP response."""
 
     status: int
     body: bytes
+    headers: bytes = b""
 
 
 class HttpResponseSink:
@@ -53,6 +54,7 @@
 
     def __init__(self) -> None:
         self.status = 0
+        self.headers = b""
         self.received = bytearray()
         self.cancel_request: Callable[[], None] | None = None
         self.response: Deferred[Result[HttpResponse, Failure]] = Deferred(self._cancel)
@@ -62,14 +64,16 @@
             self.cancel_request()
 
     def head(self, head: ResponseHead) -> None:
-        """Record the status."""
+        """Record the status and the headers."""
         self.status = head.status
+        self.headers = head.headers
 
     def body(self, data: bytes, last: bool) -> None:
         """Append a part of the body, and fire ``response`` after the last one."""
         self.received += data
         if last:
-            self.response.callback(Ok(HttpResponse(self.status, bytes(self.received))))
+            response = HttpResponse(self.status, bytes(self.received), self.headers)
+            self.response.callback(Ok(response))
 
     def failed(self, failure: Failure, load: Load | None) -> None:
         """Fire ``response`` with the failure that ended the request or response."""
--- a/standins/users_store.py
+++ b/standins/users_store.py
@@ -59,12 +59,21 @@
     body: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The items of a store at a revision."""
+
+    revision: int
+    items: dict[str, Item]
+
+
 class UsersStore:
     """Items, events and leases. ``now`` returns monotonic seconds.
 
     ``writes_per_s`` and ``reads_per_s`` limit the calls in each whole second; 0 means
     no limit. ``history_limit`` is the number of events kept. ``calls`` counts calls
-    by the first segment of their path.
+    by the first segment of their path. ``era`` counts how often the store was
+    restored from a copy.
     """
 
     def __init__(
@@ -78,6 +87,7 @@
         self.call_limits = {"write": writes_per_s, "read": reads_per_s}
         self.calls_by_second: Counter[tuple[str, int]] = Counter()
         self.history_limit = history_limit
+        self.era = 0
         self.revision = 1
         self.items: dict[str, Item] = {}
         self.events: list[tuple[int, dict[str, Any]]] = []
@@ -105,6 +115,22 @@
         self.events.clear()
         self.compacted_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the items, as it may be restored later."""
+        return StoreCopy(self.revision, dict(self.items))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose everything written since a copy; revisions go on from there.
+
+        The events before are kept, but leases are lost with their keys.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self.items = {k: item for k, item in copy.items.items() if not item.lease}
+        self.leases.clear()
+        self.events = [entry for entry in self.events if entry[0] <= copy.revision]
+        self._notify_waiters()
+
     def call(
         self, method: str, path: str, query: dict[str, str], body: dict[str, Any]
     ) -> Reply | None:
@@ -167,7 +193,7 @@
     def events_after(self, query: dict[str, str]) -> Reply | None:
         """Return the events under a prefix after a revision, None if there are none."""
         after, prefix = int(query["after"]), query["prefix"]
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return Reply(410, {"current-rev": self.revision})
         found = [
             event
@@ -261,4 +287,4 @@
             notify()
 
 
-__all__ = ["Item", "Reply", "UsersStore"]
+__all__ = ["Item", "Reply", "StoreCopy", "UsersStore"]
--- a/standins/users_store_server.py
+++ b/standins/users_store_server.py
@@ -84,6 +84,7 @@
         self.setResponseCode(reply.status)
         self.setHeader(b"content-type", b"application/json")
         self.setHeader(b"content-length", b"%d" % len(body))
+        self.setHeader(b"store-era", b"%d" % self.factory.store.era)
         self.write(body)
         self.finish()
 
