Failing tests: changes confirmed after the store was restored from a copy

A change confirmed after the restore is not in force; one is missed by a watch whose revision the copy has passed; one after a lost order is not in force.

--- /dev/null
+++ b/tests/platform/test_restored_store.py
@@ -0,0 +1,174 @@
+"""Tests of the configuration in force while the store is restored from a copy."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+from typing import TYPE_CHECKING
+from typing import Any
+
+from briarslip.platform.configuration import CONFIGURATION_KEY
+from briarslip.platform.configuration import ConfigurationReader
+from briarslip.platform.rollouts import ROLLOUT_ORDER_PREFIX
+from briarslip.process.distribution.stored_configuration import StoredConfiguration
+from briarslip.version.distribution import DistributionState
+from briarslip.version.distribution import install_snapshot
+from briarslip.version.distribution import set_minimum_version
+from tests.platform.support import configuration
+from tests.platform.support import order
+from tests.platform.test_store import Fixture
+from tests.platform.test_store import run_with_fixture
+
+
+if TYPE_CHECKING:
+    from briarslip.version.snapshot import Snapshot
+
+
+class WatchingDaemon:
+    """What a daemon that watches the store runs; ``timeouts`` has each in turn."""
+
+    def __init__(self, fixture: Fixture) -> None:
+        self.state = DistributionState()
+        self.timeouts: list[int] = []
+        self.source = StoredConfiguration(
+            fixture.reactor,
+            random.Random(2),
+            fixture.client,
+            "op/",
+            ConfigurationReader(),
+            self.activate,
+        )
+        self.source.set_active(True)
+
+    def activate(self, snapshot: Snapshot) -> None:
+        """Run a snapshot if it is newer."""
+        previous = self.state.snapshot
+        if not previous.version:
+            set_minimum_version(self.state, snapshot.version)
+        install_snapshot(self.state, snapshot)
+        if self.state.snapshot is not previous:
+            self.timeouts.append(self.timeout_ms)
+
+    @property
+    def timeout_ms(self) -> int:
+        """The timeout of a route that the operators change with each version."""
+        routes = {route.name: route for route in self.state.table.routes}
+        return round(routes["r-hold"].timeout.total_seconds() * 1000)
+
+    @property
+    def rollout_versions(self) -> list[str]:
+        """The service versions of the rollouts in force."""
+        return [rollout.version for rollout in self.state.table.rollouts.values()]
+
+
+def write_version(fixture: Fixture, version: int) -> None:
+    """Write a configuration version as the operators; its timeout tells it."""
+    document: dict[str, Any] = configuration(version=version)
+    document["routes"]["r-hold"]["timeout-ms"] = 1000 + version
+    fixture.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
+
+
+def write_order(fixture: Fixture, service: str = "holds") -> None:
+    """Write a rollout order as the operators."""
+    document = json.dumps(order(service=service)).encode()
+    fixture.store.put(f"{ROLLOUT_ORDER_PREFIX}{service}", document)
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """Revisions begin again; what is confirmed comes into force, never older."""
+
+    def test_change_confirmed_after_a_restore_is_not_in_force(self) -> None:
+        async def steps(fixture: Fixture) -> None:
+            write_version(fixture, 3)
+            daemon = WatchingDaemon(fixture)
+            await fixture.sleep(0.1)
+            copy = fixture.store.copy()
+            for version in (5, 8, 9):
+                write_version(fixture, version)
+                await fixture.sleep(0.1)
+            await fixture.sleep(1.2)
+            self.assertEqual(1009, daemon.timeout_ms)
+            fixture.store.restore(copy)
+            await fixture.sleep(0.3)
+            write_version(fixture, 9)
+            await fixture.sleep(1.3)
+            write_version(fixture, 12)
+            await fixture.sleep(1.3)
+            self.assertEqual(1012, daemon.timeout_ms)
+            self.assertEqual(sorted(daemon.timeouts), daemon.timeouts)
+            daemon.source.set_active(False)
+
+        run_with_fixture(steps)
+
+    def test_change_is_missed_when_the_copy_has_passed_the_watched_revision(
+        self,
+    ) -> None:
+        async def steps(fixture: Fixture) -> None:
+            write_version(fixture, 3)
+            daemon = WatchingDaemon(fixture)
+            await fixture.sleep(0.1)
+            copy = fixture.store.copy()
+            write_version(fixture, 4)
+            await fixture.sleep(0.1)
+            fixture.server.faults = {"": "reset"}
+            fixture.store.restore(copy)
+            write_version(fixture, 5)
+            for number in range(20):
+                fixture.store.put(f"other/{number}", b"")
+            await fixture.sleep(0.6)
+            fixture.server.faults = {}
+            await fixture.sleep(2.0)
+            self.assertEqual(1005, daemon.timeout_ms)
+            daemon.source.set_active(False)
+
+        run_with_fixture(steps)
+
+    def test_two_restores_in_a_row(self) -> None:
+        async def steps(fixture: Fixture) -> None:
+            write_version(fixture, 3)
+            daemon = WatchingDaemon(fixture)
+            await fixture.sleep(0.1)
+            for version in (6, 9):
+                copy = fixture.store.copy()
+                write_version(fixture, version)
+                await fixture.sleep(0.2)
+                fixture.store.restore(copy)
+                fixture.store.restore(copy)
+                await fixture.sleep(0.2)
+                write_version(fixture, version)
+                await fixture.sleep(1.3)
+            write_version(fixture, 11)
+            await fixture.sleep(1.3)
+            self.assertEqual(1011, daemon.timeout_ms)
+            self.assertEqual(sorted(daemon.timeouts), daemon.timeouts)
+            daemon.source.set_active(False)
+
+        run_with_fixture(steps)
+
+    def test_order_that_is_lost_with_the_restore_stays_in_force(self) -> None:
+        async def steps(fixture: Fixture) -> None:
+            write_version(fixture, 3)
+            daemon = WatchingDaemon(fixture)
+            await fixture.sleep(0.1)
+            copy = fixture.store.copy()
+            write_order(fixture)
+            await fixture.sleep(0.3)
+            self.assertEqual(["v2"], daemon.rollout_versions)
+            before = daemon.state.table.rollouts
+            fixture.store.restore(copy)
+            await fixture.sleep(1.3)
+            write_version(fixture, 4)
+            await fixture.sleep(1.3)
+            self.assertEqual(1004, daemon.timeout_ms)
+            self.assertEqual(["v2"], daemon.rollout_versions)
+            write_order(fixture)
+            await fixture.sleep(1.3)
+            self.assertEqual(before, daemon.state.table.rollouts)
+            daemon.source.set_active(False)
+
+        run_with_fixture(steps)
+
+
+if __name__ == "__main__":
+    unittest.main()
