Changes confirmed after the store was restored from a copy come into force

Cause: a revision of the store was taken as an order of contents for good. Class: an identifier given out by another system is taken as unique and growing beyond the life that the other system gives it.

Ruled out: that the change is not read; a silent watch (found, but of another case).

Change: the adapter puts the number of the store's copy in front of each revision, ends watches and refuses swaps of an earlier copy. Orders that the copy lost stay in force until they are written again, and keep the deadline and so the identity of their rollout. Their reports and the contact points are written again.

Why it works: an older document never has a higher version, whatever its revision; a newer one always has.

--- a/src/briarslip/platform/adapters.py
+++ b/src/briarslip/platform/adapters.py
@@ -46,6 +46,7 @@
         make_source=make_source,
         rollout_codec=PLATFORM_ROLLOUT_CODEC,
         caller_service=file.service,
+        add_restore_listener=store.restore_listeners.append,
     )
 
 
--- a/src/briarslip/platform/configuration.py
+++ b/src/briarslip/platform/configuration.py
@@ -49,6 +49,10 @@
 # so they are rejected as not run.
 UNSERVED = "briarslip.unserved"
 
+# Parts of the 63 bits of a snapshot's version.
+ORDER_BITS = 38
+MAX_DOCUMENT_VERSION = (1 << 25) - 1
+
 Records = dict[RecordKey, Record]
 
 
@@ -96,8 +100,10 @@
     ) -> Result[Snapshot | None, tuple[Finding, ...]]:
         """Convert items to a snapshot; None without a configuration.
 
-        The version of the snapshot is the revision of its newest item. The error
-        holds the findings of a document without readable routes and services.
+        The version of the snapshot is the operators' own version of the document,
+        followed by the revision of their newest rollout order: a restored store can
+        have an older document under a newer revision. The error holds the findings
+        of a document without readable routes and services.
         """
         item = items.get(CONFIGURATION_KEY)
         if item is None:
@@ -110,15 +116,17 @@
         findings = document.ok_value.findings
         if findings:
             return Err(tuple(findings))
+        document_version = document.ok_value.integer("version", minimum=1)
         self._read_routes(routes)
         records = _make_records(services, self.routes.values(), findings)
         _add_limits(records, document.ok_value)
-        version = item.mod_revision
+        newest_order = 0
         for key, order in items.items():
             if key.startswith(ROLLOUT_ORDER_PREFIX):
-                version = max(version, order.mod_revision)
+                newest_order = max(newest_order, order.mod_revision, order.lost_at)
                 findings.extend(_add_rollout(records, order))
         self._report(frozenset(findings))
+        version = snapshot_version(document_version, newest_order)
         return Ok(Snapshot.from_records(version, records))
 
     def _read_routes(self, routes: JsonObject) -> None:
@@ -140,6 +148,15 @@
         self.reported = findings
 
 
+def snapshot_version(document_version: int, newest_order: int) -> int:
+    """Return the number that orders snapshots by their content.
+
+    ``newest_order`` is the revision of the newest rollout order, 0 without one.
+    """
+    bounded = min(document_version, MAX_DOCUMENT_VERSION)
+    return bounded << ORDER_BITS | min(newest_order, (1 << ORDER_BITS) - 1)
+
+
 def _add_rollout(records: Records, item: KeyValue) -> tuple[Finding, ...]:
     """Add the record of a rollout order; return the findings of an invalid one."""
     order = read_rollout_order(item)
@@ -309,5 +326,6 @@
     "CONFIGURATION_KEY",
     "OPERATOR_PREFIX",
     "ConfigurationReader",
+    "snapshot_version",
     "whole_weights",
 ]
--- a/src/briarslip/platform/store.py
+++ b/src/briarslip/platform/store.py
@@ -6,6 +6,7 @@
 import binascii
 import json
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -26,6 +27,9 @@
 from briarslip.process.store.client import WatchEvent
 from briarslip.process.store.http import HttpResponseSink
 from briarslip.process.store.http import StoreHttpClient
+from briarslip.process.store.revision import copy_of
+from briarslip.process.store.revision import to_revision
+from briarslip.process.store.revision import to_store_revision
 
 
 if TYPE_CHECKING:
@@ -54,13 +58,19 @@
 
 
 class PlatformStore:
-    """Implementation of ``StoreClient`` for the platform's store over HTTP."""
+    """Implementation of ``StoreClient`` for the platform's store over HTTP.
+
+    ``copy`` is the number of the copy that the store works on, None before its first
+    response. ``restore_listeners`` are called when it has risen.
+    """
 
     def __init__(self, reactor: Any, http: StoreHttpClient, timeout: timedelta) -> None:
         self.reactor = reactor
         self.http = http
         self.timeout = timeout
         self.copy: int | None = None
+        self.watches: set[LongPoll] = set()
+        self.restore_listeners: list[Callable[[], None]] = []
 
     @classmethod
     def from_address(
@@ -79,7 +89,8 @@
             return response
         if response.ok_value.status == NOT_FOUND:
             return Ok(None)
-        return _parse_response(response.ok_value, _parse_item, is_write=False)
+        parse_item = partial(_parse_item, copy_number(response.ok_value))
+        return _parse_response(response.ok_value, parse_item, is_write=False)
 
     async def range(self, prefix: str) -> Result[RangeReply, StoreError]:
         """Read all keys under a prefix, in key order, page by page."""
@@ -91,10 +102,13 @@
             response = await self._send("GET", "/-/kv-range", query)
             if isinstance(response, Err):
                 return response
-            page = _parse_response(response.ok_value, _parse_page, is_write=False)
+            parse_page = partial(_parse_page, copy_number(response.ok_value))
+            page = _parse_response(response.ok_value, parse_page, is_write=False)
             if isinstance(page, Err):
                 return page
             page_items, has_more, page_revision = page.ok_value
+            if revision and copy_of(revision) != copy_of(page_revision):
+                return Err(StoreError("the store was restored between two pages"))
             # Pages are read at different revisions: a watch from the first page's
             # revision delivers the changes made while the others were read.
             revision = revision or page_revision
@@ -111,8 +125,11 @@
         lease_id: int = 0,
     ) -> Result[SwapReply, StoreError]:
         """Write ``value`` if the key's revision is ``expected_revision``."""
+        if expected_revision and copy_of(expected_revision) != self.copy:
+            return Err(StoreError(f"{key} was read before the store was restored"))
+        store_revision = to_store_revision(expected_revision)
         transaction: dict[str, Any] = {
-            "precondition": [{"key": key, "revision": expected_revision}],
+            "precondition": [{"key": key, "revision": store_revision}],
             "puts": [],
             "remove": [key] if value is None else [],
         }
@@ -122,16 +139,24 @@
         response = await self._send("POST", "/-/kv-txn", body=transaction)
         if isinstance(response, Err):
             return response
+        copy = copy_number(response.ok_value)
+        if expected_revision and copy_of(expected_revision) != copy:
+            # The condition may have held for another value with that revision.
+            return Err(
+                StoreError(f"the store was restored while {key} was written", True)
+            )
         if response.ok_value.status == CONDITION_FAILED:
             return _parse_response(
                 response.ok_value,
-                lambda document: _parse_failed_swap(document, key),
+                lambda document: _parse_failed_swap(copy, document, key),
                 is_write=False,
                 expected=CONDITION_FAILED,
             )
         return _parse_response(
             response.ok_value,
-            lambda document: SwapReply(True, int(document["revision"])),
+            lambda document: SwapReply(
+                True, to_revision(copy, int(document["revision"]))
+            ),
             is_write=True,
         )
 
@@ -178,6 +203,7 @@
     ) -> Watch:
         """Watch a prefix from ``start_revision`` on (inclusive)."""
         watch = LongPoll(self, prefix, start_revision - 1, on_events, on_closed)
+        self.watches.add(watch)
         watch.poll()
         return watch
 
@@ -189,19 +215,31 @@
         body: dict[str, Any] | None = None,
     ) -> Result[HttpResponse, StoreError]:
         target = f"{path}?{urlencode(query)}" if query else path
+        is_write = body is not None
         response = await self.http.request(
-            method, target, body, self.timeout, is_write=body is not None
+            method, target, body, self.timeout, is_write=is_write
         )
-        if isinstance(response, Ok):
-            self.record_copy(response.ok_value)
+        if isinstance(response, Ok) and not self.record_copy(response.ok_value):
+            return Err(StoreError("the response is from before a restore", is_write))
         return response
 
-    def record_copy(self, response: HttpResponse) -> None:
-        """Log when the store works on another copy than before."""
+    def record_copy(self, response: HttpResponse) -> bool:
+        """Record the copy that a response is from; return False if it is outdated.
+
+        When the store has been restored, every watch from before ends as after a
+        compaction, since its revisions mean other changes now.
+        """
         copy, previous = copy_number(response), self.copy
+        if previous is not None and copy < previous:
+            return False
         self.copy = copy
-        if previous is not None and copy != previous:
+        if previous is not None and copy > previous:
             emit(Event.STORE_RESTORED, copy=copy, previous=previous)
+            for watch in tuple(self.watches):
+                watch.end_if_outdated(copy)
+            for listener in self.restore_listeners:
+                listener()
+        return True
 
 
 class LongPoll:
@@ -230,7 +268,7 @@
         """Send the next poll."""
         query = {
             "prefix": self.prefix,
-            "after": str(self.after_revision),
+            "after": str(to_store_revision(self.after_revision)),
             "wait-ms": str(int(WATCH_WAIT.total_seconds() * 1000)),
         }
         sink = HttpResponseSink()
@@ -241,9 +279,19 @@
         sink.response.addTimeout(limit_seconds, self.store.reactor)
         sink.response.addCallbacks(self._response_received, self._timed_out)
 
+    def end_if_outdated(self, copy: int) -> None:
+        """End the watch as after a compaction if it began in another copy."""
+        if copy_of(self.after_revision) == copy:
+            return
+        pending_response = self.pending_response
+        self._end("the store was restored", compacted=True)
+        if pending_response is not None:
+            pending_response.cancel()
+
     def stop(self) -> None:
         """Stop the watch; no callback runs afterwards."""
         self.ended = True
+        self.store.watches.discard(self)
         pending_response, self.pending_response = self.pending_response, None
         if pending_response is not None:
             pending_response.cancel()
@@ -259,14 +307,20 @@
             self._end(result.err_value.reason.value)
             return
         response = result.ok_value
-        self.store.record_copy(response)
+        if not self.store.record_copy(response):
+            self._end("the response is from before a restore")
+            return
+        self.end_if_outdated(copy_number(response))
+        if self.ended:
+            return
         if response.status == GONE:
             self._end(
                 "the history after the watched revision has been compacted",
                 compacted=True,
             )
             return
-        parsed = _parse_response(response, _parse_changes, is_write=False)
+        parse_changes = partial(_parse_changes, copy_number(response))
+        parsed = _parse_response(response, parse_changes, is_write=False)
         if isinstance(parsed, Err):
             self._end(parsed.err_value.reason)
             return
@@ -283,6 +337,7 @@
         if self.ended:
             return
         self.ended = True
+        self.store.watches.discard(self)
         self.pending_response = None
         self.on_closed(WatchClosed(reason, compacted))
 
@@ -308,37 +363,45 @@
     return StoreError(f"HTTP status {response.status}", is_write and maybe_applied)
 
 
-def _parse_item(document: dict[str, Any]) -> KeyValue:
+def _parse_item(copy: int, document: dict[str, Any]) -> KeyValue:
     return KeyValue(
         key=str(document["key"]),
         value=base64.b64decode(document["value"], validate=True),
-        mod_revision=int(document["revision"]),
+        mod_revision=to_revision(copy, int(document["revision"])),
         lease_id=int(document.get("lease", 0)),
     )
 
 
-def _parse_page(document: dict[str, Any]) -> tuple[list[KeyValue], bool, int]:
-    items = [_parse_item(item) for item in document["items"]]
-    return items, bool(document["has-more"]), int(document["current-rev"])
+def _parse_page(
+    copy: int, document: dict[str, Any]
+) -> tuple[list[KeyValue], bool, int]:
+    items = [_parse_item(copy, item) for item in document["items"]]
+    revision = to_revision(copy, int(document["current-rev"]))
+    return items, bool(document["has-more"]), revision
 
 
-def _parse_failed_swap(document: dict[str, Any], key: str) -> SwapReply:
+def _parse_failed_swap(copy: int, document: dict[str, Any], key: str) -> SwapReply:
     items = [
-        _parse_item(i) for i in document["items"] if i.get("revision") and "value" in i
+        _parse_item(copy, item)
+        for item in document["items"]
+        if item.get("revision") and "value" in item
     ]
     current = next((item for item in items if item.key == key), None)
     return SwapReply(False, current.mod_revision if current else 0, current)
 
 
-def _parse_changes(document: dict[str, Any]) -> tuple[tuple[WatchEvent, ...], int]:
-    events = tuple(_parse_event(event) for event in document["events"])
-    return events, int(document["current-rev"])
+def _parse_changes(
+    copy: int, document: dict[str, Any]
+) -> tuple[tuple[WatchEvent, ...], int]:
+    events = tuple(_parse_event(copy, event) for event in document["events"])
+    return events, to_revision(copy, int(document["current-rev"]))
 
 
-def _parse_event(event: dict[str, Any]) -> WatchEvent:
+def _parse_event(copy: int, event: dict[str, Any]) -> WatchEvent:
     if event.get("removed"):
-        return WatchEvent(str(event["key"]), None, int(event["revision"]))
-    item = _parse_item(event)
+        revision = to_revision(copy, int(event["revision"]))
+        return WatchEvent(str(event["key"]), None, revision)
+    item = _parse_item(copy, event)
     return WatchEvent(item.key, item.value, item.mod_revision)
 
 
--- a/src/briarslip/platform/store_copy.py
+++ b/src/briarslip/platform/store_copy.py
@@ -1,8 +1,4 @@
-"""Revisions of a store that may come back from a copy.
-
-After that its revisions begin again at those of the copy and are given out again
-with other contents. The store numbers its copies in every response.
-"""
+"""The number of the copy that the platform's store works on."""
 
 from __future__ import annotations
 
@@ -14,8 +10,8 @@
     from briarslip.process.store.http import HttpResponse
 
 
-# The number of the copy that the store works on; it rises by one with each restore.
-COPY_NUMBER_LINE = re.compile(rb"(?im)^store-era:[ \t]*([0-9]{1,9})[ \t]*\r\n")
+# It rises by one each time the store is restored from a copy.
+COPY_NUMBER_LINE = re.compile(rb"(?im)^store-era:[ \t]*([0-9]{1,5})[ \t]*\r\n")
 
 
 def copy_number(response: HttpResponse) -> int:
--- a/src/briarslip/process/adapters.py
+++ b/src/briarslip/process/adapters.py
@@ -27,6 +27,10 @@
     HttpEndpoints = Mapping[tuple[str, str], Callable[..., JsonReply]]
 
 
+def _never_restored(listener: Callable[[], None]) -> None:
+    """Ignore a listener: the store keeps everything that it has acknowledged."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerCallbacks:
     """Callbacks of the endpoints that backend servers call.
@@ -48,7 +52,8 @@
     here. ``make_source`` makes the configuration source; if it is None, the
     configuration is read from the operators' records in the store.
     ``rollout_codec`` encodes the status documents of rollouts. ``caller_service``
-    is the service whose server and callers use this daemon.
+    is the service whose server and callers use this daemon. ``add_restore_listener``
+    adds a function that is called when the store has been restored from a copy.
     """
 
     store: StoreClient
@@ -58,6 +63,7 @@
     make_source: SourceFactory | None = None
     rollout_codec: RolloutDocumentCodec = DEFAULT_ROLLOUT_CODEC
     caller_service: str = ""
+    add_restore_listener: Callable[[Callable[[], None]], None] = _never_restored
 
     @classmethod
     def from_settings(cls, settings: Settings, reactor: Any) -> Adapters:
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -135,6 +135,7 @@
             self.links.send_control,
             settings.membership.contacts_interval.total_seconds(),
         )
+        adapters.add_restore_listener(self.membership.store_restored)
         self.distribution = DistributionTask(
             reactor,
             clock,
--- a/src/briarslip/process/distribution/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from briarslip.finding import format_findings
+from briarslip.process.distribution.lost_items import LostItems
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.retrying_job import RetryingJob
@@ -68,6 +69,7 @@
         self.rank = 0
         self.has_read = False
         self.items: dict[str, KeyValue] = {}
+        self.lost_items = LostItems()
         self.reactor = reactor
         self.rng = rng
         self.last_change_at = -math.inf
@@ -115,9 +117,10 @@
             emit(Event.STORE_FAILED, reason=reply.err_value.reason)
             return False
         self.has_read = True
+        read_items = {item.key: item for item in reply.ok_value.items}
         previous_items, self.items = (
             self.items,
-            {i.key: i for i in reply.ok_value.items},
+            self.lost_items.add_to(read_items, reply.ok_value.revision),
         )
         if previous_items and previous_items != self.items:
             self._schedule_read()
@@ -131,10 +134,11 @@
         for event in events:
             if event.value is None:
                 self.items.pop(event.key, None)
+                self.lost_items.record_removal(event.key)
             else:
-                self.items[event.key] = KeyValue(
-                    event.key, event.value, event.mod_revision
-                )
+                item = KeyValue(event.key, event.value, event.mod_revision)
+                self.items[event.key] = item
+                self.lost_items.record_write(item)
         now = self.reactor.seconds()
         if now - self.last_change_at < READ_INTERVAL_SECONDS:
             self._schedule_read()
--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -69,6 +70,7 @@
 # A daemon with its own source has its peers' version after one read interval and the
 # read itself, so a pull is needed only after that.
 OWN_SOURCE_GRACE_SECONDS = 1.25 * READ_INTERVAL_SECONDS
+SETTLING_SECONDS = 5.0
 
 
 class DistributionTask:
@@ -117,6 +119,7 @@
         self.chosen_as_relay_since: float | None = None
         self.is_relay = False
         self.started = False
+        self.first_version_at = math.inf
         # None if only relays read the store.
         self.store_watch: StoreWatch | None = None
         self.relay: ConfigurationSource
@@ -290,6 +293,8 @@
         if version == previous_version:
             return
         self.bootstrap.stop()
+        if not previous_version:
+            self.first_version_at = self.clock.monotonic()
         # The version is pushed before any request is served with it, so that the
         # zone has it in case this daemon is replaced.
         self._push(previous_version)
@@ -333,10 +338,10 @@
         if version > self.state.newest_version and peer != self.own_address:
             now = self.clock.monotonic()
             has_own_source = self.store_watch is not None and self.relay.active
+            # What a daemon reads when it starts may be an older copy of the store.
+            is_settled = now - self.first_version_at >= SETTLING_SECONDS
             pull_grace_seconds = (
-                OWN_SOURCE_GRACE_SECONDS
-                if has_own_source and self.snapshot.version
-                else 0.0
+                OWN_SOURCE_GRACE_SECONDS if has_own_source and is_settled else 0.0
             )
             record_source(self.puller, peer, version, now, self.rng, pull_grace_seconds)
             self._pull()
--- a/src/briarslip/process/membership/task.py
+++ b/src/briarslip/process/membership/task.py
@@ -48,6 +48,8 @@
 
 
 TICKS_PER_INTERVAL = 5
+# All daemons that watch the store notice its restore at the same moment.
+MAX_RESTORE_DELAY_SECONDS = 1.0
 
 
 class MembershipTask:
@@ -204,6 +206,15 @@
         if is_maintainer(self.state.table) and not self.is_accessing_contact_points:
             self._start_store_access(self._refresh_contact_points())
 
+    def store_restored(self) -> None:
+        """Write the contact points again if the restored store has too few."""
+        delay = MAX_RESTORE_DELAY_SECONDS * self.rng.random()
+        self.reactor.callLater(delay, self._rewrite_contact_points)
+
+    def _rewrite_contact_points(self) -> None:
+        if not self.is_accessing_contact_points:
+            self._start_store_access(self._refresh_contact_points())
+
     async def _refresh_contact_points(self) -> None:
         contact_points_by_zone = await refresh_contact_points(
             self.store, self.state.table
--- a/src/briarslip/process/rollouts/report.py
+++ b/src/briarslip/process/rollouts/report.py
@@ -72,7 +72,7 @@
         self.task = task
         self.configuration_version = configuration_version
         self.codec = codec
-        self.reported_states: dict[str, tuple[str, str]] = {}
+        self.reported_states: dict[str, tuple[str, str, int]] = {}
         self.written_documents: dict[str, Document] = {}
         self.started_at = task.clock.monotonic()
 
@@ -100,9 +100,10 @@
 
     def _is_due(self, status: RolloutStatus) -> bool:
         reported = self.reported_states.get(status.rollout.name)
-        is_new = reported != (status.id.digest, status.state.value)
         return (
-            is_new
+            # An order that was written again after the store lost it has another
+            # revision: the report on it may be lost too.
+            reported != _reported_state(status)
             # The agreed deadline changes the digest but not the configuration version:
             # an earlier report would keep this rollout's later ones from the store.
             and status.rollout.deadline != DEADLINE_NOT_AGREED
@@ -124,10 +125,7 @@
             emit(Event.STORE_FAILED, reason=written.err_value.reason)
             return
         self.written_documents[status.rollout.name] = written.ok_value
-        self.reported_states[status.rollout.name] = (
-            status.id.digest,
-            status.state.value,
-        )
+        self.reported_states[status.rollout.name] = _reported_state(status)
         self._merge_documents((written.ok_value,), is_complete=False)
 
     async def _report_removed(self, name: str) -> None:
@@ -217,4 +215,8 @@
         )
 
 
+def _reported_state(status: RolloutStatus) -> tuple[str, str, int]:
+    return (status.id.digest, status.state.value, status.rollout.order)
+
+
 __all__ = ["RolloutReporter"]
--- a/src/briarslip/process/rollouts/task.py
+++ b/src/briarslip/process/rollouts/task.py
@@ -97,6 +97,7 @@
                 self.tracker.decisions.deadlines,
                 self._share_deadline,
                 self.is_analyzer_for,
+                lambda: self.tracker.decisions.is_synced,
             )
             self.tracker.with_deadline = deadlines.with_deadline
         self.collector = EvidenceCollector(
--- a/src/briarslip/process/store/client.py
+++ b/src/briarslip/process/store/client.py
@@ -22,13 +22,16 @@
 class KeyValue:
     """A key and its value, with the store revision of the last write to it.
 
-    ``lease_id`` is 0 if the key is not attached to a lease.
+    ``lease_id`` is 0 if the key is not attached to a lease. ``lost_at`` is the
+    revision at which a store that was restored from a copy was read without this
+    item, 0 if it has the item.
     """
 
     key: str
     value: bytes
     mod_revision: int
     lease_id: int = 0
+    lost_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -16,6 +16,7 @@
 from briarslip.platform.configuration import CONFIGURATION_KEY
 from briarslip.platform.configuration import UNSERVED
 from briarslip.platform.configuration import ConfigurationReader
+from briarslip.platform.configuration import snapshot_version
 from briarslip.platform.configuration import whole_weights
 from briarslip.process.events import EVENT_COUNTS
 from briarslip.process.events import Event
@@ -90,7 +91,7 @@
 
     def test_routes_and_limits(self) -> None:
         table = compiled(item(CONFIGURATION_KEY, configuration()))
-        self.assertEqual(5, table.version)
+        self.assertEqual(snapshot_version(7, 0), table.version)
         hold = table.match("/puka111/2f?x=1", "POST", "jepu9.example")
         assert hold is not None
         self.assertEqual(("holds", False, 2), (hold.service, hold.idempotent, 2))
@@ -123,7 +124,7 @@
             item(CONFIGURATION_KEY, configuration(), 5),
             item("op/rollout/holds", order(), 9),
         )
-        self.assertEqual(9, table.version)
+        self.assertEqual(snapshot_version(7, 9), table.version)
         rollout = table.rollouts["holds"]
         self.assertEqual(
             ("v2", 9, timedelta(seconds=12)),
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -5,6 +5,7 @@
 import json
 import random
 import unittest
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -22,6 +23,7 @@
 
 
 if TYPE_CHECKING:
+    from briarslip.version.record import Rollout
     from briarslip.version.snapshot import Snapshot
 
 
@@ -56,6 +58,11 @@
         routes = {route.name: route for route in self.state.table.routes}
         return round(routes["r-hold"].timeout.total_seconds() * 1000)
 
+    @property
+    def rollouts(self) -> list[Rollout]:
+        """The rollouts in force without the revisions of their orders."""
+        return [replace(r, order=0) for r in self.state.table.rollouts.values()]
+
     @property
     def rollout_versions(self) -> list[str]:
         """The service versions of the rollouts in force."""
@@ -155,7 +162,7 @@
             write_order(fixture)
             await fixture.sleep(0.3)
             self.assertEqual(["v2"], daemon.rollout_versions)
-            before = daemon.state.table.rollouts
+            before = daemon.rollouts
             fixture.store.restore(copy)
             await fixture.sleep(1.3)
             write_version(fixture, 4)
@@ -164,7 +171,7 @@
             self.assertEqual(["v2"], daemon.rollout_versions)
             write_order(fixture)
             await fixture.sleep(1.3)
-            self.assertEqual(before, daemon.state.table.rollouts)
+            self.assertEqual(before, daemon.rollouts)
             daemon.source.set_active(False)
 
         run_with_fixture(steps)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -233,6 +233,39 @@
 
         run_with_fixture(steps)
 
+    def test_swap_by_a_revision_from_before_a_restore_is_applied(self) -> None:
+        async def steps(fixture: Fixture) -> None:
+            client, store = fixture.client, fixture.store
+            copy = store.copy()
+            mine = (await client.swap("k", b"mine", 0)).unwrap()
+            store.restore(copy)
+            store.put("k", b"theirs")
+            # The revision is given out again for another value.
+            unaware = (await client.swap("k", b"wrong", mine.revision)).unwrap_err()
+            self.assertTrue(unaware.maybe_applied)
+            store.put("k", b"theirs")
+            aware = (await client.swap("k", b"wrong", mine.revision)).unwrap_err()
+            self.assertFalse(aware.maybe_applied)
+            current = (await client.get("k")).unwrap()
+            assert current is not None
+            self.assertEqual(b"theirs", current.value)
+            self.assertGreater(current.mod_revision, mine.revision)
+
+        run_with_fixture(steps)
+
+    def test_response_from_before_a_restore_is_an_error(self) -> None:
+        async def steps(fixture: Fixture) -> None:
+            restored: list[bool] = []
+            fixture.client.restore_listeners.append(lambda: restored.append(True))
+            (await fixture.client.get("k")).unwrap()
+            fixture.store.restore(fixture.store.copy())
+            (await fixture.client.get("k")).unwrap()
+            fixture.store.era -= 1
+            self.assertTrue((await fixture.client.get("k")).is_err())
+            self.assertEqual([True], restored)
+
+        run_with_fixture(steps)
+
     def test_watch_reports_compaction_and_a_lost_connection(self) -> None:
         async def steps(fixture: Fixture) -> None:
             recorder = WatchRecorder()
--- a/tests/process/rollouts/test_deadlines.py
+++ b/tests/process/rollouts/test_deadlines.py
@@ -12,8 +12,10 @@
 from unittest.mock import patch
 
 from briarslip.process.rollouts.deadlines import DEADLINE_PREFIX
+from briarslip.process.rollouts.deadlines import OrderKey
 from briarslip.process.rollouts.deadlines import RolloutDeadlines
 from briarslip.process.rollouts.peers import ANALYZERS_PER_ZONE
+from briarslip.process.store.revision import to_revision
 from briarslip.version.record import DEADLINE_NOT_AGREED
 from briarslip.version.record import Rollout
 from standins.rollout_fleet import Fleet
@@ -24,6 +26,12 @@
 WINDOW = timedelta(seconds=16)
 ROLLOUT = Rollout("holds", "holds", "v2", DEADLINE_NOT_AGREED, WINDOW, 0.05, order=9)
 
+# The store was restored from a copy and the order written again at its revision 4,
+# then the operators gave the same order once more.
+BEFORE_RESTORE = replace(ROLLOUT, order=to_revision(1, 9))
+WRITTEN_AGAIN = replace(ROLLOUT, order=to_revision(2, 4))
+GIVEN_ONCE_MORE = replace(ROLLOUT, order=to_revision(2, 6))
+
 
 class OffsetClock:
     """The clock of one daemon, whose wall time is offset by some seconds."""
@@ -96,6 +104,43 @@
         first = daemon.with_deadline(ROLLOUT).deadline
         self.assertGreater(daemon.with_deadline(again).deadline, first)
 
+    def agree_before_restore(self, daemon: RolloutDeadlines) -> datetime:
+        """Agree on the deadline of an order in copy 1 of the store."""
+        daemon.with_deadline(BEFORE_RESTORE)
+        self.wait(3)
+        return daemon.with_deadline(BEFORE_RESTORE).deadline
+
+    def test_order_that_is_written_again_after_a_restore_starts_anew(self) -> None:
+        daemon = self.make_daemon(1)
+        deadline = self.agree_before_restore(daemon)
+        self.simulated_store.store.items.clear()
+        self.assertEqual(deadline, daemon.with_deadline(WRITTEN_AGAIN).deadline)
+        self.wait(3)
+        self.assertEqual(deadline, daemon.with_deadline(WRITTEN_AGAIN).deadline)
+        key = str(OrderKey.from_rollout(WRITTEN_AGAIN))
+        stored = self.simulated_store.store.items[key]
+        self.assertEqual(deadline.isoformat().encode(), stored.value)
+
+    def test_daemon_that_starts_after_a_restore_uses_the_deadline_in_the_copy(
+        self,
+    ) -> None:
+        deadline = self.agree_before_restore(self.make_daemon(1))
+        started_later = self.make_daemon(2)
+        started_later.with_deadline(WRITTEN_AGAIN)
+        self.wait(3)
+        self.assertEqual(deadline, started_later.with_deadline(WRITTEN_AGAIN).deadline)
+
+    def test_same_order_given_once_more_after_a_restore_is_another_rollout(
+        self,
+    ) -> None:
+        daemon = self.make_daemon(1)
+        deadline = self.agree_before_restore(daemon)
+        for order in (WRITTEN_AGAIN, GIVEN_ONCE_MORE):
+            daemon.with_deadline(order)
+            self.wait(3)
+        self.assertEqual(deadline, daemon.with_deadline(WRITTEN_AGAIN).deadline)
+        self.assertGreater(daemon.with_deadline(GIVEN_ONCE_MORE).deadline, deadline)
+
     def test_store_outage_delays_the_agreement(self) -> None:
         daemon = self.make_daemon(1)
         self.simulated_store.store.outage = "close"
