A request accepted late in a planned stop is not cut off without a response

Cause: a late request was accepted if its deadline lay before the end of the process, but it ends up to 0.1 s after its deadline; and in the first 2 s, while callers may not know of the stop, a request was accepted whatever its deadline, also one that may not be repeated.

Evidence: the new test lets requests arrive all through 5.4 s; before, those with a timeout of 0.5 s that came at up to 4.9 s could be cut, non-idempotent ones with 8 s from the start.

Why it works: 0.2 s are left between the last deadline and the end. A non-idempotent request whose deadline lies beyond is rejected as not run from the beginning of the stop, also when it comes over a peer link, so its caller can go elsewhere. The existing test of late requests asks for the margin: 0.3 s before the end instead of 0.1 s is accepted, as 0.1 s was within the time that a response needs.

--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -277,12 +277,11 @@
         if call.service == CLAIMS_SERVICE:
             return self.claims.serve(call, sink)
         admission = self.servers.admission_for(call.service, call.service_version)
-        if admission is None or self.shutdown.is_rejecting_calls:
-            reason = (
-                Reason.DRAINING
-                if self.shutdown.is_rejecting_calls
-                else Reason.NO_SERVER
-            )
+        is_rejecting = self.shutdown.is_rejecting_calls or not self.shutdown.can_finish(
+            call.deadline, call.idempotent
+        )
+        if admission is None or is_rejecting:
+            reason = Reason.DRAINING if is_rejecting else Reason.NO_SERVER
             sink.failed(Failure(Outcome.NOT_RUN, reason), None)
             return lambda: None
         return admission(call, sink)
--- a/src/briarslip/process/shutdown.py
+++ b/src/briarslip/process/shutdown.py
@@ -25,6 +25,9 @@
 POLL_SECONDS = 0.05
 # Time for responses still on their way after the last deadline has passed.
 RESPONSE_GRACE_SECONDS = 1.0
+# Between the deadline of the last request and the end of the process: a request ends
+# up to 0.1 s after its deadline, and its response is on its way after that.
+RESPONSE_MARGIN_SECONDS = 0.2
 # Time for the other end to close its connections.
 CLOSE_TIMEOUT_SECONDS = 3.0
 
@@ -113,16 +116,19 @@
         """Whether calls of peers are rejected."""
         return self.phase not in (Phase.RUNNING, Phase.NOTICE)
 
-    def can_finish(self, deadline: float) -> bool:
+    def can_finish(self, deadline: float, idempotent: bool) -> bool:
         """Return whether a request that begins now can run until its deadline.
 
-        Requests that arrive while callers may not know of the shutdown yet are
-        accepted whatever their deadline. ``deadline`` is a time of the clock.
+        Idempotent requests that arrive while callers may not know of the shutdown
+        yet are accepted whatever their deadline; if they are cut off, they can be
+        repeated. ``deadline`` is a time of the clock.
         """
-        return (
-            not self.is_rejecting_calls
-            or deadline <= self.began_at + self.grace_seconds
-        )
+        if self.phase is Phase.RUNNING:
+            return True
+        if idempotent and not self.is_rejecting_calls:
+            return True
+        end = self.began_at + self.grace_seconds - RESPONSE_MARGIN_SECONDS
+        return deadline <= end
 
     def begin(self) -> None:
         """Begin the shutdown; do nothing if it has begun already."""
--- a/src/briarslip/request/dependencies.py
+++ b/src/briarslip/request/dependencies.py
@@ -45,7 +45,8 @@
     bucket. ``request_id`` extracts from header lines the ID under which the
     request appears in logs. ``allowed_servers`` returns the only servers that
     calls of a service and version may go to, None for no restriction.
-    ``can_finish`` returns whether the daemon runs until a deadline of the clock.
+    ``can_finish`` returns whether the daemon runs until a deadline of the clock, for
+    an idempotent request or another one.
     """
 
     own_address: Address
@@ -63,7 +64,7 @@
     max_retry_tokens: Callable[[], float] = lambda: MAX_RETRY_TOKENS
     request_id: Callable[[bytes], str] = _no_id
     allowed_servers: Callable[[str, str], tuple[Address, ...] | None] = _all_servers
-    can_finish: Callable[[float], bool] = lambda _: True
+    can_finish: Callable[[float, bool], bool] = lambda *_: True
 
 
 __all__ = ["Dependencies"]
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -90,7 +90,7 @@
         if len(context.idempotency_key) > MAX_KEY_BYTES:
             return self._reject(request, sink, Reason.BAD_REQUEST)
         call = self._make_call(request, route, context)
-        if not self.dependencies.can_finish(call.deadline):
+        if not self.dependencies.can_finish(call.deadline, call.idempotent):
             return self._reject(request, sink, Reason.DRAINING)
         if not self.outstanding_requests.pool(call.urgent).try_add(call.service):
             return self._reject(request, sink, Reason.TOO_MANY_OUTSTANDING)
--- a/tests/process/test_shutdown.py
+++ b/tests/process/test_shutdown.py
@@ -9,6 +9,7 @@
 import unittest
 from pathlib import Path
 
+from briarslip.connection.deadline_wheel import TICK_SECONDS
 from briarslip.process.shutdown import CLOSE_TIMEOUT_SECONDS
 from briarslip.process.shutdown import NOTICE_SECONDS
 from briarslip.process.shutdown import RESPONSE_GRACE_SECONDS
@@ -16,11 +17,16 @@
 from briarslip.process.shutdown import Remaining
 from briarslip.process.shutdown import Shutdown
 from briarslip.process.shutdown import next_phase
+from briarslip.request.exchange import DEADLINE_GRACE_SECONDS
 from standins.mesh import Mesh
 from tests.connection.support import FakeClock
 
 
 MAX_CALL_SECONDS = 5.0
+GRACE_SECONDS = 5.4
+# A request that reaches its deadline is ended 50 ms later, by a timer that may be
+# 50 ms late.
+LATEST_RESPONSE_SECONDS = DEADLINE_GRACE_SECONDS + TICK_SECONDS
 BUSY = Remaining(1, 1)
 IDLE = Remaining(0, 0)
 RECORDS = """\
@@ -113,13 +119,48 @@
         shutdown = Shutdown(
             clock, clock, lambda: 1.5, lambda: BUSY, lambda phase: None, 6.0
         )
-        self.assertTrue(shutdown.can_finish(clock.monotonic() + 99.0))
+        self.assertTrue(shutdown.can_finish(clock.monotonic() + 99.0, False))
         shutdown.begin()
         end = clock.monotonic() + 6.0
-        self.assertTrue(shutdown.can_finish(end + 99.0))
+        self.assertTrue(shutdown.can_finish(end + 99.0, True))
         clock.pump([0.05] * 60)
-        self.assertTrue(shutdown.can_finish(end - 0.1))
-        self.assertFalse(shutdown.can_finish(end + 0.1))
+        self.assertTrue(shutdown.can_finish(end - 0.3, False))
+        self.assertFalse(shutdown.can_finish(end + 0.1, True))
+
+    def test_request_accepted_late_in_the_grace_time_is_cut_off_without_a_response(
+        self,
+    ) -> None:
+        """Requests arrive every 50 ms; each lasts until just after its deadline.
+
+        A request that may not be repeated must have its response before the end,
+        another one unless it came while callers may not know of the shutdown.
+        """
+        for idempotent in (False, True):
+            for timeout in (0.5, 1.5, 4.0, 8.0):
+                with self.subTest(idempotent=idempotent, timeout=timeout):
+                    cut = self.cut_off_arrivals(idempotent, timeout)
+                    allowed = NOTICE_SECONDS if idempotent else 0.0
+                    self.assertLessEqual(max(cut, default=0.0), allowed)
+
+    def cut_off_arrivals(self, idempotent: bool, timeout: float) -> list[float]:
+        """Return when each request arrived whose response would come too late."""
+        clock = FakeClock()
+        phases: list[Phase] = []
+        shutdown = Shutdown(
+            clock, clock, lambda: timeout, lambda: BUSY, phases.append, GRACE_SECONDS
+        )
+        shutdown.begin()
+        began_at = clock.monotonic()
+        response_times: list[tuple[float, float]] = []
+        while Phase.STOPPED not in phases:
+            now = clock.monotonic()
+            if shutdown.can_finish(now + timeout, idempotent):
+                response_times.append((now, now + timeout + LATEST_RESPONSE_SECONDS))
+            clock.pump([0.05])
+        end = began_at + GRACE_SECONDS
+        return [
+            at - began_at for at, response_at in response_times if response_at > end
+        ]
 
     def test_shutdown_ends_even_if_work_remains(self) -> None:
         clock = FakeClock()
