--- /dev/null
+++ b/src/briarslip/platform/long_poll.py
@@ -0,0 +1,139 @@
+"""Watches of the platform's store, made of long polls."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import urlencode
+
+from result import Err
+
+from briarslip.platform.store_copy import copy_number
+from briarslip.platform.store_messages import parse_changes
+from briarslip.platform.store_messages import parse_response
+from briarslip.process.store.client import WatchClosed
+from briarslip.process.store.http import HttpResponseSink
+from briarslip.process.store.revision import copy_of
+from briarslip.process.store.revision import to_store_revision
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from result import Result
+    from twisted.internet.defer import Deferred
+
+    from briarslip.platform.store import PlatformStore
+    from briarslip.process.store.client import WatchEvent
+    from briarslip.process.store.http import HttpResponse
+
+
+GONE = 410
+WATCH_WAIT = timedelta(seconds=10)
+# Time for the response of a poll that has waited the whole ``WATCH_WAIT``.
+WATCH_MARGIN = timedelta(seconds=2)
+
+
+class LongPoll:
+    """A watch made of consecutive long polls.
+
+    ``after_revision`` is the revision after which the next poll asks for changes.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        prefix: str,
+        after_revision: int,
+        on_events: Callable[[tuple[WatchEvent, ...]], None],
+        on_closed: Callable[[WatchClosed], None],
+    ) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.after_revision = after_revision
+        self.on_events = on_events
+        self.on_closed = on_closed
+        self.ended = False
+        self.pending_response: Deferred[Any] | None = None
+
+    def poll(self) -> None:
+        """Send the next poll."""
+        query = {
+            "prefix": self.prefix,
+            "after": str(to_store_revision(self.after_revision)),
+            "wait-ms": str(int(WATCH_WAIT.total_seconds() * 1000)),
+        }
+        sink = HttpResponseSink()
+        target = f"/-/kv-watch?{urlencode(query)}"
+        sink.cancel_request = self.store.http.open_stream("GET", target, None, sink)
+        self.pending_response = sink.response
+        limit_seconds = (WATCH_WAIT + WATCH_MARGIN).total_seconds()
+        sink.response.addTimeout(limit_seconds, self.store.reactor)
+        sink.response.addCallbacks(self._response_received, self._timed_out)
+
+    def end_if_outdated(self, copy: int) -> None:
+        """End the watch as after a compaction if it began in another copy."""
+        if copy_of(self.after_revision) == copy:
+            return
+        pending_response = self.pending_response
+        self._end("the store was restored", compacted=True)
+        if pending_response is not None:
+            pending_response.cancel()
+
+    def stop(self) -> None:
+        """Stop the watch; no callback runs afterwards."""
+        self.ended = True
+        self.store.watches.discard(self)
+        pending_response, self.pending_response = self.pending_response, None
+        if pending_response is not None:
+            pending_response.cancel()
+
+    def _timed_out(self, _: Any) -> None:
+        self._end("no response in time")
+
+    def _response_received(self, result: Result[HttpResponse, Any]) -> None:
+        self.pending_response = None
+        if self.ended:
+            return
+        if isinstance(result, Err):
+            self._end(result.err_value.reason.value)
+            return
+        response = result.ok_value
+        if not self.store.record_copy(response):
+            self._end("the response is from before a restore")
+            return
+        self.end_if_outdated(copy_number(response))
+        if self.ended:
+            return
+        if response.status == GONE:
+            self._end(
+                "the history after the watched revision has been compacted",
+                compacted=True,
+            )
+            return
+        read_changes = partial(parse_changes, copy_number(response))
+        parsed = parse_response(response, read_changes, is_write=False)
+        if isinstance(parsed, Err):
+            self._end(parsed.err_value.reason)
+            return
+        events, current_revision = parsed.ok_value
+        if events:
+            # A response without events may skip changes whose history was
+            # compacted, so only a response with events advances the watch.
+            self.after_revision = max(self.after_revision, current_revision)
+            self.on_events(events)
+        if not self.ended:
+            self.poll()
+
+    def _end(self, reason: str, *, compacted: bool = False) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        self.store.watches.discard(self)
+        self.pending_response = None
+        self.on_closed(WatchClosed(reason, compacted))
+
+
+__all__ = ["LongPoll"]
--- a/src/briarslip/platform/store.py
+++ b/src/briarslip/platform/store.py
@@ -3,29 +3,29 @@
 from __future__ import annotations
 
 import base64
-import binascii
-import json
 from datetime import timedelta
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import TypeVar
 from urllib.parse import urlencode
 
 from result import Err
 from result import Ok
 from result import Result
 
+from briarslip.platform.long_poll import LongPoll
 from briarslip.platform.store_copy import copy_number
+from briarslip.platform.store_messages import OK
+from briarslip.platform.store_messages import parse_failed_swap
+from briarslip.platform.store_messages import parse_item
+from briarslip.platform.store_messages import parse_page
+from briarslip.platform.store_messages import parse_response
+from briarslip.platform.store_messages import status_error
 from briarslip.process.events import Event
 from briarslip.process.events import emit
-from briarslip.process.store.client import KeyValue
 from briarslip.process.store.client import RangeReply
 from briarslip.process.store.client import StoreError
 from briarslip.process.store.client import SwapReply
-from briarslip.process.store.client import WatchClosed
-from briarslip.process.store.client import WatchEvent
-from briarslip.process.store.http import HttpResponseSink
 from briarslip.process.store.http import StoreHttpClient
 from briarslip.process.store.revision import copy_of
 from briarslip.process.store.revision import to_revision
@@ -35,26 +35,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from twisted.internet.defer import Deferred
-
     from briarslip.address import Address
+    from briarslip.process.store.client import KeyValue
     from briarslip.process.store.client import Watch
+    from briarslip.process.store.client import WatchClosed
+    from briarslip.process.store.client import WatchEvent
     from briarslip.process.store.http import HttpResponse
 
 
-T = TypeVar("T")
-
-OK = 200
 NOT_FOUND = 404
-GONE = 410
 CONDITION_FAILED = 412
-# With these statuses the store guarantees that it has not applied the request.
-NEVER_APPLIED_STATUSES = frozenset((400, 403, 404, 405, 410, 412, 413, 429, 503))
-WATCH_WAIT = timedelta(seconds=10)
-# Time for the response of a poll that has waited the whole ``WATCH_WAIT``.
-WATCH_MARGIN = timedelta(seconds=2)
 CONNECT_TIMEOUT_SHARE = 0.5
-MALFORMED_ERRORS = (KeyError, TypeError, ValueError, AttributeError, binascii.Error)
 
 
 class PlatformStore:
@@ -89,8 +80,8 @@
             return response
         if response.ok_value.status == NOT_FOUND:
             return Ok(None)
-        parse_item = partial(_parse_item, copy_number(response.ok_value))
-        return _parse_response(response.ok_value, parse_item, is_write=False)
+        read_item = partial(parse_item, copy_number(response.ok_value))
+        return parse_response(response.ok_value, read_item, is_write=False)
 
     async def range(self, prefix: str) -> Result[RangeReply, StoreError]:
         """Read all keys under a prefix, in key order, page by page."""
@@ -102,8 +93,8 @@
             response = await self._send("GET", "/-/kv-range", query)
             if isinstance(response, Err):
                 return response
-            parse_page = partial(_parse_page, copy_number(response.ok_value))
-            page = _parse_response(response.ok_value, parse_page, is_write=False)
+            read_page = partial(parse_page, copy_number(response.ok_value))
+            page = parse_response(response.ok_value, read_page, is_write=False)
             if isinstance(page, Err):
                 return page
             page_items, has_more, page_revision = page.ok_value
@@ -146,13 +137,13 @@
                 StoreError(f"the store was restored while {key} was written", True)
             )
         if response.ok_value.status == CONDITION_FAILED:
-            return _parse_response(
+            return parse_response(
                 response.ok_value,
-                lambda document: _parse_failed_swap(copy, document, key),
+                lambda document: parse_failed_swap(copy, document, key),
                 is_write=False,
                 expected=CONDITION_FAILED,
             )
-        return _parse_response(
+        return parse_response(
             response.ok_value,
             lambda document: SwapReply(
                 True, to_revision(copy, int(document["revision"]))
@@ -168,7 +159,7 @@
         )
         if isinstance(response, Err):
             return response
-        return _parse_response(
+        return parse_response(
             response.ok_value, lambda document: int(document["lease"]), is_write=True
         )
 
@@ -179,7 +170,7 @@
             return response
         if response.ok_value.status == NOT_FOUND:
             return Ok(None)
-        return _parse_response(
+        return parse_response(
             response.ok_value,
             lambda document: timedelta(milliseconds=int(document["ttl-ms"])),
             is_write=True,
@@ -192,7 +183,7 @@
             return response
         if response.ok_value.status in (OK, NOT_FOUND):
             return Ok(None)
-        return Err(_status_error(response.ok_value, is_write=True))
+        return Err(status_error(response.ok_value, is_write=True))
 
     def watch(
         self,
@@ -242,167 +233,4 @@
         return True
 
 
-class LongPoll:
-    """A watch made of consecutive long polls.
-
-    ``after_revision`` is the revision after which the next poll asks for changes.
-    """
-
-    def __init__(
-        self,
-        store: PlatformStore,
-        prefix: str,
-        after_revision: int,
-        on_events: Callable[[tuple[WatchEvent, ...]], None],
-        on_closed: Callable[[WatchClosed], None],
-    ) -> None:
-        self.store = store
-        self.prefix = prefix
-        self.after_revision = after_revision
-        self.on_events = on_events
-        self.on_closed = on_closed
-        self.ended = False
-        self.pending_response: Deferred[Any] | None = None
-
-    def poll(self) -> None:
-        """Send the next poll."""
-        query = {
-            "prefix": self.prefix,
-            "after": str(to_store_revision(self.after_revision)),
-            "wait-ms": str(int(WATCH_WAIT.total_seconds() * 1000)),
-        }
-        sink = HttpResponseSink()
-        target = f"/-/kv-watch?{urlencode(query)}"
-        sink.cancel_request = self.store.http.open_stream("GET", target, None, sink)
-        self.pending_response = sink.response
-        limit_seconds = (WATCH_WAIT + WATCH_MARGIN).total_seconds()
-        sink.response.addTimeout(limit_seconds, self.store.reactor)
-        sink.response.addCallbacks(self._response_received, self._timed_out)
-
-    def end_if_outdated(self, copy: int) -> None:
-        """End the watch as after a compaction if it began in another copy."""
-        if copy_of(self.after_revision) == copy:
-            return
-        pending_response = self.pending_response
-        self._end("the store was restored", compacted=True)
-        if pending_response is not None:
-            pending_response.cancel()
-
-    def stop(self) -> None:
-        """Stop the watch; no callback runs afterwards."""
-        self.ended = True
-        self.store.watches.discard(self)
-        pending_response, self.pending_response = self.pending_response, None
-        if pending_response is not None:
-            pending_response.cancel()
-
-    def _timed_out(self, _: Any) -> None:
-        self._end("no response in time")
-
-    def _response_received(self, result: Result[HttpResponse, Any]) -> None:
-        self.pending_response = None
-        if self.ended:
-            return
-        if isinstance(result, Err):
-            self._end(result.err_value.reason.value)
-            return
-        response = result.ok_value
-        if not self.store.record_copy(response):
-            self._end("the response is from before a restore")
-            return
-        self.end_if_outdated(copy_number(response))
-        if self.ended:
-            return
-        if response.status == GONE:
-            self._end(
-                "the history after the watched revision has been compacted",
-                compacted=True,
-            )
-            return
-        parse_changes = partial(_parse_changes, copy_number(response))
-        parsed = _parse_response(response, parse_changes, is_write=False)
-        if isinstance(parsed, Err):
-            self._end(parsed.err_value.reason)
-            return
-        events, current_revision = parsed.ok_value
-        if events:
-            # A response without events may skip changes whose history was
-            # compacted, so only a response with events advances the watch.
-            self.after_revision = max(self.after_revision, current_revision)
-            self.on_events(events)
-        if not self.ended:
-            self.poll()
-
-    def _end(self, reason: str, *, compacted: bool = False) -> None:
-        if self.ended:
-            return
-        self.ended = True
-        self.store.watches.discard(self)
-        self.pending_response = None
-        self.on_closed(WatchClosed(reason, compacted))
-
-
-def _parse_response(
-    response: HttpResponse,
-    convert: Callable[[dict[str, Any]], T],
-    *,
-    is_write: bool,
-    expected: int = OK,
-) -> Result[T, StoreError]:
-    if response.status != expected:
-        return Err(_status_error(response, is_write=is_write))
-    try:
-        return Ok(convert(json.loads(response.body)))
-    except MALFORMED_ERRORS as error:
-        reason = f"malformed response: {type(error).__name__}: {error}"
-        return Err(StoreError(reason, is_write))
-
-
-def _status_error(response: HttpResponse, *, is_write: bool) -> StoreError:
-    maybe_applied = response.status not in NEVER_APPLIED_STATUSES
-    return StoreError(f"HTTP status {response.status}", is_write and maybe_applied)
-
-
-def _parse_item(copy: int, document: dict[str, Any]) -> KeyValue:
-    return KeyValue(
-        key=str(document["key"]),
-        value=base64.b64decode(document["value"], validate=True),
-        mod_revision=to_revision(copy, int(document["revision"])),
-        lease_id=int(document.get("lease", 0)),
-    )
-
-
-def _parse_page(
-    copy: int, document: dict[str, Any]
-) -> tuple[list[KeyValue], bool, int]:
-    items = [_parse_item(copy, item) for item in document["items"]]
-    revision = to_revision(copy, int(document["current-rev"]))
-    return items, bool(document["has-more"]), revision
-
-
-def _parse_failed_swap(copy: int, document: dict[str, Any], key: str) -> SwapReply:
-    items = [
-        _parse_item(copy, item)
-        for item in document["items"]
-        if item.get("revision") and "value" in item
-    ]
-    current = next((item for item in items if item.key == key), None)
-    return SwapReply(False, current.mod_revision if current else 0, current)
-
-
-def _parse_changes(
-    copy: int, document: dict[str, Any]
-) -> tuple[tuple[WatchEvent, ...], int]:
-    events = tuple(_parse_event(copy, event) for event in document["events"])
-    return events, to_revision(copy, int(document["current-rev"]))
-
-
-def _parse_event(copy: int, event: dict[str, Any]) -> WatchEvent:
-    if event.get("removed"):
-        revision = to_revision(copy, int(event["revision"]))
-        return WatchEvent(str(event["key"]), None, revision)
-    item = _parse_item(copy, event)
-    return WatchEvent(item.key, item.value, item.mod_revision)
-
-
 __all__ = ["PlatformStore"]
