A response from before a new registration also says that its server is leaving

What callers saw: nothing yet; found in the review. Cause: a server that reports another number of slots is registered again under the same start, and a late response to a call from before closed only the retired registration: the server got calls until its next report. Evidence: the new test fails before. Now every registration of that start is closed.

--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -31,8 +31,8 @@
 MAX_SERVERS = 6
 # A server that was there before this daemon may already have stated a limit.
 MAX_FIRST_CALLS = 4
-# Ended servers that are remembered to recognise their late announcements.
 MS_PER_SECOND = 1000
+# Ended servers that are remembered to recognise their late announcements.
 MAX_ENDED_SERVERS = 64
 
 
@@ -185,13 +185,22 @@
         leaving = self.leaving_incarnations.get(announcement.server_id)
         return announcement.incarnation == leaving
 
-    def _server_leaves(self, server: LocalServer) -> None:
-        """Publish that a server takes no more calls, whatever it reports later."""
-        announcement = server.announcement
+    def _server_leaves(self, leaving: LocalServer) -> None:
+        """Publish that a server takes no more calls, whatever it reports later.
+
+        The response may be to a call from before the server was registered again.
+        """
+        announcement = leaving.announcement
+        start = (announcement.server_id, announcement.incarnation)
         self.leaving_incarnations[announcement.server_id] = announcement.incarnation
         _forget_oldest(self.leaving_incarnations)
-        server.admission.leaving_incarnation = announcement.endpoint.incarnation
-        server.announcement = announcement.as_draining()
+        for server in {leaving, *self.servers.values()}:
+            registered = server.announcement
+            if (registered.server_id, registered.incarnation) != start:
+                continue
+            server.admission.leaving_incarnation = registered.endpoint.incarnation
+            server.announcement = registered.as_draining()
+            server.admission.close()
         self.on_change()
 
     def deregister(self, server_id: str, incarnation: int = 0) -> None:
--- a/tests/request/test_leaving_server.py
+++ b/tests/request/test_leaving_server.py
@@ -97,6 +97,16 @@
             self.assertIsNone(self.admission())
         self.assertEqual((True,), self.published[-1])
 
+    def test_late_response_to_a_call_from_before_a_new_registration_counts(
+        self,
+    ) -> None:
+        before = self.admission()
+        assert before is not None
+        self.report(2, slots=11)
+        self.assertIsNotNone(self.admission())
+        before.receive_status(LEAVING, make_call())
+        self.assertIsNone(self.admission())
+
     def test_server_that_starts_anew_at_the_address_gets_calls(self) -> None:
         self.say_leaving()
         self.report(1, incarnation=STARTED_MS + 1)
