Queued calls start with the server's first response, and tests of the rate's edges

Cause: the first response lifted the restriction without starting the queue. The new test fails before. Also tests: a pause saves up no calls, a limit beyond all traffic delays none.

--- a/src/briarslip/request/admission.py
+++ b/src/briarslip/request/admission.py
@@ -156,11 +156,13 @@
 
     def receive_status(self, status: ServerStatus, call: Call) -> None:
         """Apply what the server states about itself in the response to a call."""
-        self.is_status_known = True
         if status.leaving and not self.is_leaving:
             self._leave(call)
         if status.request_limit != self.rate.limit:
             self._change_limit(status.request_limit, call)
+        if not self.is_status_known:
+            self.is_status_known = True
+            self.start_queued_calls()
 
     def _leave(self, call: Call) -> None:
         """Stop new calls to the server for good."""
--- a/tests/request/limited_fleet.py
+++ b/tests/request/limited_fleet.py
@@ -136,4 +136,10 @@
     return BURST_FACTOR * limit * WINDOW_SECONDS + SLACK_REQUESTS
 
 
-__all__ = ["WINDOW_SECONDS", "LimitedFleet", "LimitedServer", "allowed_requests"]
+__all__ = [
+    "SLOTS",
+    "WINDOW_SECONDS",
+    "LimitedFleet",
+    "LimitedServer",
+    "allowed_requests",
+]
--- a/tests/request/test_request_rate.py
+++ b/tests/request/test_request_rate.py
@@ -7,6 +7,8 @@
 from briarslip.process.local_servers import MAX_FIRST_CALLS
 from briarslip.request.call import ServerStatus
 from briarslip.request.outcome import Outcome
+from briarslip.request.request_rate import RequestRate
+from tests.request.limited_fleet import SLOTS
 from tests.request.limited_fleet import LimitedFleet
 from tests.request.limited_fleet import allowed_requests
 from tests.request.support import RecordingSink
@@ -136,6 +138,32 @@
             assert sink.failure.retry_after_seconds is not None
             self.assertGreaterEqual(sink.failure.retry_after_seconds, 1.0)
 
+    def test_calls_wait_for_the_first_response_only(self) -> None:
+        fleet = LimitedFleet(1)
+        (server,) = fleet.servers.values()
+        server.restart_daemon(MAX_FIRST_CALLS)
+        for _ in range(SLOTS):
+            server.admission(make_call(now=fleet.time.seconds), RecordingSink())
+        self.assertEqual(MAX_FIRST_CALLS, len(server.arrivals))
+        server.admission.receive_status(ServerStatus(), make_call())
+        self.assertEqual(SLOTS, len(server.arrivals))
+
+    def test_pause_of_the_daemon_saves_up_calls(self) -> None:
+        for limit in (5.1, 21.2):
+            rate = RequestRate()
+            rate.set_limit(limit, 0.0)
+            sent = 0
+            while not rate.is_exhausted(True, 600.0):
+                rate.spend(600.0)
+                sent += 1
+            self.assertLessEqual(sent, limit / 2)
+
+    def test_limit_beyond_all_traffic_delays_nothing(self) -> None:
+        rate = RequestRate()
+        rate.set_limit(1e300, 0.0)
+        rate.spend(1.0)
+        self.assertEqual(0.0, rate.seconds_until_calls(10**6, False, 1.0))
+
     def test_urgent_calls_use_the_limit_before_bulk_calls(self) -> None:
         fleet = LimitedFleet(1)
         (server,) = fleet.servers.values()
