--- a/tests/request/limited_fleet.py
+++ b/tests/request/limited_fleet.py
@@ -47,7 +47,6 @@
         self.rng = rng
         self.limit: float | None = None
         self.arrivals: list[float] = []
-        self.routes: list[bool] = []
         self.restart_daemon()
 
     def restart_daemon(self, max_first_calls: int | None = None) -> None:
@@ -63,7 +62,6 @@
     def run(self, call: Call, sink: ResponseSink) -> Callable[[], None]:
         """Run a call and state the limit that holds when it ends."""
         self.arrivals.append(self.time.monotonic())
-        self.routes.append(call.urgent)
 
         def respond() -> None:
             status = ServerStatus(self.limit)
