Rejected calls no longer hide the failures of a bad version

Cause: a rejected call counted as a failure of its server's version. The old version then seemed to fail more than the new one, the analyzer took that for a shared cause, and the share rose by the clock.

Evidence: the new test feeds the analyzer the responses of such servers, without any daemon: no fault in the whole window before, `failure_share` now. Ruled out by it: too few calls, lost reports.

Why this works: rejections depend on a server's load, failures on its version. Both are counted apart and compared with the same kind only; rejections leave the latencies too, where they made servers look fast. A version that alone rejects calls is still found.

--- a/src/briarslip/process/rollouts/evidence_collector.py
+++ b/src/briarslip/process/rollouts/evidence_collector.py
@@ -8,6 +8,7 @@
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
 from briarslip.version.evidence import WARM_UP_SECONDS
+from briarslip.version.evidence import CallResult
 from briarslip.version.evidence import CounterKey
 from briarslip.version.evidence import Report
 from briarslip.version.evidence import Tally
@@ -31,6 +32,11 @@
 DEADLINE_TOLERANCE_SECONDS = 0.005
 REPEAT_INTERVAL_SLICES = 10
 NO_EVIDENCE_REASONS = frozenset((Reason.CONNECT_FAILED, Reason.CRASHED_BY_SUSPECT))
+_RESULTS = {
+    Outcome.RAN: CallResult.SUCCEEDED,
+    Outcome.UNKNOWN: CallResult.FAILED,
+    Outcome.NOT_RUN: CallResult.REJECTED,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +98,7 @@
         service: str,
         version: str,
         route: str,
-        failed: bool,
+        result: CallResult,
         latency_seconds: float,
         is_warm: bool | None = None,
     ) -> None:
@@ -111,7 +117,7 @@
             tally = tallies[CounterKey(version, route)] = Tally()
         if is_warm is None:
             is_warm = now - started_at >= WARM_UP_SECONDS
-        tally.add(failed, latency_seconds, is_warm)
+        tally.add(result, latency_seconds, is_warm)
 
     def due_reports(self) -> tuple[Report, ...]:
         """Return the reports that are due: one for each service with new counts.
@@ -161,19 +167,26 @@
         self.call = call
         self.sink = sink
         self.started_at = collector.clock.monotonic()
-        self.has_error_status = False
+        self.result = CallResult.SUCCEEDED
         self.is_counted = False
         self.cancel_backend: Callable[[], None] | None = None
 
     def head(self, head: ResponseHead) -> None:
-        """Forward the response head."""
-        self.has_error_status = head.status >= FIRST_SERVER_ERROR_STATUS
+        """Forward the response head.
+
+        A server that rejects a call has not shown how its version runs it. It may
+        be full or shed load, also while other servers of the version do not.
+        """
+        if head.outcome is Outcome.NOT_RUN:
+            self.result = CallResult.REJECTED
+        elif head.status >= FIRST_SERVER_ERROR_STATUS:
+            self.result = CallResult.FAILED
         self.sink.head(head)
 
     def body(self, data: bytes, last: bool) -> None:
         """Forward a part of the response body."""
         if last:
-            self._count(self.has_error_status)
+            self._count(self.result)
         self.sink.body(data, last)
 
     def failed(self, failure: Failure, load: Load | None) -> None:
@@ -184,19 +197,19 @@
         a crash while a suspect request ran, which would crash any version.
         """
         if failure.reason not in NO_EVIDENCE_REASONS:
-            self._count(failure.outcome is not Outcome.RAN)
+            self._count(_RESULTS[failure.outcome])
         self.sink.failed(failure, load)
 
     def cancel(self) -> None:
         """Cancel the call; at its deadline, count it as a failure of the server."""
         now = self.collector.clock.monotonic()
         if now >= self.call.deadline - DEADLINE_TOLERANCE_SECONDS:
-            self._count(True)
+            self._count(CallResult.FAILED)
         self.is_counted = True
         if self.cancel_backend is not None:
             self.cancel_backend()
 
-    def _count(self, failed: bool) -> None:
+    def _count(self, result: CallResult) -> None:
         if self.is_counted:
             return
         self.is_counted = True
@@ -204,7 +217,7 @@
         call, server = self.call, self.server
         is_warm = None if server.warm_at is None else self.started_at >= server.warm_at
         self.collector.count(
-            call.service, server.version, call.route, failed, latency_seconds, is_warm
+            call.service, server.version, call.route, result, latency_seconds, is_warm
         )
 
 
--- a/src/briarslip/version/analyzer.py
+++ b/src/briarslip/version/analyzer.py
@@ -30,7 +30,11 @@
 
 FALSE_ALARM_RATE = 0.002
 FALSE_SUSPICION_RATE = 0.05
-TESTS_PER_ROUTE = 5
+# Shares of the error rates, relative to one another. Callers are not harmed by
+# rejected calls, which are retried elsewhere, so that fault may be found later.
+TEST_WEIGHT = 1.0
+REJECTION_TEST_WEIGHT = 0.1
+WEIGHT_PER_ROUTE = 5 * TEST_WEIGHT + 2 * REJECTION_TEST_WEIGHT
 COARSE_START_COUNT = 200
 MIN_FAILURE_SHARE = 0.03
 MAX_FAILURE_SHARE = 0.9
@@ -54,25 +58,52 @@
     is_suspicious: bool
 
 
+@dataclass(slots=True)
+class EventShareTests:
+    """The tests for one kind of event that calls end with, and their history.
+
+    ``history`` sums the old version's calls and events without decay.
+    """
+
+    ratio: RateRatioTest = field(default_factory=RateRatioTest)
+    excess: ExcessShareTest = field(default_factory=ExcessShareTest)
+    history: DecayingCount = field(default_factory=DecayingCount)
+
+    def update(
+        self, counts: VersionCounts, log_weight: float, thresholds: EvidenceThresholds
+    ) -> bool:
+        """Add the counts of a step; return whether the fault is certain."""
+        share = max(MIN_FAILURE_SHARE, MAX_RATIO_TO_HISTORY * self.history.share)
+        limit = min(MAX_FAILURE_SHARE, share)
+        is_certain = self.ratio.update(counts, log_weight, thresholds.fault)
+        is_certain |= self.excess.update(counts, limit, limit, log_weight, thresholds)
+        if not self.excess.is_suspicious:
+            self.history.calls += counts.old.calls
+            self.history.events += counts.old.events
+        return is_certain
+
+
 @dataclass(slots=True)
 class RouteAnalysis:
     """The tests of one route and the data that they compare with.
 
-    ``slow`` compares latencies with the spread of the old servers' levels, and
-    ``slowdown`` compares them with each server's own baseline. ``failure_history``
-    sums the old version's calls and failures without decay. ``recent_counts`` has the
-    new and the old version's counts for each figure.
+    ``failures`` compares the calls that servers ran, ``rejections`` those that they
+    did not run. ``slow`` compares latencies with the spread of the old servers' levels,
+    and ``slowdown`` compares them with each server's own baseline. ``recent_counts``
+    has the new and the old version's counts for each figure.
+
+    Load pattern: the old version's servers shed a large part of their load while the
+    new version fails. Rejections of the one do not explain failures of the other.
     """
 
-    failure_ratio: RateRatioTest = field(default_factory=RateRatioTest)
-    excess_failures: ExcessShareTest = field(default_factory=ExcessShareTest)
+    failures: EventShareTests = field(default_factory=EventShareTests)
+    rejections: EventShareTests = field(default_factory=EventShareTests)
     slow: ExcessShareTest = field(default_factory=ExcessShareTest)
     slowdown: ExcessShareTest = field(default_factory=ExcessShareTest)
     group: GroupLatencyTest = field(default_factory=GroupLatencyTest)
     pooled: PooledLatencyTest = field(default_factory=PooledLatencyTest)
     levels: dict[str, LatencyLevel] = field(default_factory=dict)
     old_servers: set[str] = field(default_factory=set)
-    failure_history: DecayingCount = field(default_factory=DecayingCount)
     recent_counts: dict[str, tuple[DecayingCount, DecayingCount]] = field(
         default_factory=dict
     )
@@ -85,7 +116,12 @@
         )
         return is_latency_suspicious or any(
             test.is_suspicious
-            for test in (self.excess_failures, self.slow, self.slowdown)
+            for test in (
+                self.failures.excess,
+                self.rejections.excess,
+                self.slow,
+                self.slowdown,
+            )
         )
 
     def update(
@@ -97,7 +133,7 @@
         thresholds: EvidenceThresholds,
     ) -> str | None:
         """Add the increments of a step; return the figure that shows a fault."""
-        figure = self._update_failures(version, increments, log_weight, thresholds)
+        figure = self._update_event_shares(version, increments, log_weight, thresholds)
         latency_figure = self._update_latencies(
             version, increments, server_count, log_weight, thresholds
         )
@@ -105,27 +141,26 @@
         self._record_levels(version, increments)
         return figure
 
-    def _update_failures(
+    def _update_event_shares(
         self,
         version: str,
         increments: list[Increment],
         log_weight: float,
         thresholds: EvidenceThresholds,
     ) -> str | None:
+        """Compare the shares of failed and of rejected calls."""
         failed = _count_by_version(version, increments, _count_failures)
-        share = max(
-            MIN_FAILURE_SHARE, MAX_RATIO_TO_HISTORY * self.failure_history.share
-        )
-        limit = min(MAX_FAILURE_SHARE, share)
-        is_certain = self.failure_ratio.update(failed, log_weight, thresholds.fault)
-        is_certain |= self.excess_failures.update(
-            failed, limit, limit, log_weight, thresholds
-        )
+        rejected = _count_by_version(version, increments, _count_rejections)
         self._record_counts("failure_share", failed)
-        if not self.excess_failures.is_suspicious:
-            self.failure_history.calls += failed.old.calls
-            self.failure_history.events += failed.old.events
-        return "failure_share" if is_certain else None
+        self._record_counts("rejected_share", rejected)
+        figure = None
+        if self.rejections.update(
+            rejected, log_weight, thresholds.with_weight(REJECTION_TEST_WEIGHT)
+        ):
+            figure = "rejected_share"
+        if self.failures.update(failed, log_weight, thresholds):
+            figure = "failure_share"
+        return figure
 
     def _update_latencies(
         self,
@@ -292,11 +327,14 @@
         return Conclusion(fault, is_suspicious)
 
     def _thresholds(self) -> EvidenceThresholds:
-        """Return thresholds that divide the error rates among all tests."""
-        test_count = TESTS_PER_ROUTE * max(1, len(self.routes))
+        """Return the thresholds of a test of ``TEST_WEIGHT``.
+
+        They divide the error rates among all tests of all routes.
+        """
+        total_weight = WEIGHT_PER_ROUTE * max(1, len(self.routes))
         return EvidenceThresholds(
-            math.log(test_count / FALSE_ALARM_RATE),
-            math.log(test_count / FALSE_SUSPICION_RATE),
+            math.log(total_weight / FALSE_ALARM_RATE),
+            math.log(total_weight / FALSE_SUSPICION_RATE),
         )
 
     def _log_weight(self, steps: int) -> float:
@@ -335,6 +373,11 @@
     return EventCount(increment.counters.calls, increment.counters.failures)
 
 
+def _count_rejections(increment: Increment) -> EventCount:
+    counters = increment.counters
+    return EventCount(counters.calls + counters.rejections, counters.rejections)
+
+
 def _count_slow(increment: Increment, limit: int) -> EventCount:
     """Count the calls in latency buckets above ``limit``."""
     latencies = increment.counters.latencies
--- a/src/briarslip/version/evidence.capnp
+++ b/src/briarslip/version/evidence.capnp
@@ -4,10 +4,11 @@
 struct Entry {
   version @0 :Text;
   route @1 :Text;
-  calls @2 :UInt32;
+  calls @2 :UInt32;           # that the servers ran
   failures @3 :UInt32;
   firstBucket @4 :UInt8;      # histogram bucket of the first latency count
   latencies @5 :List(UInt32); # counts up to the last non-empty bucket
+  rejections @6 :UInt32;      # calls that the servers did not run
 }
 
 struct Report {
--- a/src/briarslip/version/evidence.py
+++ b/src/briarslip/version/evidence.py
@@ -9,6 +9,7 @@
 import math
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
 
 
 SLICE_SECONDS = 0.5
@@ -27,13 +28,26 @@
     route: str
 
 
+class CallResult(Enum):
+    """How a call ended at its server; the server has not run a rejected call."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    REJECTED = "rejected"
+
+
 @dataclass(frozen=True, slots=True)
 class Counters:
-    """Call and failure counts and a latency histogram of ``BUCKET_COUNT`` buckets."""
+    """Call and failure counts and a latency histogram of ``BUCKET_COUNT`` buckets.
+
+    ``calls`` includes ``failures`` but not ``rejections``, the calls that the server
+    did not run; these are not in the histogram either.
+    """
 
     calls: int
     failures: int
     latencies: tuple[int, ...]
+    rejections: int = 0
 
     def since(self, before: Counters) -> Counters:
         """Return the increase over an earlier reading of the same counters."""
@@ -42,6 +56,7 @@
             self.calls - before.calls,
             self.failures - before.failures,
             tuple(current - earlier for current, earlier in pairs),
+            self.rejections - before.rejections,
         )
 
 
@@ -105,18 +120,24 @@
     calls: int = 0
     failures: int = 0
     latencies: list[int] = field(default_factory=lambda: [0] * BUCKET_COUNT)
+    rejections: int = 0
 
-    def add(self, failed: bool, latency_seconds: float, is_warm: bool) -> None:
-        """Count one call; its latency counts only if the server is warm."""
+    def add(self, result: CallResult, latency_seconds: float, is_warm: bool) -> None:
+        """Count one call; its latency counts only if the server ran it and is warm."""
+        if result is CallResult.REJECTED:
+            self.rejections += 1
+            return
         self.calls += 1
-        self.failures += failed
+        self.failures += result is CallResult.FAILED
         if is_warm:
             self.latencies[bucket_of(latency_seconds)] += 1
 
     @property
     def counters(self) -> Counters:
         """An immutable copy of the counters."""
-        return Counters(self.calls, self.failures, tuple(self.latencies))
+        return Counters(
+            self.calls, self.failures, tuple(self.latencies), self.rejections
+        )
 
 
 @dataclass(slots=True)
@@ -173,6 +194,7 @@
     "SLICE_SECONDS",
     "WARM_UP_SECONDS",
     "ZERO_COUNTERS",
+    "CallResult",
     "CounterKey",
     "Counters",
     "EvidenceAggregator",
--- a/src/briarslip/version/evidence_codec.py
+++ b/src/briarslip/version/evidence_codec.py
@@ -92,6 +92,7 @@
         entry.route = key.route
         entry.calls = counters.calls
         entry.failures = counters.failures
+        entry.rejections = counters.rejections
         first_bucket, counts = _trim_empty_buckets(counters.latencies)
         entry.firstBucket = first_bucket
         entry.latencies = counts
@@ -180,7 +181,7 @@
             f"latency counts from bucket {empty_before} exceed {BUCKET_COUNT} buckets"
         )
     latencies = (0,) * empty_before + tuple(counts) + (0,) * empty_after
-    return Counters(source.calls, source.failures, latencies)
+    return Counters(source.calls, source.failures, latencies, source.rejections)
 
 
 def _decode_state(source: Any) -> DecisionsState:
--- a/src/briarslip/version/fault_test.py
+++ b/src/briarslip/version/fault_test.py
@@ -48,6 +48,12 @@
     fault: float
     suspicion: float
 
+    def with_weight(self, weight: float) -> EvidenceThresholds:
+        """Return the thresholds of a test with ``weight`` times the error rates."""
+        return EvidenceThresholds(
+            self.fault - math.log(weight), self.suspicion - math.log(weight)
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class VersionCounts:
--- a/standins/rollout_fleet.py
+++ b/standins/rollout_fleet.py
@@ -16,6 +16,7 @@
 from briarslip.process.membership.member import Status
 from briarslip.process.rollouts.report import RolloutReporter
 from briarslip.process.rollouts.task import RolloutTask
+from briarslip.version.evidence import CallResult
 from briarslip.version.record import Rollout
 from briarslip.version.record import Route
 from briarslip.version.rollout_document import ROLLOUT_STATUS_PREFIX
@@ -220,7 +221,8 @@
     def _run_call(self, server: DaemonNode) -> None:
         version = server.member.endpoints[0].version
         failed = self.rng.random() < self.failure_probability(server.member, version)
-        server.task.collector.count("holds", version, "holds", failed, LATENCY_SECONDS)
+        result = CallResult.FAILED if failed else CallResult.SUCCEEDED
+        server.task.collector.count("holds", version, "holds", result, LATENCY_SECONDS)
 
     def advance(self, seconds: float) -> None:
         """Advance the virtual time."""
--- a/tests/process/rollouts/test_evidence_collector.py
+++ b/tests/process/rollouts/test_evidence_collector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from typing import TYPE_CHECKING
 
@@ -14,7 +15,10 @@
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
+from briarslip.version.analyzer import Analyzer
+from briarslip.version.evidence import SLICE_SECONDS
 from briarslip.version.evidence import WARM_UP_SECONDS
+from briarslip.version.evidence import EvidenceAggregator
 from tests.request.support import RecordingSink
 from tests.request.support import make_call
 
@@ -24,6 +28,7 @@
 
     from briarslip.request.call import Call
     from briarslip.request.call import ResponseSink
+    from briarslip.version.decision import Fault
 
 
 SERVICE_SECONDS = 0.2
@@ -101,5 +106,90 @@
         self.assertEqual(0, self.count_failures(failure))
 
 
+class BadVersionWhileServersShedTest(unittest.TestCase):
+    """A bad version is rolled back while servers turn calls away."""
+
+    WINDOW_SLICES = 32
+    OLD_CALLS_PER_SLICE = 64
+    NEW_CALLS_PER_SLICE = 2
+    # Too few calls come before it to find the fault.
+    FIRST_SHEDDING_SLICE = 4
+    SHED_SHARE = 0.55
+    ERROR_SHARE = 0.31
+
+    def setUp(self) -> None:
+        self.rng = random.Random(1)
+        self.time = HeapClock()
+        self.aggregator = EvidenceAggregator()
+        self.analyzer = Analyzer("2", self.WINDOW_SLICES)
+        self.collectors = {
+            version: EvidenceCollector(
+                FleetClock(self.time), f"127.0.0.{version}:7100", "klang", 1
+            )
+            for version in ("1", "2")
+        }
+        for collector in self.collectors.values():
+            collector.set_services(["holds"])
+
+    def call(self, version: str, shed_share: float, error_share: float) -> None:
+        """Make a call that the server sheds, or else runs, at times with an error."""
+
+        def respond(call: Call, sink: ResponseSink) -> Callable[[], None]:
+            outcome, status = Outcome.RAN, 200
+            if self.rng.random() < shed_share:
+                outcome, status = Outcome.NOT_RUN, 503
+            elif self.rng.random() < error_share:
+                status = 500
+            sink.head(ResponseHead(status, b"", outcome, Load(1, 10)))
+            sink.body(b"", True)
+            return lambda: None
+
+        server = MeasuredServer(version, None)
+        dispatch = self.collectors[version].instrument(lambda: server, respond)
+        dispatch(make_call(), RecordingSink())
+
+    def run_window(
+        self, old_shed_share: float, new_shed_share: float, new_error_share: float
+    ) -> Fault | None:
+        """Return the fault that is found in a rollout's window, if any."""
+        for time_slice in range(self.WINDOW_SLICES):
+            is_shedding = time_slice >= self.FIRST_SHEDDING_SLICE
+            for _ in range(self.OLD_CALLS_PER_SLICE):
+                self.call("1", old_shed_share * is_shedding, 0.0)
+            for _ in range(self.NEW_CALLS_PER_SLICE):
+                self.call("2", new_shed_share * is_shedding, new_error_share)
+            self.time.advance(SLICE_SECONDS)
+            for collector in self.collectors.values():
+                for report in collector.due_reports():
+                    self.aggregator.merge(report)
+            conclusion = self.analyzer.observe(self.aggregator.consume_increments())
+            if conclusion.fault is not None:
+                return conclusion.fault
+        return None
+
+    def test_bad_version_is_not_taken_for_a_good_one_while_the_old_one_sheds(
+        self,
+    ) -> None:
+        fault = self.run_window(self.SHED_SHARE, 0.0, self.ERROR_SHARE)
+        assert fault is not None
+        self.assertEqual("failure_share", fault.figure)
+
+    def test_bad_version_that_sheds_as_well_is_rolled_back(self) -> None:
+        fault = self.run_window(self.SHED_SHARE, self.SHED_SHARE, 2 * self.ERROR_SHARE)
+        assert fault is not None
+        self.assertEqual("failure_share", fault.figure)
+
+    def test_version_that_alone_sheds_is_rolled_back(self) -> None:
+        fault = self.run_window(0.0, self.SHED_SHARE, 0.0)
+        assert fault is not None
+        self.assertEqual("rejected_share", fault.figure)
+
+    def test_good_version_is_not_rolled_back_while_all_servers_shed(self) -> None:
+        for shed_share in (0.0, self.SHED_SHARE):
+            with self.subTest(shed_share=shed_share):
+                self.setUp()
+                self.assertIsNone(self.run_window(self.SHED_SHARE, shed_share, 0.0))
+
+
 if __name__ == "__main__":
     unittest.main()
