A restarted daemon no longer takes a late report for that of a live server

Cause: that a start of a server drains was known to the process beside it alone. Its entry at the peers is replaced as a whole by that of the next process.

Why this works: draining carries the number of the report that began it, so an older report can't undo it, a newer one can. Peers remember it beyond the daemon's process and tell the next one when it joins; the store does so if all daemons are restarted. The same holds for servers that report draining, or that say so in a response.

--- a/src/briarslip/platform/server_reports.py
+++ b/src/briarslip/platform/server_reports.py
@@ -46,15 +46,14 @@
         status = document.nested("status")
         # The number of requests that the server runs at once.
         slots = min(info.whole_part("capacity", minimum=1), MAX_SLOTS)
-        # Start of the server in Unix milliseconds.
-        started_ms = document.integer("born", default=0)
+        started_ms = _read_start(document)
         endpoint = Endpoint(
             service=info.text("service"),
             version=info.text("version"),
             slots=slots,
             connections=slots,
             draining=status.choice("state", STATES) == DRAINING,
-            incarnation=started_ms if 0 <= started_ms <= MAX_STARTED_MS else 0,
+            incarnation=started_ms,
         )
         return Announcement(
             endpoint=endpoint,
@@ -73,6 +72,15 @@
     return status.number(name) / MS_PER_SECOND if status.has(name) else None
 
 
+def _read_start(document: JsonObject) -> int:
+    """Return the start of a server in Unix milliseconds, 0 if it is not told."""
+    started_ms = document.integer("born", default=0)
+    if started_ms > MAX_STARTED_MS:
+        document.add_finding("born", f"{started_ms} is above {MAX_STARTED_MS}")
+        return 0
+    return started_ms
+
+
 def server_endpoints(callbacks: ServerCallbacks) -> HttpEndpoints:
     """Return the endpoints that backend servers call to report and to deregister."""
 
@@ -94,7 +102,7 @@
             parsed = read_json_object(
                 raw,
                 f"deregistration of {server_id}",
-                lambda body: body.integer("born", default=0),
+                _read_start,
             )
             if isinstance(parsed, Err):
                 rejection = "; ".join(map(str, parsed.err_value))
--- a/src/briarslip/process/announcements.py
+++ b/src/briarslip/process/announcements.py
@@ -14,6 +14,7 @@
 
 from briarslip import fields
 from briarslip.finding import Finding
+from briarslip.process.membership.member import FINAL_SEQUENCE
 from briarslip.process.membership.member import Endpoint
 
 
@@ -44,9 +45,27 @@
     sequence: int = 0
     warm_up_left_seconds: float | None = None
 
-    def as_draining(self) -> Announcement:
-        """Return the announcement with an endpoint that takes no more calls."""
-        return replace(self, endpoint=replace(self.endpoint, draining=True))
+    def as_draining(self, sequence: int = FINAL_SEQUENCE) -> Announcement:
+        """Return the announcement with an endpoint that takes no more calls.
+
+        ``sequence`` is the number of the report by which the server began to drain;
+        by default no later report can change that.
+        """
+        endpoint = replace(self.endpoint, draining=True, state_sequence=sequence)
+        return replace(self, endpoint=endpoint)
+
+    def after(self, previous: Announcement | None) -> Announcement:
+        """Return the announcement with the number of the last change of its state.
+
+        ``previous`` is the one before it from the same start of the server, if any.
+        """
+        sequence = min(self.sequence, FINAL_SEQUENCE - 1)
+        if (
+            previous is not None
+            and previous.endpoint.draining == self.endpoint.draining
+        ):
+            sequence = previous.endpoint.state_sequence
+        return replace(self, endpoint=replace(self.endpoint, state_sequence=sequence))
 
     def is_older_than(self, other: Announcement) -> bool:
         """Return whether the server sent this announcement before another one.
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -23,6 +23,7 @@
 from briarslip.process.claims.claims import StoreClaims
 from briarslip.process.clock import SystemClock
 from briarslip.process.distribution.task import DistributionTask
+from briarslip.process.draining_records import DrainingRecords
 from briarslip.process.events import DROPPED_LINES
 from briarslip.process.events import EVENT_COUNTS
 from briarslip.process.events import Event
@@ -113,6 +114,7 @@
                 lambda *call: self.quarantine.call_completed(*call),
                 lambda *crash: self.quarantine.report_crash(*crash),
             ),
+            lambda server: self.draining_records.record(server),
         )
         self.claims = StoreClaims(
             self.store,
@@ -138,6 +140,10 @@
             self.store,
             self.links.send_control,
             settings.membership.contacts_interval.total_seconds(),
+            self.servers.restore_draining,
+        )
+        self.draining_records = DrainingRecords(
+            reactor, rng, self.store, own_address, self.servers.restore_draining
         )
         adapters.add_restore_listener(self.membership.store_restored)
         self.distribution = DistributionTask(
@@ -239,6 +245,7 @@
         """Open the listening sockets and start the tasks and the periodic work."""
         listen = self.settings.listen
         self.membership.start()
+        self.draining_records.load()
         self._listen(listen.peers, self.links.server_factory())
         self.caller_port = self._listen(listen.callers, self.callers)
         callbacks = ServerCallbacks(self.receive_announcement, self.servers.deregister)
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -77,6 +77,16 @@
         "most probes fail; no members are suspected for now",
     )
     PROBES_SUCCEED = (206, Level.INFO, "probes succeed again")
+    SERVER_REPORT_IGNORED = (
+        207,
+        Level.INFO,
+        "late report of a backend server that drains or has ended is ignored",
+    )
+    SERVER_DRAINING_RESTORED = (
+        208,
+        Level.INFO,
+        "backend server has been draining before this daemon was restarted",
+    )
     VERSION_ACTIVE = (301, Level.INFO, "configuration version is active")
     VERSION_REJECTED = (302, Level.ERROR, "configuration version is rejected")
     RELAY_STARTED = (303, Level.INFO, "daemon starts acting as a configuration relay")
--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -14,6 +14,8 @@
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
 from briarslip.process.events import Event
 from briarslip.process.events import emit
+from briarslip.process.membership.draining_servers import DrainingServer
+from briarslip.process.membership.member import FINAL_SEQUENCE
 from briarslip.process.rollouts.evidence_collector import MeasuredServer
 from briarslip.request.admission import Admission
 from briarslip.request.fingerprint import Fingerprint
@@ -136,13 +138,19 @@
         )
 
 
+def _ignore_draining(server: DrainingServer) -> None:
+    """Do nothing with a server that drains."""
+
+
 class LocalServers:
     """The servers that announce themselves, each until its lease expires.
 
     ``on_change`` is called when the endpoints change. ``excluded_versions``
     returns the versions of a service that get no calls, and ``instrument`` wraps
     the dispatch to a server so that the evidence on rollouts is collected.
-    ``suspects`` knows which calls may have crashed servers.
+    ``suspects`` knows which calls may have crashed servers. ``on_draining`` is called
+    with each server that begins to drain. ``draining_starts`` has the report by which
+    each start of a server began to drain, also from before a restart of this daemon.
     """
 
     def __init__(
@@ -155,6 +163,7 @@
         instrument: Callable[[Callable[[], MeasuredServer], Dispatch], Dispatch],
         conventions: HeaderConventions = DEFAULT_CONVENTIONS,
         suspects: SuspectCalls | None = None,
+        on_draining: Callable[[DrainingServer], None] = _ignore_draining,
     ) -> None:
         self.suspects = suspects or SuspectCalls()
         self.reactor = reactor
@@ -162,12 +171,13 @@
         self.clock = clock
         self.lease_seconds = lease_seconds
         self.on_change = on_change
+        self.on_draining = on_draining
         self.excluded_versions = excluded_versions
         self.instrument = instrument
         self.servers: dict[Address, LocalServer] = {}
         self.retired: list[LocalServer] = []
         self.ended_incarnations: OrderedDict[str, int] = OrderedDict()
-        self.leaving_incarnations: OrderedDict[str, int] = OrderedDict()
+        self.draining_starts: OrderedDict[int, int] = OrderedDict()
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
@@ -203,9 +213,22 @@
         if announcement.incarnation <= self.ended_incarnations.get(
             announcement.server_id, -1
         ):
+            _log_ignored(announcement)
             return True
-        if self._is_leaving(announcement, server):
-            announcement = announcement.as_draining()
+        is_same_start = server is not None and not _is_other_server(
+            server.announcement, announcement
+        )
+        announcement = announcement.after(
+            server.announcement if server is not None and is_same_start else None
+        )
+        if announcement.endpoint.draining:
+            self._record_draining(announcement)
+        elif self._is_leaving(announcement, server):
+            _log_ignored(announcement)
+            sequence = self.draining_starts.get(
+                announcement.incarnation, FINAL_SEQUENCE
+            )
+            announcement = announcement.as_draining(sequence)
         if server is None and len(self.servers) >= MAX_SERVERS:
             return False
         if server is None or _is_other_server(server.announcement, announcement):
@@ -226,11 +249,29 @@
     def _is_leaving(
         self, announcement: Announcement, server: LocalServer | None
     ) -> bool:
-        """Return whether this start of the server has said that it is leaving."""
+        """Return whether this start of the server is known to be leaving."""
         if not announcement.incarnation:
             return server is not None and server.admission.is_leaving
-        leaving = self.leaving_incarnations.get(announcement.server_id)
-        return announcement.incarnation == leaving
+        sequence = self.draining_starts.get(announcement.incarnation)
+        return sequence is not None and announcement.sequence <= sequence
+
+    def _record_draining(self, announcement: Announcement) -> None:
+        """Remember by which report a start of a server began to drain.
+
+        Without an incarnation its starts can't be told apart.
+        """
+        if announcement.incarnation:
+            sequence = announcement.endpoint.state_sequence
+            self._record_start(DrainingServer(announcement.incarnation, sequence))
+
+    def _record_start(self, server: DrainingServer) -> None:
+        known_sequence = self.draining_starts.get(server.incarnation)
+        if known_sequence is None:
+            self.on_draining(server)
+        self.draining_starts[server.incarnation] = max(
+            server.sequence, known_sequence or 0
+        )
+        _forget_oldest(self.draining_starts)
 
     def _server_leaves(self, leaving: LocalServer) -> None:
         """Publish that a server takes no more calls, whatever it reports later.
@@ -239,8 +280,7 @@
         """
         announcement = leaving.announcement
         start = (announcement.server_id, announcement.incarnation)
-        self.leaving_incarnations[announcement.server_id] = announcement.incarnation
-        _forget_oldest(self.leaving_incarnations)
+        self._record_draining(announcement.as_draining())
         for server in {leaving, *self.servers.values()}:
             registered = server.announcement
             if (registered.server_id, registered.incarnation) != start:
@@ -259,6 +299,8 @@
         """
         now_ms = int(self.clock.now().timestamp() * MS_PER_SECOND)
         self.ended_incarnations[server_id] = incarnation or now_ms
+        if incarnation:
+            self._record_start(DrainingServer(incarnation, FINAL_SEQUENCE))
         for server in self.servers.values():
             announcement = server.announcement
             if announcement.server_id != server_id:
@@ -267,10 +309,29 @@
                 incarnation, announcement.incarnation
             )
             server.announcement = announcement.as_draining()
+            self._record_draining(server.announcement)
             server.admission.close()
             self.on_change()
         _forget_oldest(self.ended_incarnations)
 
+    def restore_draining(self, known: DrainingServer) -> None:
+        """Stop new calls to a server that has been draining before a restart.
+
+        An earlier process of this daemon has published that, so other daemons or the
+        store know it. A report from before the draining may still arrive.
+        """
+        if known.sequence <= self.draining_starts.get(known.incarnation, -1):
+            return
+        self.draining_starts[known.incarnation] = known.sequence
+        _forget_oldest(self.draining_starts)
+        emit(Event.SERVER_DRAINING_RESTORED, incarnation=known.incarnation)
+        for server in self.servers.values():
+            announcement = server.announcement
+            if self._is_leaving(announcement, server):
+                server.announcement = announcement.as_draining(known.sequence)
+                server.admission.close()
+                self.on_change()
+
     def expire(self) -> None:
         """Remove the servers whose lease has expired."""
         now = self.clock.monotonic()
@@ -334,7 +395,16 @@
         return None
 
 
-def _forget_oldest(incarnations: OrderedDict[str, int]) -> None:
+def _log_ignored(announcement: Announcement) -> None:
+    emit(
+        Event.SERVER_REPORT_IGNORED,
+        server=announcement.address,
+        incarnation=announcement.incarnation,
+        sequence=announcement.sequence,
+    )
+
+
+def _forget_oldest(incarnations: OrderedDict[Any, int]) -> None:
     while len(incarnations) > MAX_ENDED_SERVERS:
         incarnations.popitem(last=False)
 
--- a/src/briarslip/process/membership/anti_entropy.py
+++ b/src/briarslip/process/membership/anti_entropy.py
@@ -21,6 +21,7 @@
 from briarslip.process.membership.state import random_peers
 from briarslip.process.membership.state import receive_update
 from briarslip.process.membership.state import receive_updates
+from briarslip.process.membership.state import record_own_draining
 
 
 if TYPE_CHECKING:
@@ -87,6 +88,7 @@
     """
     sync_state = state.sync_state
     record_version(state.table, sender, message.running_version, now)
+    record_own_draining(state, message.draining_servers, now)
     sync_state.minimum_version = max(
         sync_state.minimum_version, message.minimum_version
     )
--- a/src/briarslip/process/membership/codec.py
+++ b/src/briarslip/process/membership/codec.py
@@ -18,6 +18,7 @@
 from result import Result
 
 from briarslip.address import Address
+from briarslip.process.membership.draining_servers import DrainingServer
 from briarslip.process.membership.member import Endpoint
 from briarslip.process.membership.member import Member
 from briarslip.process.membership.member import Status
@@ -146,6 +147,10 @@
     target.minimumVersion = message.minimum_version
     target.busy = message.busy
     target.more = message.more
+    servers = target.init("drainingServers", len(message.draining_servers))
+    for entry, server in zip(servers, message.draining_servers, strict=True):
+        entry.incarnation = server.incarnation
+        entry.sequence = server.sequence
     target.availabilityZone = message.availability_zone
     entries = target.init("peers", len(message.peers))
     for entry, peer in zip(entries, message.peers, strict=True):
@@ -161,6 +166,10 @@
         peers=tuple(_read_address(entry) for entry in source.peers),
         busy=source.busy,
         more=source.more,
+        draining_servers=tuple(
+            DrainingServer(entry.incarnation, entry.sequence)
+            for entry in source.drainingServers
+        ),
     )
 
 
@@ -195,6 +204,7 @@
         target.connections = endpoint.connections
         target.draining = endpoint.draining
         target.incarnation = endpoint.incarnation
+        target.stateSequence = endpoint.state_sequence
 
 
 def _read_updates(source: Any, locality: Locality) -> tuple[Member, ...]:
@@ -225,6 +235,7 @@
             connections=e.connections,
             draining=e.draining,
             incarnation=e.incarnation,
+            state_sequence=e.stateSequence,
         )
         for e in entries
     )
--- a/src/briarslip/process/membership/member.py
+++ b/src/briarslip/process/membership/member.py
@@ -20,13 +20,18 @@
     LEFT = 3
 
 
+# The state sequence of a server that drains for good, whatever it reports later.
+FINAL_SEQUENCE = 2**53
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """A backend server as its daemon announces it.
 
     ``slots`` is the number of requests that the server runs at a time,
     ``connections`` the number of connections that it accepts. ``incarnation``
-    identifies its start, 0 if it does not tell.
+    identifies its start, 0 if it does not tell. ``state_sequence`` is the number of
+    the report since that start by which ``draining`` last changed.
     """
 
     service: str
@@ -35,6 +40,7 @@
     connections: int
     draining: bool
     incarnation: int = 0
+    state_sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,4 +61,4 @@
     endpoints: tuple[Endpoint, ...]
 
 
-__all__ = ["Endpoint", "Member", "Status"]
+__all__ = ["FINAL_SEQUENCE", "Endpoint", "Member", "Status"]
--- a/src/briarslip/process/membership/member_table.py
+++ b/src/briarslip/process/membership/member_table.py
@@ -10,6 +10,7 @@
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
+from briarslip.process.membership.draining_servers import DrainingServers
 from briarslip.process.membership.member import Member
 from briarslip.process.membership.member import Status
 
@@ -73,6 +74,7 @@
     zone_last_contact_at: dict[str, float] = field(default_factory=dict)
     revisions: Counter[str] = field(default_factory=Counter)
     checksums: dict[str, tuple[int, int]] = field(default_factory=dict)
+    draining_servers: DrainingServers = field(default_factory=DrainingServers)
     cached_view: View | None = None
 
     @property
@@ -184,9 +186,16 @@
 def merge_update(table: MemberTable, update: Member, now: float) -> Member | None:
     """Merge an update about another daemon; return the member if it changed.
 
-    An update that is not ALIVE keeps the known endpoints and the newer version.
+    An update that is not ALIVE keeps the known endpoints and the newer version. A
+    server that has been draining is so in each later update, also from a restarted
+    daemon, to which a late report may have said otherwise.
     """
     address = update.address
+    if table.draining_servers.record(address, update.endpoints, now):
+        _mark_draining(table, address)
+    endpoints = table.draining_servers.with_draining(address, update.endpoints)
+    if endpoints != update.endpoints:
+        update = replace(update, endpoints=endpoints)
     known_member = table.members.get(address)
     if known_member is not None and not is_newer(update, known_member):
         return None
@@ -205,6 +214,17 @@
     return update
 
 
+def _mark_draining(table: MemberTable, address: Address) -> None:
+    """Mark the servers of a member that have been draining before."""
+    member = table.members.get(address)
+    if member is None:
+        return
+    endpoints = table.draining_servers.with_draining(address, member.endpoints)
+    if endpoints != member.endpoints:
+        table.members[address] = replace(member, endpoints=endpoints)
+        table.mark_changed(member.availability_zone)
+
+
 def record_version(
     table: MemberTable, address: Address, version: int, now: float
 ) -> None:
@@ -222,6 +242,7 @@
             del table.departed_at[address]
             member = table.members.pop(address)
             table.mark_changed(member.availability_zone)
+    table.draining_servers.expire(now)
     _expire_versions(table, now)
     _expire_zones(table, now)
 
--- a/src/briarslip/process/membership/membership.capnp
+++ b/src/briarslip/process/membership/membership.capnp
@@ -11,6 +11,7 @@
   connections @3 :UInt16;
   draining @4 :Bool;
   incarnation @5 :UInt64;     # start of the server; 0: unknown
+  stateSequence @6 :UInt64;   # number of its report by which `draining` changed
 }
 
 # An update about one member. `ipv6` is empty for IPv4 addresses.
@@ -56,6 +57,12 @@
   summaries @2 :List(ZoneSummary);
 }
 
+# A backend server that drains: its start, and its report by which it began to.
+struct DrainingServer {
+  incarnation @0 :UInt64;
+  sequence @1 :UInt64;
+}
+
 struct SyncReply {
   runningVersion @0 :UInt64;
   minimumVersion @1 :UInt64;
@@ -63,6 +70,7 @@
   more @3 :Bool;
   availabilityZone @4 :Text;
   peers @5 :List(PeerAddress);
+  drainingServers @6 :List(DrainingServer); # at the requester's address
 }
 
 # In a request the only statement is about the sender.
--- a/src/briarslip/process/membership/messages.py
+++ b/src/briarslip/process/membership/messages.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from briarslip.address import Address
+    from briarslip.process.membership.draining_servers import DrainingServer
     from briarslip.process.membership.member import Member
 
 
@@ -72,7 +73,8 @@
 
     ``availability_zone`` is empty if no zone is sent. ``minimum_version`` is the
     configuration version last recorded for the requester's address, 0 if none
-    was. ``more`` is true if the two differ on further zones.
+    was. ``more`` is true if the two differ on further zones. ``draining_servers`` are
+    the servers at the requester's address that have been draining.
     """
 
     running_version: int
@@ -82,6 +84,7 @@
     peers: tuple[Address, ...]
     busy: bool
     more: bool
+    draining_servers: tuple[DrainingServer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarslip/process/membership/state.py
+++ b/src/briarslip/process/membership/state.py
@@ -10,6 +10,7 @@
 from briarslip.process.membership.dissemination import ByteBudget
 from briarslip.process.membership.dissemination import Outbox
 from briarslip.process.membership.dissemination import is_draining
+from briarslip.process.membership.draining_servers import DrainingServer
 from briarslip.process.membership.member import Member
 from briarslip.process.membership.member import Status
 from briarslip.process.membership.member_table import MemberTable
@@ -49,7 +50,8 @@
 
     Times are monotonic seconds; ``interval_seconds`` is the mean probe interval.
     ``departed`` are members of this daemon's zone that were declared dead or left
-    and have not been logged yet.
+    and have not been logged yet, ``own_draining`` the servers beside this daemon
+    that peers know to be draining and that are not handled yet.
     """
 
     table: MemberTable
@@ -71,6 +73,7 @@
         default_factory=lambda: ByteBudget(SYNC_BYTES_PER_SECOND, SYNC_BURST_BYTES)
     )
     departed: list[Member] = field(default_factory=list)
+    own_draining: list[DrainingServer] = field(default_factory=list)
     next_probe_at: float = 0.0
     next_push_at: float = 0.0
     next_expiry_at: float = 0.0
@@ -151,6 +154,8 @@
     an ALIVE member of this zone is dead only makes it suspect.
     """
     if update.address == state.own_member.address:
+        draining = [e for e in update.endpoints if e.draining and e.incarnation]
+        record_own_draining(state, map(DrainingServer.from_endpoint, draining), now)
         _refute(state, update)
         return None
     known_member = state.table.members.get(update.address)
@@ -215,6 +220,19 @@
         state.bridge.put(update)
 
 
+def record_own_draining(
+    state: ProtocolState, servers: Iterable[DrainingServer], now: float
+) -> None:
+    """Record servers beside this daemon that peers know to be draining.
+
+    An earlier process at this address may have published that.
+    """
+    address, table = state.own_member.address, state.table
+    state.own_draining.extend(
+        server for server in servers if table.draining_servers.add(address, server, now)
+    )
+
+
 def _refute(state: ProtocolState, update: Member) -> None:
     """Refute a wrong update about this daemon by a greater incarnation."""
     if is_refutable(state.table, update):
@@ -230,5 +248,6 @@
     "random_peers",
     "receive_update",
     "receive_updates",
+    "record_own_draining",
     "zone_size",
 ]
--- a/src/briarslip/process/membership/sync.py
+++ b/src/briarslip/process/membership/sync.py
@@ -162,6 +162,7 @@
         else (),
         busy=busy,
         more=len(zones) > 1,
+        draining_servers=table.draining_servers.of_daemon(requester.address),
     )
 
 
--- a/src/briarslip/process/membership/task.py
+++ b/src/briarslip/process/membership/task.py
@@ -40,6 +40,7 @@
     from collections.abc import Iterable
 
     from briarslip.process.clock import Clock
+    from briarslip.process.membership.draining_servers import DrainingServer
     from briarslip.process.membership.member import Endpoint
     from briarslip.process.membership.member import Member
     from briarslip.process.membership.messages import Datagram
@@ -52,11 +53,17 @@
 MAX_RESTORE_DELAY_SECONDS = 1.0
 
 
+def _ignore_draining(server: DrainingServer) -> None:
+    """Do nothing with a server that has been draining."""
+
+
 class MembershipTask:
     """Runs the membership protocol of this daemon.
 
     ``on_version`` is called with the sender's address and configuration version
     for every message that carries the version. ``send_control`` sends control messages.
+    ``on_draining_before`` is called with a server beside this daemon that peers know
+    to be draining, as after a restart of this daemon.
     """
 
     def __init__(
@@ -71,6 +78,7 @@
         store: StoreClient,
         send_control: Callable[[Address, Topic, bytes], None],
         contacts_interval_seconds: float = CONTACTS_INTERVAL_SECONDS,
+        on_draining_before: Callable[[DrainingServer], None] = _ignore_draining,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -81,6 +89,7 @@
         self.store = store
         self.send_control = send_control
         self.contacts_interval_seconds = contacts_interval_seconds
+        self.on_draining_before = on_draining_before
         self.state = ProtocolState.from_member(
             own_member, seeds, rng, interval_seconds, clock.monotonic()
         )
@@ -146,6 +155,7 @@
         message = datagram.ok_value
         now = self.clock.monotonic()
         self._send_all(protocol.receive_datagram(self.state, sender, message, now))
+        self._report_draining_servers()
         self.on_version(sender, message.running_version)
 
     def receive_message(self, sender: Address, payload: bytes) -> None:
@@ -157,12 +167,18 @@
         message = decoded.ok_value
         now = self.clock.monotonic()
         self._send_all(protocol.receive_control(self.state, sender, message, now))
+        self._report_draining_servers()
         match message:
             case SyncRequest(member):
                 self.on_version(sender, member.running_version)
             case SyncReply(version):
                 self.on_version(sender, version)
 
+    def _report_draining_servers(self) -> None:
+        draining, self.state.own_draining = self.state.own_draining, []
+        for server in draining:
+            self.on_draining_before(server)
+
     def _tick(self) -> None:
         delay = self.tick_seconds * self.rng.uniform(0.9, 1.1)
         self.reactor.callLater(delay, self._tick)
--- a/tests/process/membership/test_task.py
+++ b/tests/process/membership/test_task.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import contextlib
+from dataclasses import replace
 from datetime import timedelta
 from unittest import mock
 
 from briarslip.process.membership import protocol
+from briarslip.process.membership.draining_servers import DrainingServer
+from briarslip.process.membership.member import Endpoint
 from briarslip.process.membership.member import Status
 from tests.support.members import NOT_LIVE
 from tests.support.members import FleetTestCase
@@ -82,6 +85,73 @@
         )
 
 
+class RestartedDaemonTest(FleetTestCase):
+    """A server that has left is not used again after a restart of its daemon."""
+
+    def setUp(self) -> None:
+        self.fleet = converged_fleet(("klang", "penang"), 6)
+        daemon = self.fleet.running[2]
+        daemon.set_endpoints((self.server(1),))
+        self.fleet.run(5.0)
+        self.assertEqual(12, self.count_routes())
+        daemon.set_endpoints((self.server(2, draining=True),))
+        self.fleet.run(0.5)
+        self.fleet.kill(daemon)
+        self.fleet.run(0.3)
+        self.daemon = self.fleet.restart(daemon)
+        self.restored: list[DrainingServer] = []
+        self.daemon.membership.on_draining_before = self.restored.append
+
+    def server(
+        self, state_sequence: int, draining: bool = False, incarnation: int = 7
+    ) -> Endpoint:
+        """Return a server after a report by which its state changed."""
+        return replace(
+            endpoint("service-x", draining=draining),
+            incarnation=incarnation,
+            state_sequence=state_sequence,
+        )
+
+    def count_routes(self) -> int:
+        """Return how many daemons would send calls to the server."""
+        address = self.fleet.running[2].address
+        return sum(
+            routes_to(observer, daemon, "service-x")
+            for observer in self.fleet.running
+            for daemon in self.fleet.running
+            if daemon.address == address
+        )
+
+    def count_routes_of_others(self) -> int:
+        """Return how many other daemons would send calls to the server."""
+        others = [d for d in self.fleet.running if d is not self.daemon]
+        return sum(routes_to(d, self.daemon, "service-x") for d in others)
+
+    def test_late_report_after_a_restart_brings_back_a_server_that_left(self) -> None:
+        for seconds in (0.0, 2.0):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                self.fleet.run(seconds)
+                self.daemon.set_endpoints((self.server(1),))
+                for _ in range(40):
+                    self.fleet.run(0.25)
+                    self.assertEqual(0, self.count_routes_of_others())
+
+    def test_restarted_daemon_learns_which_of_its_servers_drain(self) -> None:
+        self.assert_within(self.fleet, 3.0, lambda: bool(self.restored))
+        self.assertEqual([DrainingServer(7, 2)], self.restored)
+
+    def test_server_that_is_started_anew_or_ready_again_is_used(self) -> None:
+        for server in (self.server(1, incarnation=8), self.server(3)):
+            with self.subTest(server=server):
+                self.setUp()
+                self.fleet.run(2.0)
+                self.daemon.set_endpoints((server,))
+                self.assert_within(
+                    self.fleet, 10.0, lambda: self.count_routes_of_others() == 11
+                )
+
+
 class DeathTest(FleetTestCase):
     """A dead daemon is detected in bounded time, and evicted later."""
 
--- a/tests/process/test_local_servers.py
+++ b/tests/process/test_local_servers.py
@@ -12,6 +12,8 @@
 from briarslip.process.local_servers import MAX_SERVERS
 from briarslip.process.local_servers import MS_PER_SECOND
 from briarslip.process.local_servers import LocalServers
+from briarslip.process.membership.draining_servers import DrainingServer
+from briarslip.process.membership.member import FINAL_SEQUENCE
 from tests.support.members import endpoint
 
 
@@ -152,6 +154,49 @@
         self.servers.receive(replace(late, incarnation=next_start))
         self.assertEqual(1, len(self.servers.endpoints))
 
+    def test_server_drained_before_a_restart_is_not_used_after_a_late_report(
+        self,
+    ) -> None:
+        for is_report_first in (False, True):
+            with self.subTest(is_report_first=is_report_first):
+                self.setUp()
+                if is_report_first:
+                    self.report(5, 2)
+                self.servers.restore_draining(DrainingServer(5, 3))
+                self.report(5, 2)
+                self.assertIsNone(self.servers.admission_for("holds", ""))
+                (published,) = self.servers.endpoints
+                self.assertTrue(published.draining)
+                self.report(5, 4)
+                self.assertIsNotNone(self.servers.admission_for("holds", ""))
+
+    def test_server_deregistered_before_a_restart_is_never_used(self) -> None:
+        self.servers.restore_draining(DrainingServer(5, FINAL_SEQUENCE))
+        self.report(5, 99)
+        self.assertIsNone(self.servers.admission_for("holds", ""))
+        self.report(6, 1)
+        self.assertIsNotNone(self.servers.admission_for("holds", ""))
+
+    def test_each_start_that_drains_is_told_once(self) -> None:
+        drained: list[DrainingServer] = []
+        self.servers.on_draining = drained.append
+        self.report(5, 1)
+        self.report(5, 2, draining=True)
+        self.report(5, 3, draining=True)
+        self.servers.deregister("i", 5)
+        self.servers.deregister("j", 6)
+        self.assertEqual(
+            [DrainingServer(5, 2), DrainingServer(6, FINAL_SEQUENCE)], drained
+        )
+
+    def test_repeated_reports_of_one_state_do_not_change_the_endpoint(self) -> None:
+        self.report(5, 1)
+        endpoints = self.servers.endpoints
+        self.report(5, 2)
+        self.assertEqual(endpoints, self.servers.endpoints)
+        self.report(5, 3, draining=True)
+        self.assertEqual([3], [e.state_sequence for e in self.servers.endpoints])
+
     def test_deregistration_before_any_report_is_remembered(self) -> None:
         self.servers.deregister("i", 5)
         self.report(5, 9)
