Hold a rollout while the failures of both versions can't be told apart

Cause: the failures of the old version discard the evidence, rightly, but nothing held the rollout meanwhile; and they entered the old version's history, so that the limit for the new one stayed at 0.9 afterwards.

The new test of the analyzer was not held before and is now.

Why this works: until the shared cause ends the share does not rise; then the tests see the new version alone. The history leaves out such times for at most 0.6 of the window, so that a lasting change does not hold a good version to its deadline.

--- a/src/briarslip/version/analyzer.py
+++ b/src/briarslip/version/analyzer.py
@@ -39,6 +39,12 @@
 MIN_FAILURE_SHARE = 0.03
 MAX_FAILURE_SHARE = 0.9
 MAX_RATIO_TO_HISTORY = 3.0
+MIN_HISTORY_CALLS = 50
+MIN_AMBIGUOUS_EVENTS = 1
+# Ends a hold within some two seconds of the new version's last failure.
+AMBIGUITY_DECAY_FACTOR = 0.5
+# Of the window; a rollout must not be held for the rest of it by a lasting change.
+MAX_SHARED_FRACTION = 0.6
 NULL_SLOW_SHARE = 0.25
 SHARED_SLOW_SHARE = 0.15
 MIN_SLOW_SERVERS = 2
@@ -62,12 +68,19 @@
 class EventShareTests:
     """The tests for one kind of event that calls end with, and their history.
 
-    ``history`` sums the old version's calls and events without decay.
+    ``history`` sums the old version's calls and events without decay, but for times of
+    a shared cause: it is what the old version does without one. A shared cause that
+    lasts for more than ``max_shared_steps`` is taken for normal. ``is_ambiguous`` is
+    whether the new version shows the event too often during a shared cause.
     """
 
+    max_shared_steps: int
     ratio: RateRatioTest = field(default_factory=RateRatioTest)
     excess: ExcessShareTest = field(default_factory=ExcessShareTest)
     history: DecayingCount = field(default_factory=DecayingCount)
+    recent_new: DecayingCount = field(default_factory=DecayingCount)
+    shared_steps: int = 0
+    is_ambiguous: bool = False
 
     def update(
         self, counts: VersionCounts, log_weight: float, thresholds: EvidenceThresholds
@@ -77,11 +90,26 @@
         limit = min(MAX_FAILURE_SHARE, share)
         is_certain = self.ratio.update(counts, log_weight, thresholds.fault)
         is_certain |= self.excess.update(counts, limit, limit, log_weight, thresholds)
-        if not self.excess.is_suspicious:
-            self.history.calls += counts.old.calls
-            self.history.events += counts.old.events
+        is_shared = self.excess.is_cause_shared
+        self.shared_steps = self.shared_steps + 1 if is_shared else 0
+        self._update_history(counts.old)
+        self.recent_new.add(counts.new, AMBIGUITY_DECAY_FACTOR)
+        self.is_ambiguous = (
+            is_shared
+            and self.recent_new.events >= MIN_AMBIGUOUS_EVENTS
+            and self.recent_new.share > limit
+        )
         return is_certain
 
+    def _update_history(self, old: EventCount) -> None:
+        is_exceptional = (
+            0 < self.shared_steps <= self.max_shared_steps
+            and self.history.calls >= MIN_HISTORY_CALLS
+        )
+        if not is_exceptional and not self.excess.is_suspicious:
+            self.history.calls += old.calls
+            self.history.events += old.events
+
 
 @dataclass(slots=True)
 class RouteAnalysis:
@@ -93,11 +121,13 @@
     has the new and the old version's counts for each figure.
 
     Load pattern: the old version's servers shed a large part of their load while the
-    new version fails. Rejections of the one do not explain failures of the other.
+    new version fails. Rejections of the one do not explain failures of the other. If
+    both fail, it can't be told yet whether the new version would without the shared
+    cause, and its share must not rise until then.
     """
 
-    failures: EventShareTests = field(default_factory=EventShareTests)
-    rejections: EventShareTests = field(default_factory=EventShareTests)
+    failures: EventShareTests
+    rejections: EventShareTests
     slow: ExcessShareTest = field(default_factory=ExcessShareTest)
     slowdown: ExcessShareTest = field(default_factory=ExcessShareTest)
     group: GroupLatencyTest = field(default_factory=GroupLatencyTest)
@@ -108,13 +138,27 @@
         default_factory=dict
     )
 
+    @classmethod
+    def from_window(cls, window_steps: int) -> RouteAnalysis:
+        """Return the analysis of a route in a window of some time steps."""
+        max_shared_steps = int(MAX_SHARED_FRACTION * window_steps)
+        return cls(EventShareTests(max_shared_steps), EventShareTests(max_shared_steps))
+
     @property
     def is_suspicious(self) -> bool:
-        """Whether a test needs more of the old version's calls."""
+        """Whether a test needs more calls of the old version, or undisturbed ones."""
         is_latency_suspicious = (
             self.group.remeasured is not None or self.pooled.is_suspicious
         )
-        return is_latency_suspicious or any(
+        return (
+            is_latency_suspicious
+            or self.failures.is_ambiguous
+            or self._has_suspicious_share
+        )
+
+    @property
+    def _has_suspicious_share(self) -> bool:
+        return any(
             test.is_suspicious
             for test in (
                 self.failures.excess,
@@ -308,7 +352,9 @@
         by_route: dict[str, list[Increment]] = {}
         for increment in increments:
             by_route.setdefault(increment.route, []).append(increment)
-            self.routes.setdefault(increment.route, RouteAnalysis())
+            if increment.route not in self.routes:
+                analysis = RouteAnalysis.from_window(self.window_steps)
+                self.routes[increment.route] = analysis
         log_weight = self._log_weight(steps)
         thresholds = self._thresholds()
         self.steps_done += steps
--- a/src/briarslip/version/fault_test.py
+++ b/src/briarslip/version/fault_test.py
@@ -76,10 +76,10 @@
     calls: float = 0.0
     events: float = 0.0
 
-    def add(self, count: EventCount) -> None:
-        """Multiply the earlier counts by ``DECAY_FACTOR`` and add those of a step."""
-        self.calls = self.calls * DECAY_FACTOR + count.calls
-        self.events = self.events * DECAY_FACTOR + count.events
+    def add(self, count: EventCount, factor: float = DECAY_FACTOR) -> None:
+        """Multiply the earlier counts by ``factor`` and add those of a step."""
+        self.calls = self.calls * factor + count.calls
+        self.events = self.events * factor + count.events
 
     @property
     def share(self) -> float:
@@ -131,8 +131,9 @@
     """Test whether the share of the new version's calls with an event is too high.
 
     If the old version's calls show the event as well, the cause is shared and all
-    evidence is discarded. A fault is certain only if enough calls of the old version
-    without a shared cause have been seen since the first suspicion.
+    evidence is discarded; ``is_cause_shared`` is whether it was at the last step. A
+    fault is certain only if enough calls of the old version without a shared cause
+    have been seen since the first suspicion.
     """
 
     detector: EDetector = field(
@@ -141,6 +142,7 @@
     recent_old: DecayingCount = field(default_factory=DecayingCount)
     control: EventCount = ZERO_COUNT
     is_suspicious: bool = False
+    is_cause_shared: bool = False
 
     def reset(self) -> None:
         """Discard all evidence."""
@@ -160,7 +162,8 @@
         ``null_share`` is the highest share of events without a fault. The cause is
         shared if the old version's share is above ``shared_share``.
         """
-        if self._is_cause_shared(counts.old, shared_share):
+        self.is_cause_shared = self._is_cause_shared(counts.old, shared_share)
+        if self.is_cause_shared:
             self.reset()
             return False
         self.detector.update(
--- a/tests/version/test_analyzer.py
+++ b/tests/version/test_analyzer.py
@@ -110,6 +110,38 @@
             self.finds_fault(increment_of("1", 100), increment_of("2", 20))
         )
 
+    def test_bad_version_is_held_while_the_old_one_fails_in_the_same_way(self) -> None:
+        """Both versions answer with errors for some seconds, the new one always does.
+
+        The old version's failures hide those of the new one until they end.
+        """
+        self.observe_baseline(0.01, 0.01)
+        both = (increment_of("1", 100, 55), increment_of("2", 4, 1))
+        held = [self.analyzer.observe(both).is_suspicious for _ in range(17)]
+        self.assertTrue(all(held[2:]))
+        self.assertTrue(
+            self.finds_fault(increment_of("1", 100), increment_of("2", 4, 1), steps=10)
+        )
+
+    def test_good_version_is_not_held_after_a_shared_cause(self) -> None:
+        self.observe_baseline(0.01, 0.01)
+        shared = (increment_of("1", 100, 50), increment_of("2", 20, 10))
+        self.finds_fault(*shared)
+        calm = (increment_of("1", 100), increment_of("2", 20))
+        held = [self.analyzer.observe(calm).is_suspicious for _ in range(20)]
+        self.assertFalse(any(held[10:]))
+
+    def test_failures_that_both_versions_always_have_hold_no_rollout(self) -> None:
+        usual = (increment_of("1", 100, 10), increment_of("2", 20, 2))
+        held = [self.analyzer.observe(usual).is_suspicious for _ in range(30)]
+        self.assertFalse(any(held[2:]))
+
+    def test_lasting_change_of_both_versions_does_not_hold_to_the_end(self) -> None:
+        self.observe_baseline(0.01, 0.01)
+        changed = (increment_of("1", 100, 10), increment_of("2", 20, 2))
+        held = [self.analyzer.observe(changed).is_suspicious for _ in range(STEPS)]
+        self.assertFalse(any(held[int(0.75 * STEPS) :]))
+
     def test_suspicion_precedes_a_fault_without_old_traffic(self) -> None:
         self.observe_baseline(0.01, 0.01)
         conclusion = self.analyzer.observe([increment_of("2", 100, 50)])
