Bound the bodies of announcements and of the store's responses

What callers saw: nothing yet. Another operator's report: a server sent bytes without end, its caller's machine kept them and ran out of memory, with the requests of others.

Cause: the endpoints for servers and the store's client collect whole bodies, without a limit. Responses of servers are passed on with backpressure and were safe.

Why this works: the limits are counted while the bytes arrive, before they are kept, and the connection is aborted; what is sent after that is not read.

--- a/src/briarslip/connection/local_http.py
+++ b/src/briarslip/connection/local_http.py
@@ -12,6 +12,8 @@
 from twisted.web import http
 
 from briarslip.process.error_log import record_error
+from briarslip.process.events import Event
+from briarslip.process.events import emit
 from briarslip.request.outcome import Reason
 
 
@@ -22,6 +24,10 @@
     from twisted.internet.interfaces import IAddress
 
 
+# An announcement has some hundred bytes.
+MAX_BODY_BYTES = 64 << 10
+
+
 @dataclass(frozen=True, slots=True)
 class JsonReply:
     """An HTTP status and a body that is serialised as JSON."""
@@ -48,6 +54,15 @@
         """Buffer the body in memory, since instances have no disks."""
         self.content = BytesIO()
 
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 (Twisted)
+        """Buffer a part of the body; abort the connection if it is too long."""
+        if self.content.tell() + len(data) > MAX_BODY_BYTES:
+            reason = f"the body is longer than {MAX_BODY_BYTES} bytes"
+            emit(Event.MESSAGE_REJECTED, peer=self.getClientIP(), reason=reason)
+            self.channel.abortConnection()
+            return
+        self.content.write(data)
+
     def process(self) -> None:
         """Send the reply of the endpoint for this method and path."""
         path = self.path.decode("latin-1")
--- a/src/briarslip/process/store/http.py
+++ b/src/briarslip/process/store/http.py
@@ -21,7 +21,9 @@
 from briarslip.connection.backend_pool import BackendPool
 from briarslip.process.store.client import StoreError
 from briarslip.request.call import Call
+from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
 
 
 if TYPE_CHECKING:
@@ -32,12 +34,13 @@
     from briarslip.request.call import Load
     from briarslip.request.call import ResponseHead
     from briarslip.request.call import ResponseSink
-    from briarslip.request.outcome import Failure
 
 
 # Probes on a connection that waits for changes: one that went silent would hide
 # them until the poll ends.
 KEEPALIVE_SECONDS = 1
+# Many times a page of the largest values, and a part of a daemon's memory.
+MAX_RESPONSE_BYTES = 32 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +73,9 @@
 
     def body(self, data: bytes, last: bool) -> None:
         """Append a part of the body, and fire ``response`` after the last one."""
+        if len(self.received) + len(data) > MAX_RESPONSE_BYTES:
+            self._reject()
+            return
         self.received += data
         if last:
             response = HttpResponse(self.status, bytes(self.received), self.headers)
@@ -79,6 +85,14 @@
         """Fire ``response`` with the failure that ended the request or response."""
         self.response.callback(Err(failure))
 
+    def _reject(self) -> None:
+        """Cancel the request, since its response is too long to be one."""
+        self.received.clear()
+        if self.cancel_request is not None:
+            self.cancel_request()
+        failure = Failure(Outcome.UNKNOWN, Reason.BODY_TOO_LARGE)
+        self.response.callback(Err(failure))
+
 
 class StoreHttpClient:
     """An HTTP client with pooled connections to one store."""
--- a/tests/process/store/test_http.py
+++ b/tests/process/store/test_http.py
@@ -15,7 +15,9 @@
 from briarslip.address import Address
 from briarslip.connection.backend_pool import MAX_IDLE_SECONDS
 from briarslip.process.store.etcd_watch import GatewayWatch
+from briarslip.process.store.http import MAX_RESPONSE_BYTES
 from briarslip.process.store.http import StoreHttpClient
+from briarslip.request.outcome import Reason
 from tests.connection.support import FakeTransport
 
 
@@ -50,6 +52,28 @@
         watch.start(lambda: self.http.open_stream("POST", "/v3/watch", {}, watch))
         return self.accept()
 
+    def test_response_without_end_is_not_kept(self) -> None:
+        """The store sends a body without end, with or without chunks."""
+        for head, part in (
+            (STREAM, b"x" * 65536),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                b"10000\r\n" + b"x" * 65536 + b"\r\n",
+            ),
+        ):
+            with self.subTest(head):
+                results: list[Any] = []
+                self.http.send("GET", "/k", None).addCallback(results.append)
+                connection = self.accept()
+                connection.dataReceived(head)
+                received_bytes = 0
+                while not results and received_bytes < 2 * MAX_RESPONSE_BYTES:
+                    connection.dataReceived(part)
+                    received_bytes += len(part)
+                self.assertLessEqual(received_bytes, MAX_RESPONSE_BYTES + 2 * len(part))
+                self.assertEqual(Reason.BODY_TOO_LARGE, results[0].err_value.reason)
+                self.assertTrue(connection.transport.aborted)
+
     def test_connection_is_reused(self) -> None:
         self.http.send("POST", "/v3/kv/range", {})
         connection = self.accept()
