Refuse odd entries where they are read, and go on with the others

What callers saw: nothing yet. Another operator's report: one entry, very deeply nested, with a number too large or a port out of range, and the machines that read the list ended again and again or stopped following it.

Cause: JSON has whole numbers of any size, infinite ones and strings without an encoding; decoders caught other errors than those. Rollout statuses were used unchecked. An error while changes were applied ended the watch of the store for good.

Two tests bring about an unexpected error in a watch: it stopped before and goes on now.

Why this works: an entry is refused with its place before it is used, so it names no server and no rollout; and whatever still raises fails only the change that it is in.

--- a/src/briarslip/platform/json_object.py
+++ b/src/briarslip/platform/json_object.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import sys
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -11,9 +12,11 @@
 from result import Ok
 from result import Result
 
+from briarslip import fields
 from briarslip.address import Address
 from briarslip.address import parse_address
 from briarslip.finding import Finding
+from briarslip.malformed_json import MALFORMED_JSON_ERRORS
 
 
 if TYPE_CHECKING:
@@ -22,6 +25,9 @@
 
 T = TypeVar("T")
 
+# Two of them and a zone fit into a membership datagram.
+MAX_NAME_LENGTH = 200
+
 
 class JsonObject:
     """Typed access to a JSON object; invalid fields are collected as findings.
@@ -48,7 +54,7 @@
         """Parse the bytes of one JSON object."""
         try:
             values = json.loads(raw)
-        except (ValueError, RecursionError) as error:
+        except MALFORMED_JSON_ERRORS as error:
             return Err(Finding(source, 0, "", "", f"is not JSON: {error}"))
         if not isinstance(values, dict):
             return Err(Finding(source, 0, "", "", "is not a JSON object"))
@@ -70,6 +76,17 @@
         self.add_finding(name, "is missing" if value is None else "is not a string")
         return ""
 
+    def short_name(self, name: str) -> str:
+        """Return a string field that can be published as the name of something."""
+        value = self.text(name)
+        parsed = fields.name(value)
+        if isinstance(parsed, Err) or len(value) > MAX_NAME_LENGTH:
+            if value:
+                reason = f"is not a name of at most {MAX_NAME_LENGTH} characters"
+                self.add_finding(name, reason)
+            return ""
+        return value
+
     def choice(self, name: str, choices: frozenset[str]) -> str:
         """Return a string field that must be one of the choices."""
         value = self.text(name)
@@ -109,8 +126,9 @@
         if not isinstance(value, int | float) or isinstance(value, bool):
             self.add_finding(name, "is missing" if value is None else "is not a number")
             return 0.0
-        if not 0 <= value < float("inf"):
-            self.add_finding(name, f"{value} is not a finite number of at least 0")
+        # JSON has whole numbers of any size.
+        if not 0 <= value <= sys.float_info.max:
+            self.add_finding(name, "is not a finite number of at least 0")
             return 0.0
         return float(value)
 
--- a/src/briarslip/platform/long_poll.py
+++ b/src/briarslip/platform/long_poll.py
@@ -13,6 +13,7 @@
 from briarslip.platform.store_copy import copy_number
 from briarslip.platform.store_messages import parse_changes
 from briarslip.platform.store_messages import parse_response
+from briarslip.process.error_log import run_each
 from briarslip.process.store.client import WatchClosed
 from briarslip.process.store.http import HttpResponseSink
 from briarslip.process.store.revision import copy_of
@@ -131,7 +132,8 @@
             # A response without events may skip changes whose history was
             # compacted, so only a response with events advances the watch.
             self.after_revision = max(self.after_revision, current_revision)
-            self.on_events(events)
+            # The watch goes on if the changes can't be applied.
+            run_each((self.on_events,), events)
         if not self.ended:
             self.poll()
 
--- a/src/briarslip/platform/rollouts.py
+++ b/src/briarslip/platform/rollouts.py
@@ -13,7 +13,7 @@
 from briarslip.version.record import RecordKey
 from briarslip.version.rollout import State
 from briarslip.version.rollout_document import RolloutDocumentCodec
-from briarslip.version.rollout_document import decode_document
+from briarslip.version.rollout_document import check_document
 
 
 if TYPE_CHECKING:
@@ -30,6 +30,7 @@
 # The status document in the daemon's own format, which starting daemons read back.
 REPORT_FIELD = "report"
 RUNNING = "running"
+MAX_DURATION_MS = 2**53
 PLATFORM_STATES = {
     State.PENDING.value: RUNNING,
     State.WAITING_FOR_SERVERS.value: RUNNING,
@@ -48,7 +49,8 @@
     """
 
     def to_record(document: JsonObject) -> Record:
-        milliseconds = round(document.number("duration-s") * 1000)
+        # An odd duration is refused with the other fields of the record.
+        milliseconds = round(min(document.number("duration-s") * 1000, MAX_DURATION_MS))
         service = document.text("service")
         fields = {
             "service": service,
@@ -82,7 +84,7 @@
     )
     if isinstance(parsed, Err):
         return Err("; ".join(map(str, parsed.err_value)))
-    return decode_document(json.dumps(parsed.ok_value).encode())
+    return check_document(parsed.ok_value)
 
 
 PLATFORM_ROLLOUT_CODEC = RolloutDocumentCodec(
--- a/src/briarslip/platform/server_reports.py
+++ b/src/briarslip/platform/server_reports.py
@@ -48,8 +48,8 @@
         slots = min(info.whole_part("capacity", minimum=1), MAX_SLOTS)
         started_ms = _read_start(document)
         endpoint = Endpoint(
-            service=info.text("service"),
-            version=info.text("version"),
+            service=info.short_name("service"),
+            version=info.short_name("version"),
             slots=slots,
             connections=slots,
             draining=status.choice("state", STATES) == DRAINING,
--- a/src/briarslip/platform/store_messages.py
+++ b/src/briarslip/platform/store_messages.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import json
 from typing import TYPE_CHECKING
 from typing import Any
@@ -13,6 +12,7 @@
 from result import Ok
 from result import Result
 
+from briarslip.malformed_json import MALFORMED_JSON_ERRORS
 from briarslip.process.store.client import KeyValue
 from briarslip.process.store.client import StoreError
 from briarslip.process.store.client import SwapReply
@@ -31,7 +31,6 @@
 OK = 200
 # With these statuses the store guarantees that it has not applied the request.
 NEVER_APPLIED_STATUSES = frozenset((400, 403, 404, 405, 410, 412, 413, 429, 503))
-MALFORMED_ERRORS = (KeyError, TypeError, ValueError, AttributeError, binascii.Error)
 
 
 def parse_response(
@@ -46,7 +45,7 @@
         return Err(status_error(response, is_write=is_write))
     try:
         return Ok(convert(json.loads(response.body)))
-    except MALFORMED_ERRORS as error:
+    except MALFORMED_JSON_ERRORS as error:
         reason = f"malformed response: {type(error).__name__}: {error}"
         return Err(StoreError(reason, is_write))
 
--- a/src/briarslip/process/announcements.py
+++ b/src/briarslip/process/announcements.py
@@ -14,6 +14,7 @@
 
 from briarslip import fields
 from briarslip.finding import Finding
+from briarslip.malformed_json import MALFORMED_JSON_ERRORS
 from briarslip.process.membership.member import FINAL_SEQUENCE
 from briarslip.process.membership.member import Endpoint
 
@@ -82,7 +83,7 @@
     """Parse an announcement's JSON; the error holds all findings."""
     try:
         document = json.loads(body)
-    except (ValueError, RecursionError) as error:
+    except MALFORMED_JSON_ERRORS as error:
         return Err((Finding(FINDING_SOURCE, 0, "", "", f"is not JSON: {error}"),))
     if not isinstance(document, dict):
         return Err((Finding(FINDING_SOURCE, 0, "", "", "is not a JSON object"),))
--- a/src/briarslip/process/distribution/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -10,6 +10,7 @@
 
 from briarslip.finding import format_findings
 from briarslip.process.distribution.lost_items import LostItems
+from briarslip.process.error_log import record_error
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.process.retrying_job import RetryingJob
@@ -146,7 +147,12 @@
         self._publish()
 
     def _publish(self) -> None:
-        snapshot = self.parse_items(self.items)
+        """Publish the items read; those that can't be read leave the last ones."""
+        try:
+            snapshot = self.parse_items(self.items)
+        except Exception as error:
+            record_error(error)
+            return
         if isinstance(snapshot, Err):
             emit(Event.VERSION_REJECTED, findings=format_findings(snapshot.err_value))
         elif snapshot.ok_value is not None:
--- a/src/briarslip/process/store/etcd_gateway.py
+++ b/src/briarslip/process/store/etcd_gateway.py
@@ -15,6 +15,7 @@
 from result import Result
 
 from briarslip.address import Address
+from briarslip.malformed_json import MALFORMED_JSON_ERRORS
 from briarslip.process.store.client import KeyValue
 from briarslip.process.store.client import RangeReply
 from briarslip.process.store.client import StoreError
@@ -66,7 +67,7 @@
         return False
     try:
         return bool(json.loads(response.body).get("code") == GRPC_NOT_FOUND)
-    except (ValueError, AttributeError):
+    except MALFORMED_JSON_ERRORS:
         return False
 
 
@@ -230,7 +231,7 @@
             return Err(_status_error(response.ok_value, is_write=is_write))
         try:
             return Ok(parse(json.loads(response.ok_value.body)))
-        except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+        except (*MALFORMED_JSON_ERRORS, IndexError) as error:
             return Err(StoreError(f"malformed response: {_describe(error)}", is_write))
 
     async def _post(
--- a/src/briarslip/process/store/etcd_watch.py
+++ b/src/briarslip/process/store/etcd_watch.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from briarslip.malformed_json import MALFORMED_JSON_ERRORS
 from briarslip.process.store.client import WatchClosed
 from briarslip.process.store.etcd_messages import parse_watch_event
 
@@ -108,7 +109,7 @@
             events = tuple(
                 parse_watch_event(event) for event in result.get("events", ())
             )
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except MALFORMED_JSON_ERRORS as error:
             self._end(f"malformed line: {type(error).__name__}: {error}")
             return
         if canceled or compact_revision:
--- a/src/briarslip/version/rollout_document.py
+++ b/src/briarslip/version/rollout_document.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
     from datetime import datetime
 
     from briarslip.version.decision import Decisions
@@ -50,6 +51,10 @@
 
 Document = dict[str, Any]
 
+# The end of the year 9998 in milliseconds since 1970: the last that is a date anywhere.
+MAX_TIME_MS = 253_370_764_800_000
+MAX_FIGURE = 1e9
+
 
 def rollout_document(
     status: RolloutStatus,
@@ -150,13 +155,79 @@
 def decode_document(value: bytes) -> Result[Document, str]:
     """Decode a document; the error is the reason why it cannot be decoded."""
     try:
-        document: Document = json.loads(value)
-        document["rollout"], document["digest"], document["since"]
-        document["configuration_version"] + document["started_ms"]
-        STATE_RANKS[document["state"]]
+        document = json.loads(value)
     except MALFORMED_JSON_ERRORS as error:
         return Err(f"rollout status cannot be decoded: {error!r}")
-    return Ok(document)
+    return check_document(document)
+
+
+def check_document(document: Any) -> Result[Document, str]:
+    """Return the document if it has every field that is read, with a usable value.
+
+    The error is the reason why it can't be used.
+    """
+    if not isinstance(document, dict):
+        return Err("rollout status is not a JSON object")
+    reason = _reason_unusable(document, DOCUMENT_CHECKS)
+    fault = document.get("fault")
+    if reason or fault is None:
+        return Err(reason) if reason else Ok(document)
+    if not isinstance(fault, dict):
+        return Err("fault of a rollout status is not a JSON object")
+    reason = _reason_unusable(fault, FAULT_CHECKS)
+    return Err(f"fault: {reason}") if reason else Ok(document)
+
+
+def _reason_unusable(
+    document: Document, checks: Mapping[str, Callable[[Any], bool]]
+) -> str:
+    """Return which field can't be used, empty if all can."""
+    for name, is_usable in checks.items():
+        if not is_usable(document.get(name)):
+            return f"field {name!r} of a rollout status is missing or can't be used"
+    return ""
+
+
+def _is_text(value: Any) -> bool:
+    # Text may have been written with half of a surrogate pair, which has no encoding.
+    return isinstance(value, str) and value.isprintable()
+
+
+def _is_time(value: Any) -> bool:
+    return _is_whole(value) and value <= MAX_TIME_MS
+
+
+def _is_whole(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
+
+
+def _is_figure(value: Any) -> bool:
+    return isinstance(value, int | float) and 0 <= value <= MAX_FIGURE
+
+
+def _is_state(value: Any) -> bool:
+    return isinstance(value, str) and value in STATE_RANKS
+
+
+DOCUMENT_CHECKS: dict[str, Callable[[Any], bool]] = {
+    "rollout": _is_text,
+    "digest": _is_text,
+    "service": _is_text,
+    "version": _is_text,
+    "since": _is_text,
+    "state": _is_state,
+    "started_ms": _is_time,
+    "configuration_version": _is_whole,
+}
+FAULT_CHECKS: dict[str, Callable[[Any], bool]] = {
+    "route": _is_text,
+    "figure": _is_text,
+    "new_value": _is_figure,
+    "old_value": _is_figure,
+    "decided_ms": _is_time,
+    "availability_zone": _is_text,
+    "after_done": lambda value: isinstance(value, bool),
+}
 
 
 def encode_document(document: Document) -> bytes:
@@ -192,6 +263,7 @@
     "ROLLOUT_STATUS_PREFIX",
     "Document",
     "RolloutDocumentCodec",
+    "check_document",
     "decision_from_document",
     "decode_document",
     "document_to_write",
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -96,6 +96,26 @@
 
         run_with_fixture(steps)
 
+    def test_watch_goes_on_after_changes_that_can_not_be_applied(self) -> None:
+        async def steps(fixture: Fixture) -> None:
+            client, recorder = fixture.client, WatchRecorder()
+
+            def fail_once(events: tuple[WatchEvent, ...]) -> None:
+                recorder.record_events(events)
+                if len(recorder.events) == 1:
+                    raise RecursionError("nested too deeply")
+
+            watch = client.watch("k/", 1, fail_once, recorder.closed.append)
+            (await client.swap("k/1", b"1", 0)).unwrap()
+            await fixture.sleep(0.2)
+            (await client.swap("k/2", b"2", 0)).unwrap()
+            await fixture.sleep(0.3)
+            watch.stop()
+            self.assertEqual(["k/1", "k/2"], [e.key for e in recorder.events])
+            self.assertEqual([], recorder.closed)
+
+        run_with_fixture(steps)
+
     def test_range_of_many_pages(self) -> None:
         async def steps(fixture: Fixture) -> None:
             for number in range(1201):
--- a/tests/process/distribution/test_stored_configuration.py
+++ b/tests/process/distribution/test_stored_configuration.py
@@ -33,6 +33,8 @@
     item = items.get(KEY)
     if item is None:
         return Ok(None)
+    if item.value == b"raises":
+        raise OverflowError("a number is too large")
     if item.value == b"bad":
         return Err((Finding(KEY, 0, "", "", "is bad"),))
     return Ok(Snapshot(max(i.mod_revision for i in items.values()), {}, {}))
@@ -80,6 +82,19 @@
         self.advance(1)
         self.assertEqual([revision], self.versions)
 
+    def test_value_that_raises_an_error_does_not_stop_the_following(self) -> None:
+        self.write(b"raises")
+        self.source.set_active(True)
+        self.advance(1)
+        first = self.write(b"1")
+        self.advance(1)
+        self.write(b"raises")
+        self.advance(3)
+        last = self.write(b"3")
+        self.advance(3)
+        self.assertEqual([first, last], self.versions)
+        self.assertTrue(self.source.is_in_touch)
+
     def test_unreadable_value_is_skipped(self) -> None:
         self.write(b"1")
         self.source.set_active(True)
