A restored draining server does not change the entry of another one

What callers saw: nothing; found by reading. restore_draining gave every server beside the daemon that drains the report number of the restored one. The test failed before.

--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -327,7 +327,8 @@
         emit(Event.SERVER_DRAINING_RESTORED, incarnation=known.incarnation)
         for server in self.servers.values():
             announcement = server.announcement
-            if self._is_leaving(announcement, server):
+            is_same_start = announcement.incarnation == known.incarnation
+            if is_same_start and self._is_leaving(announcement, server):
                 server.announcement = announcement.as_draining(known.sequence)
                 server.admission.close()
                 self.on_change()
--- a/tests/process/test_local_servers.py
+++ b/tests/process/test_local_servers.py
@@ -170,6 +170,12 @@
                 self.report(5, 4)
                 self.assertIsNotNone(self.servers.admission_for("holds", ""))
 
+    def test_restored_draining_changes_no_other_server(self) -> None:
+        self.report(5, 3, draining=True)
+        before = self.servers.endpoints
+        self.servers.restore_draining(DrainingServer(6, FINAL_SEQUENCE))
+        self.assertEqual(before, self.servers.endpoints)
+
     def test_server_deregistered_before_a_restart_is_never_used(self) -> None:
         self.servers.restore_draining(DrainingServer(5, FINAL_SEQUENCE))
         self.report(5, 99)
