--- a/src/briarslip/connection/link_writer.py
+++ b/src/briarslip/connection/link_writer.py
@@ -5,7 +5,7 @@
 import struct
 from typing import TYPE_CHECKING
 
-from briarslip.connection.frame import encode_frame
+from briarslip.connection.frame_codec import encode_frame
 from briarslip.connection.immediate_write import write_immediately
 
 
--- a/src/briarslip/connection/peer_link.py
+++ b/src/briarslip/connection/peer_link.py
@@ -25,7 +25,7 @@
 from briarslip.connection.frame import RequestFrame
 from briarslip.connection.frame import ResponseFrame
 from briarslip.connection.frame import WithdrawFrame
-from briarslip.connection.frame import decode_frame
+from briarslip.connection.frame_codec import decode_frame
 from briarslip.connection.heartbeat import IDLE_TIMEOUT_SECONDS
 from briarslip.connection.heartbeat import PING_AFTER_SECONDS
 from briarslip.connection.heartbeat import LinkActivity
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -16,8 +16,8 @@
 
 from briarslip.address import Address
 from briarslip.connection.frame import RequestFrame
-from briarslip.connection.frame import decode_frame
-from briarslip.connection.frame import encode_frame
+from briarslip.connection.frame_codec import decode_frame
+from briarslip.connection.frame_codec import encode_frame
 from briarslip.platform.configuration import CONFIGURATION_KEY
 from briarslip.platform.configuration import ConfigurationReader
 from briarslip.platform.rollouts import PLATFORM_ROLLOUT_CODEC
--- a/tests/request/test_request_rate.py
+++ b/tests/request/test_request_rate.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from briarslip.process.local_servers import MAX_FIRST_CALLS
+from briarslip.process.local_server import MAX_FIRST_CALLS
 from briarslip.request.call import ServerStatus
 from briarslip.request.outcome import Outcome
 from briarslip.request.request_rate import RequestRate
