A late deregistration of an earlier start no longer ends the new start of a server

The new test failed before: a server that has started again under its id gets no calls any more once the deregistration of its earlier start arrives.

Cause: deregistration looked at the server's id only.

Why this works: a deregistration that names a start ends that one and those before it.

--- a/src/briarslip/process/local_servers.py
+++ b/src/briarslip/process/local_servers.py
@@ -203,6 +203,9 @@
             announcement = server.announcement
             if announcement.server_id != server_id:
                 continue
+            if 0 < incarnation < announcement.incarnation:
+                # The deregistration of an earlier start is late.
+                continue
             self.ended_incarnations[server_id] = max(
                 incarnation, announcement.incarnation
             )
--- a/tests/process/test_local_servers.py
+++ b/tests/process/test_local_servers.py
@@ -203,6 +203,14 @@
         self.report(5, 3, draining=True)
         self.assertEqual([3], [e.state_sequence for e in self.servers.endpoints])
 
+    def test_late_deregistration_of_an_earlier_start_ends_the_new_start(self) -> None:
+        self.report(6, 1)
+        self.servers.deregister("i", 5)
+        self.report(6, 2)
+        self.assertIsNotNone(self.servers.admission_for("holds", ""))
+        self.servers.deregister("i", 6)
+        self.assertIsNone(self.servers.admission_for("holds", ""))
+
     def test_deregistration_before_any_report_is_remembered(self) -> None:
         self.servers.deregister("i", 5)
         self.report(5, 9)
