Accept any short printable name in a server's report

Names outside the letters of the configuration's names were refused since the check of odd entries; such a server was accepted before. What can be published is enough.

--- a/src/briarslip/platform/json_object.py
+++ b/src/briarslip/platform/json_object.py
@@ -12,7 +12,6 @@
 from result import Ok
 from result import Result
 
-from briarslip import fields
 from briarslip.address import Address
 from briarslip.address import parse_address
 from briarslip.finding import Finding
@@ -26,7 +25,7 @@
 T = TypeVar("T")
 
 # Two of them and a zone fit into a membership datagram.
-MAX_NAME_LENGTH = 200
+MAX_NAME_BYTES = 200
 
 
 class JsonObject:
@@ -77,15 +76,16 @@
         return ""
 
     def short_name(self, name: str) -> str:
-        """Return a string field that can be published as the name of something."""
+        """Return a string field that can be published as the name of something.
+
+        A line break would end it in a frame, and half a surrogate pair has no encoding.
+        """
         value = self.text(name)
-        parsed = fields.name(value)
-        if isinstance(parsed, Err) or len(value) > MAX_NAME_LENGTH:
-            if value:
-                reason = f"is not a name of at most {MAX_NAME_LENGTH} characters"
-                self.add_finding(name, reason)
-            return ""
-        return value
+        if value.isprintable() and len(value.encode()) <= MAX_NAME_BYTES:
+            return value
+        reason = f"is not printable text of at most {MAX_NAME_BYTES} bytes"
+        self.add_finding(name, reason)
+        return ""
 
     def choice(self, name: str, choices: frozenset[str]) -> str:
         """Return a string field that must be one of the choices."""
