A response is no longer cut off while its caller reads it

Cause: one time stood for the last bytes of a request and for the last progress of its response. The time at the server counted as time in which the caller read nothing.

Ruled out: the deadline, which is seconds away; a caller that stalls.

Why this works: progress is what the socket has accepted since the response began. A caller that reads nothing for the idle timeout is cut off, and its request is cancelled.

--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -27,6 +27,7 @@
 from briarslip.connection.socket_close import has_unsent_data
 from briarslip.connection.socket_close import read_pending
 from briarslip.connection.socket_options import set_socket_options
+from briarslip.connection.write_progress import WriteProgress
 from briarslip.process.error_log import record_error
 from briarslip.process.error_log import run_each
 from briarslip.request.forwarder import CallerRequest
@@ -76,6 +77,7 @@
         self.reading = True
         self.paused = False
         self.last_active_at = factory.now
+        self.write_progress = WriteProgress()
 
     def connectionMade(self) -> None:
         """Register the connection and receive backpressure of its transport."""
@@ -125,6 +127,7 @@
 
     def write(self, data: bytes) -> None:
         """Write bytes of a response."""
+        self.write_progress.record_write(self.transport, len(data), self.factory.now)
         write_immediately(self.transport, data)
 
     def response_finished(self) -> None:
@@ -349,8 +352,13 @@
     def _close_if_inactive(self, connection: CallerConnection) -> None:
         inactive_seconds = self.now - connection.last_active_at
         limits = self.limits()
-        if connection.paused or has_unsent_data(connection.transport):
-            if inactive_seconds > limits.read_timeout_seconds:
+        transport = connection.transport
+        if connection.paused or has_unsent_data(transport):
+            # How long the request took says nothing about the caller's reading.
+            stalled = connection.write_progress.stalled_seconds(transport, self.now)
+            if stalled > limits.idle_timeout_seconds:
+                if connection.exchange is not None:
+                    connection.exchange.caller_disconnected()
                 connection.abort()
             return
         if connection.closed:
--- a/src/briarslip/connection/caller_limits.py
+++ b/src/briarslip/connection/caller_limits.py
@@ -19,8 +19,8 @@
 
     ``head_bytes`` and ``body_bytes`` are the largest sizes of a request.
     ``read_timeout_seconds`` is how long a transfer may make no progress while a
-    request is read or the caller does not read its response.
-    ``idle_timeout_seconds`` is how long a connection is kept between two requests.
+    request is read. ``idle_timeout_seconds`` is how long a connection is kept between
+    two requests, and while the caller reads nothing of its response.
     """
 
     head_bytes: int = 32 << 10
--- a/tests/connection/test_caller_http.py
+++ b/tests/connection/test_caller_http.py
@@ -26,6 +26,7 @@
 POST = b"POST /a HTTP/1.1\r\nHost: a\r\n"
 UNKNOWN = Failure(Outcome.UNKNOWN, Reason.TRUNCATED)
 MAX_BODY_BYTES = 1000
+LIMITS = CallerLimits(body_bytes=MAX_BODY_BYTES)
 
 
 def head(status: int = 200, headers: bytes = b"") -> ResponseHead:
@@ -39,9 +40,7 @@
     def setUp(self) -> None:
         self.clock = FakeClock()
         self.forwarded = RecordingDispatch()
-        self.factory = CallerHttpFactory(
-            self.clock, self.forwarded, lambda: CallerLimits(body_bytes=MAX_BODY_BYTES)
-        )
+        self.factory = CallerHttpFactory(self.clock, self.forwarded, lambda: LIMITS)
         self.connection: Any = self.factory.buildProtocol(None)
         self.transport = FakeTransport()
         self.connection.makeConnection(self.transport)
@@ -204,6 +203,36 @@
         self.connection.resumeProducing()
         self.assertFalse(flow.paused)
 
+    def begin_slow_response(self) -> None:
+        """Receive a request that takes longer than requests may, and respond to it.
+
+        The socket accepts a tenth of the response.
+        """
+        self.factory.startFactory()
+        self.receive(GET)
+        self.clock.pump([0.5] * int(2 * LIMITS.read_timeout_seconds + 2))
+        sink = self.forwarded.calls[0][1]
+        self.transport.dataBuffer = b""
+        sink.head(OK)
+        sink.body(b"x" * 1000, False)
+        self.transport.dataBuffer = b"x" * 900
+        self.connection.pauseProducing()
+
+    def test_response_is_cut_off_while_its_caller_reads_it(self) -> None:
+        self.begin_slow_response()
+        for _ in range(8):
+            self.clock.pump([0.5] * int(2 * LIMITS.idle_timeout_seconds - 1))
+            self.assertFalse(self.transport.aborted)
+            self.transport.dataBuffer = self.transport.dataBuffer[100:]
+
+    def test_response_is_cut_off_if_its_caller_reads_nothing(self) -> None:
+        self.begin_slow_response()
+        self.clock.pump([0.5] * int(2 * LIMITS.idle_timeout_seconds))
+        self.assertFalse(self.transport.aborted)
+        self.clock.pump([0.5] * 2)
+        self.assertTrue(self.transport.aborted)
+        self.assertEqual(1, len(self.forwarded.cancelled))
+
     def test_disconnected_caller_cancels_its_request(self) -> None:
         self.receive(GET)
         self.connection.connectionLost()
