Log and count the requests that a daemon itself ends with 3xx or 4xx

A 404 was logged as event 402 among all other failures, under one rate limit, and 400, 413 and 431 not at all. Event 422 now has the status, the reason, what the connection had received, the configuration, its age and the store's copy; briarslip_client_errors_total counts by status and reason.

--- a/src/briarslip/connection/caller_connection.py
+++ b/src/briarslip/connection/caller_connection.py
@@ -14,6 +14,8 @@
 from briarslip.connection.caller_exchange import CONNECTION_CLOSE_LINE
 from briarslip.connection.caller_exchange import CallerExchange
 from briarslip.connection.caller_exchange import error_response
+from briarslip.connection.caller_request import describe_unread
+from briarslip.connection.caller_request import make_request
 from briarslip.connection.http_head import HeadError
 from briarslip.connection.immediate_write import write_immediately
 from briarslip.connection.pipeline import Pipeline
@@ -30,7 +32,6 @@
 from briarslip.process.events import emit
 from briarslip.request.body import EMPTY_BODY
 from briarslip.request.flow_control import FlowControl
-from briarslip.request.forwarder import CallerRequest
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -72,6 +73,7 @@
         self.write_progress = WriteProgress()
         self.buffers = CallerBuffers(factory.budget, self.give_way)
         self.request_bytes = 0
+        self.request_count = 0
 
     @property
     def is_reading(self) -> bool:
@@ -309,7 +311,8 @@
 
     def _check_key(self, head: RequestHead) -> HeadError | None:
         """Return the error of a request whose key is not accepted."""
-        request = self._make_request(head, EMPTY_BODY, FlowControl())
+        added_headers = self.factory.added_headers
+        request = make_request(head, EMPTY_BODY, FlowControl(), added_headers)
         if self.factory.accepts_key(request):
             return None
         return HeadError(http.UNAUTHORIZED, Reason.UNKNOWN_KEY.value)
@@ -336,7 +339,8 @@
         sink: ResponseSink,
     ) -> None:
         self.factory.in_flight += 1
-        request = self._make_request(head, body, exchange.flow)
+        self.request_count += 1
+        request = make_request(head, body, exchange.flow, self.factory.added_headers)
         try:
             cancel = self.factory.forward(request, sink)
         except Exception as error:
@@ -346,20 +350,6 @@
         if not exchange.ended:
             exchange.cancel = cancel
 
-    def _make_request(
-        self, head: RequestHead, body: Body, flow: FlowControl
-    ) -> CallerRequest:
-        return CallerRequest(
-            method=head.method.decode("latin-1"),
-            target=head.target.decode("latin-1"),
-            headers=head.headers + self.factory.added_headers,
-            body=body,
-            depth=head.depth,
-            timeout_seconds=None if head.timeout_ms is None else head.timeout_ms / 1000,
-            flow=flow,
-            host=head.host,
-        )
-
     def reject_as_not_run(self, reason: Reason) -> None:
         """Reject the request that is being received; its caller may come again."""
         seconds = self.factory.retry_after_seconds(None)
@@ -368,9 +358,12 @@
 
     def reject(self, status: int, text: str, header_lines: bytes = b"") -> None:
         """Reject a request after which the next can't be found, and close."""
+        conventions = self.factory.conventions
+        received = describe_unread(self.reader, conventions, self.request_count)
+        self.factory.client_errors.record(status, text, received)
         self.reader.discard()
         self.request_bytes = 0
-        header_lines += self.factory.conventions.outcome_line(Outcome.NOT_RUN.value)
+        header_lines += conventions.outcome_line(Outcome.NOT_RUN.value)
         header_lines += CONNECTION_CLOSE_LINE
         self.write(error_response(status, text, header_lines))
         self.close()
--- a/src/briarslip/connection/caller_exchange.py
+++ b/src/briarslip/connection/caller_exchange.py
@@ -7,6 +7,8 @@
 
 from twisted.web import http
 
+from briarslip.connection.caller_request import describe_head
+from briarslip.connection.client_errors import TOO_MANY_REQUESTS
 from briarslip.connection.http_head import declared_length
 from briarslip.request.flow_control import FlowControl
 from briarslip.request.outcome import Outcome
@@ -24,7 +26,6 @@
 
 
 UNPROCESSABLE = 422
-TOO_MANY_REQUESTS = 429
 MS_PER_SECOND = 1000
 BODILESS_STATUSES = frozenset((204, 304))
 STATUS_LINES = {
@@ -75,6 +76,7 @@
         self.bodiless = False
         self.declared_bytes: int | None = None
         self.sent_bytes = 0
+        self.earlier_requests = connection.request_count
 
     def head(self, head: ResponseHead) -> None:
         """Buffer the head until the first part of the body."""
@@ -124,6 +126,10 @@
             header_lines += conventions.retry_after_line(seconds)
         if failure.reason is Reason.UNKNOWN_KEY:
             header_lines += conventions.challenge_line
+        received = describe_head(self.request_head, conventions, self.earlier_requests)
+        self.connection.factory.client_errors.record(
+            status, failure.reason.value, received
+        )
         bodiless = self.request_head.method == b"HEAD"
         response = error_response(status, failure.reason.value, header_lines, bodiless)
         self.connection.write(response)
--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -13,6 +13,7 @@
 from briarslip.connection.caller_limits import DEFAULT_LIMITS
 from briarslip.connection.caller_limits import default_retry_after_seconds
 from briarslip.connection.caller_timeouts import close_if_inactive
+from briarslip.connection.client_errors import ClientErrors
 from briarslip.connection.connection_table import ConnectionTable
 from briarslip.connection.connection_table import no_limit
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
@@ -54,7 +55,7 @@
     connections. ``may_repeat`` returns whether a request may be forwarded while the one
     before it on the connection has not been answered.
     ``accepts_key`` returns whether the key of a request whose body is still to be
-    received is accepted.
+    received is accepted. ``client_errors`` counts the requests ended with 3xx or 4xx.
     """
 
     noisy = False
@@ -73,6 +74,7 @@
         max_connections: Callable[[], int] = no_limit,
         may_repeat: Callable[[RequestHead], bool] = _wait_for_response,
         accepts_key: Callable[[CallerRequest], bool] = lambda _: True,
+        client_errors: ClientErrors | None = None,
     ) -> None:
         self.may_repeat = may_repeat
         self.reactor = reactor
@@ -81,6 +83,7 @@
         self.conventions = conventions
         self.added_headers = added_headers
         self.accepts_key = accepts_key
+        self.client_errors = client_errors or ClientErrors()
         self.retry_after_seconds = retry_after_seconds
         self.budget = budget or BufferBudget.unlimited(SystemClock())
         self.table = ConnectionTable[CallerConnection](max_connections)
--- a/src/briarslip/platform/adapters.py
+++ b/src/briarslip/platform/adapters.py
@@ -54,6 +54,7 @@
         rollout_codec=PLATFORM_ROLLOUT_CODEC,
         caller_service=file.service,
         add_restore_listener=store.restore_listeners.append,
+        store_copy=lambda: store.copy or 0,
     )
 
 
--- a/src/briarslip/process/adapters.py
+++ b/src/briarslip/process/adapters.py
@@ -30,6 +30,10 @@
     """Ignore a listener: the store keeps everything that it has acknowledged."""
 
 
+def _no_copies() -> int:
+    return 0
+
+
 @dataclass(frozen=True, slots=True)
 class ServerCallbacks:
     """Callbacks of the endpoints that backend servers call.
@@ -52,7 +56,8 @@
     configuration is read from the operators' records in the store.
     ``rollout_codec`` encodes the status documents of rollouts. ``caller_service``
     is the service whose server and callers use this daemon. ``add_restore_listener``
-    adds a function that is called when the store has been restored from a copy.
+    adds a function that is called when the store has been restored from a copy, and
+    ``store_copy`` returns the number of the copy that it works on, 0 without copies.
     """
 
     store: StoreClient
@@ -63,6 +68,7 @@
     rollout_codec: RolloutDocumentCodec = DEFAULT_ROLLOUT_CODEC
     caller_service: str = ""
     add_restore_listener: Callable[[Callable[[], None]], None] = _never_restored
+    store_copy: Callable[[], int] = _no_copies
 
     @classmethod
     def from_settings(cls, settings: Settings, reactor: Any) -> Adapters:
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -10,6 +10,7 @@
 from briarslip.connection.buffer_budget import BufferBudget
 from briarslip.connection.caller_http import CallerHttpFactory
 from briarslip.connection.caller_limits import CallerLimits
+from briarslip.connection.client_errors import ClientErrors
 from briarslip.connection.deadline_wheel import DeadlineWheel
 from briarslip.connection.frame import Hello
 from briarslip.connection.frame import Topic
@@ -22,6 +23,7 @@
 from briarslip.process.claims.claims import StoreClaims
 from briarslip.process.clock import SystemClock
 from briarslip.process.cold_rules import cold_rule
+from briarslip.process.configuration_state import configuration_state
 from briarslip.process.distribution.task import DistributionTask
 from briarslip.process.draining_records import DrainingRecords
 from briarslip.process.evacuations import Evacuations
@@ -201,7 +203,10 @@
             adapters.rollout_codec,
         )
         self.service_levels = ServiceLevels(clock)
-        self.metrics = Metrics(EVENT_COUNTS, DROPPED_LINES, gauges(self))
+        self.client_errors = ClientErrors(partial(configuration_state, self))
+        self.metrics = Metrics(
+            EVENT_COUNTS, DROPPED_LINES, gauges(self), self.client_errors.counts
+        )
         self.forwarder = Forwarder(clock, rng, forwarder_dependencies(self))
         self.callers = CallerHttpFactory(
             reactor,
@@ -214,6 +219,7 @@
             partial(max_caller_connections, settings.limits),
             self.may_repeat,
             self.forwarder.accepts_key,
+            self.client_errors,
         )
 
     @classmethod
--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -113,6 +113,7 @@
         self.is_relay = False
         self.started = False
         self.first_version_at = math.inf
+        self.version_active_at = math.inf
         # None if only relays read the store.
         self.store_watch: StoreWatch | None = None
         self.relay: ConfigurationSource
@@ -240,8 +241,9 @@
         if version == previous_version:
             return
         self.bootstrap.stop()
+        self.version_active_at = self.clock.monotonic()
         if not previous_version:
-            self.first_version_at = self.clock.monotonic()
+            self.first_version_at = self.version_active_at
         # The version is pushed before any request is served with it, so that the
         # zone has it in case this daemon is replaced.
         self._push(previous_version)
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -214,6 +214,11 @@
         Level.INFO,
         "request is refused because its organisation exceeds its limit",
     )
+    CLIENT_ERROR = (
+        422,
+        Level.WARNING,
+        "request is ended as wrong with a 3xx or 4xx of the daemon's own",
+    )
     CLAIMS_UNAVAILABLE = (
         451,
         Level.WARNING,
--- a/src/briarslip/process/metrics.py
+++ b/src/briarslip/process/metrics.py
@@ -53,7 +53,8 @@
     """Metrics of a daemon; the gauges are read at each scrape.
 
     ``events`` counts the log events by number, including dropped ones, and
-    ``dropped_lines`` those whose lines were dropped.
+    ``dropped_lines`` those whose lines were dropped. ``client_errors`` counts the
+    requests that the daemon itself ended with 3xx or 4xx, by status and reason.
     """
 
     def __init__(
@@ -61,10 +62,12 @@
         events: Mapping[int, int],
         dropped_lines: Mapping[int, int],
         gauges: Mapping[str, Callable[[], float]],
+        client_errors: Mapping[tuple[int, str], int],
     ) -> None:
         self.events = events
         self.dropped_lines = dropped_lines
         self.gauges = gauges
+        self.client_errors = client_errors
         self.attempts: Counter[tuple[str, str, str]] = Counter()
         self.latencies: dict[str, LatencyHistogram] = {}
 
@@ -122,6 +125,14 @@
             for number, count in sorted(counts.items()):
                 family.add_metric((str(number),), count)
             yield family
+        client_errors = CounterMetricFamily(
+            "briarslip_client_errors",
+            "Requests ended with 3xx or 4xx by the daemon itself",
+            labels=("status", "reason"),
+        )
+        for (status, reason), count in sorted(self.client_errors.items()):
+            client_errors.add_metric((str(status), reason), count)
+        yield client_errors
         for name, read_gauge in self.gauges.items():
             yield GaugeMetricFamily(f"briarslip_{name}", name, value=read_gauge())
 
--- a/tests/process/test_metrics.py
+++ b/tests/process/test_metrics.py
@@ -26,7 +26,12 @@
     """Counters, histograms and gauges in the Prometheus text format."""
 
     def setUp(self) -> None:
-        self.metrics = Metrics({402: 3}, {402: 1}, {"live_members": lambda: 7})
+        self.metrics = Metrics(
+            {402: 3},
+            {402: 1},
+            {"live_members": lambda: 7},
+            {(404, "no route matches"): 2},
+        )
 
     def test_text(self) -> None:
         self.metrics.record(attempt())
@@ -40,6 +45,7 @@
             'briarslip_events_total{event="402"} 3.0',
             'briarslip_log_left_out_total{event="402"} 1.0',
             "briarslip_live_members 7.0",
+            'briarslip_client_errors_total{reason="no route matches",status="404"} 2.0',
         ):
             self.assertIn(line, text.splitlines())
 
