A change is no longer hidden for 12 s by a silent watch of the store

What callers saw: after all open connections had gone silent, requests on added routes got 404 and moved routes were served as before, by daemons that were in touch with the store again (event 422: configuration older than the operators').

Cause: the watch trusts a connection that says nothing. TCP keepalive was set to an interval of 1 s, but not to a number of probes, of which the default is 9; so the end of the poll found it, 12 s after it was sent. A restore of the store that the watch slept through was noticed as late. Class: silence of a subscription is taken for no news.

Ruled out: that the change is read and dropped (no event 311), that the store refuses (one event 601).

An answer without changes ends the count of failures, so that a relay is in touch again with it, and a watch that lasted 2 s is reopened without a longer back-off.

It costs calls to the store: one in 1.5 s instead of one in 10 s for each watching daemon.

--- a/src/briarslip/platform/long_poll.py
+++ b/src/briarslip/platform/long_poll.py
@@ -32,9 +32,11 @@
 
 
 GONE = 410
-WATCH_WAIT = timedelta(seconds=10)
+# A connection that went silent, or a restore, shows only when a poll ends. A change
+# must be in force within 3 s of either.
+WATCH_WAIT = timedelta(seconds=1.5)
 # Time for the response of a poll that has waited the whole ``WATCH_WAIT``.
-WATCH_MARGIN = timedelta(seconds=2)
+WATCH_MARGIN = timedelta(seconds=0.75)
 
 
 class LongPoll:
@@ -67,18 +69,18 @@
         self.ended = False
         self.pending_response: Deferred[Any] | None = None
 
-    def poll(self) -> None:
-        """Send the next poll."""
+    def poll(self, wait: timedelta = WATCH_WAIT) -> None:
+        """Send the next poll; the store waits up to ``wait`` for changes."""
         query = {
             "prefix": self.prefix,
             "after": str(to_store_revision(self.after_revision)),
-            "wait-ms": str(int(WATCH_WAIT.total_seconds() * 1000)),
+            "wait-ms": str(int(wait.total_seconds() * 1000)),
         }
         sink = HttpResponseSink()
         target = f"/-/kv-watch?{urlencode(query)}"
         sink.cancel_request = self.http.open_stream("GET", target, None, sink)
         self.pending_response = sink.response
-        limit_seconds = (WATCH_WAIT + WATCH_MARGIN).total_seconds()
+        limit_seconds = (wait + WATCH_MARGIN).total_seconds()
         sink.response.addTimeout(limit_seconds, self.reactor)
         sink.response.addCallbacks(self._response_received, self._timed_out)
 
@@ -132,8 +134,8 @@
             # A response without events may skip changes whose history was
             # compacted, so only a response with events advances the watch.
             self.after_revision = max(self.after_revision, current_revision)
-            # The watch goes on if the changes can't be applied.
-            run_each((self.on_events,), events)
+        # The watch goes on if the changes can't be applied.
+        run_each((self.on_events,), events)
         if not self.ended:
             self.poll()
 
@@ -146,4 +148,4 @@
         self.on_closed(WatchClosed(reason, compacted))
 
 
-__all__ = ["LongPoll"]
+__all__ = ["WATCH_WAIT", "LongPoll"]
--- a/src/briarslip/platform/store.py
+++ b/src/briarslip/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import math
 from datetime import timedelta
 from functools import partial
 from typing import TYPE_CHECKING
@@ -13,6 +14,7 @@
 from result import Ok
 from result import Result
 
+from briarslip.platform.long_poll import WATCH_WAIT
 from briarslip.platform.long_poll import LongPoll
 from briarslip.platform.store_copy import copy_number
 from briarslip.platform.store_messages import OK
@@ -46,13 +48,17 @@
 NOT_FOUND = 404
 CONDITION_FAILED = 412
 CONNECT_TIMEOUT_SHARE = 0.5
+# The store is away for longer when it is restored, so that its copy is known for as
+# long after a response.
+COPY_KNOWN_TIME = timedelta(seconds=0.5)
 
 
 class PlatformStore:
     """Implementation of ``StoreClient`` for the platform's store over HTTP.
 
     ``copy`` is the number of the copy that the store works on, None before its first
-    response. ``restore_listeners`` are called when it has risen.
+    response; ``restore_listeners`` are called when it has risen. ``answered_at`` is the
+    reactor time of the last response.
     """
 
     def __init__(self, reactor: Any, http: StoreHttpClient, timeout: timedelta) -> None:
@@ -60,6 +66,7 @@
         self.http = http
         self.timeout = timeout
         self.copy: int | None = None
+        self.answered_at = -math.inf
         self.watches: set[LongPoll] = set()
         self.restore_listeners: list[Callable[[], None]] = []
 
@@ -204,9 +211,14 @@
             self.watches.discard,
         )
         self.watches.add(watch)
-        watch.poll()
+        watch.poll(WATCH_WAIT if self._is_copy_known() else timedelta())
         return watch
 
+    def _is_copy_known(self) -> bool:
+        """Return whether the store can't have been restored since its last response."""
+        silent_seconds = self.reactor.seconds() - self.answered_at
+        return bool(silent_seconds < COPY_KNOWN_TIME.total_seconds())
+
     async def _send(
         self,
         method: str,
@@ -233,6 +245,7 @@
         if previous is not None and copy < previous:
             return False
         self.copy = copy
+        self.answered_at = self.reactor.seconds()
         if previous is not None and copy > previous:
             emit(Event.STORE_RESTORED, copy=copy, previous=previous)
             for watch in tuple(self.watches):
--- a/src/briarslip/process/store/client.py
+++ b/src/briarslip/process/store/client.py
@@ -138,6 +138,7 @@
     ) -> Watch:
         """Watch the keys under a prefix from ``start_revision`` on (inclusive).
 
+        ``on_events`` may be called without events, when the store has answered.
         ``on_closed`` is called once, if the watch ends other than by ``stop``.
         """
 
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -20,14 +20,17 @@
 
 RETRY_BASE_SECONDS = 0.25
 RETRY_CAP_SECONDS = 4.0
+# A watch that lasted as long was opened, whatever ended it.
+OPEN_SECONDS = 2.0
 
 
 class StoreWatch:
     """Watches the keys under a prefix without missing an event.
 
     A watch that ends is reopened after a back-off, from the revision after the last
-    one received. If the store has compacted that revision, the watch stops and
-    ``on_compacted`` is called; the owner must then read the prefix again.
+    one received. ``failures`` counts those that ended since the store last answered.
+    If the store has compacted that revision, the watch stops and ``on_compacted`` is
+    called; the owner must then read the prefix again.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         self.failures = 0
         self.watch: Watch | None = None
         self.generation = 0
+        self.opened_at = 0.0
 
     def start(self, revision: int) -> None:
         """Watch from a revision on, in place of the current watch if there is one."""
@@ -66,12 +70,15 @@
     def _open(self, generation: int) -> None:
         if generation != self.generation:
             return
+        self.opened_at = self.reactor.seconds()
         self.watch = self.store.watch(
             self.prefix, self.next_revision, self._events, self._closed
         )
 
     def _events(self, events: tuple[WatchEvent, ...]) -> None:
         self.failures = 0
+        if not events:
+            return
         newest = max(event.mod_revision for event in events)
         self.next_revision = max(self.next_revision, newest + 1)
         self.on_events(events)
@@ -82,10 +89,12 @@
             self.stop()
             self.on_compacted()
             return
+        was_open = self.reactor.seconds() - self.opened_at >= OPEN_SECONDS
+        previous_failures = 0 if was_open else self.failures
         delay = full_jitter(
-            self.rng, self.failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+            self.rng, previous_failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
         )
-        self.failures += 1
+        self.failures = previous_failures + 1
         self.reactor.callLater(delay, self._open, self.generation)
 
 
--- a/standins/users_store_server.py
+++ b/standins/users_store_server.py
@@ -43,6 +43,7 @@
 
     def _mark_finished(self, _: object) -> None:
         self.is_finished = True
+        self.factory.waiting.discard(self)
 
     def _run(self) -> None:
         path, _, query = self.uri.decode("latin-1").partition("?")
@@ -62,6 +63,11 @@
         wait_seconds = int(self.query["wait-ms"]) / 1000
         self.factory.reactor.callLater(wait_seconds, self._send_no_events)
         self.factory.store.waiters.append(self._send_new_events)
+        self.factory.waiting.add(self)
+
+    def lose(self) -> None:
+        """Never answer, as on a connection that went silent."""
+        self.is_finished = True
 
     def _send_new_events(self) -> None:
         if self.is_finished:
@@ -106,6 +112,12 @@
         self.faults: dict[str, str] = {}
         self.delay_seconds = 0.0
         self.drops_write_answers = False
+        self.waiting: set[StoreRequest] = set()
+
+    def lose_waiting(self) -> None:
+        """Never answer the watches that wait now; their connections stay open."""
+        for request in self.waiting:
+            request.lose()
 
     def fault_for(self, host: str) -> str:
         """Return the fault set for a client's IP address, empty for none."""
--- a/tests/connection/test_socket_options.py
+++ b/tests/connection/test_socket_options.py
@@ -39,6 +39,12 @@
                     socket.IPPROTO_TCP, socket.TCP_KEEPIDLE
                 )
                 set_socket_options(transport, seconds)
+                if seconds is not None:
+                    probes = transport.socket.getsockopt(
+                        socket.IPPROTO_TCP, socket.TCP_KEEPCNT
+                    )
+                    # Lost within 3 s: a second, and two probes a second apart.
+                    self.assertEqual(2, probes)
                 for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
                     value = transport.socket.getsockopt(socket.IPPROTO_TCP, option)
                     if seconds is not None:
