Notice a restored store with the first poll of a watch that broke off

What callers saw: 404 on a route that the newest configuration has, for up to 10 s after the store came back from a copy.

Cause: a watch that breaks off while the store is away is opened again from the revision that it had reached. If the restored store has passed that revision meanwhile, it doesn't answer 410 but waits for changes after it, for the whole wait of a poll. The header with the number of the copy comes only with the response, so what was written in between is missed until then. The same holds if another response has told the number while the watch was closed.

Evidence, before the change:

test_restore_unnoticed_by_a_watch_that_was_cut_off_meanwhile AssertionError: 1005 != 1004

The earlier test with the same restore passes without the change, as its store answers the poll that was open when it stopped; a store that stops resets it.

Why it works: the first poll after a break asks for an answer within 1 ms. Its response has the number of the copy, and another number ends the watch, so that everything is read again. A watch that starts after a read keeps the long first poll, so the number of requests for changes in quick succession stays as it is.

--- a/bench/fleet_daemon.py
+++ b/bench/fleet_daemon.py
@@ -110,10 +110,17 @@
         return await super()._call(kind, operation)
 
     def watch(
-        self, prefix: str, start_revision: int, on_events: Any, on_closed: Any
+        self,
+        prefix: str,
+        start_revision: int,
+        on_events: Any,
+        on_closed: Any,
+        is_resumed: bool = False,
     ) -> Any:
         """Watch a prefix; a partition from the store closes the watch."""
-        watch: Any = super().watch(prefix, start_revision, on_events, on_closed)
+        watch: Any = super().watch(
+            prefix, start_revision, on_events, on_closed, is_resumed
+        )
         self.watches.append((watch, on_closed))
         if self.zone in self.fleet.store_partitions:
             self.close_watches(True)
--- a/src/briarslip/platform/long_poll.py
+++ b/src/briarslip/platform/long_poll.py
@@ -33,14 +33,19 @@
 
 GONE = 410
 WATCH_WAIT = timedelta(seconds=10)
-# Time for the response of a poll that has waited the whole ``WATCH_WAIT``.
+# For the first poll after a watch broke off, so that it is answered at once: a store
+# that was restored meanwhile may have passed the watched revision again, and then only
+# a response tells that it was restored.
+RESUMED_WAIT = timedelta(milliseconds=1)
+# Time for the response of a poll that has waited as long as it may.
 WATCH_MARGIN = timedelta(seconds=2)
 
 
 class LongPoll:
     """A watch made of consecutive long polls.
 
-    ``after_revision`` is the revision after which the next poll asks for changes.
+    ``after_revision`` is the revision after which the next poll asks for changes,
+    ``wait`` the time that the store may take to answer it.
     ``record_copy`` records the copy of the store that a response is from, and returns
     False if it is outdated. ``on_ended`` is called once, however the watch ends.
     """
@@ -55,11 +60,13 @@
         on_closed: Callable[[WatchClosed], None],
         record_copy: Callable[[HttpResponse], bool],
         on_ended: Callable[[LongPoll], None],
+        wait: timedelta = WATCH_WAIT,
     ) -> None:
         self.reactor = reactor
         self.http = http
         self.prefix = prefix
         self.after_revision = after_revision
+        self.wait = wait
         self.on_events = on_events
         self.on_closed = on_closed
         self.record_copy = record_copy
@@ -72,13 +79,13 @@
         query = {
             "prefix": self.prefix,
             "after": str(to_store_revision(self.after_revision)),
-            "wait-ms": str(int(WATCH_WAIT.total_seconds() * 1000)),
+            "wait-ms": str(int(self.wait.total_seconds() * 1000)),
         }
         sink = HttpResponseSink()
         target = f"/-/kv-watch?{urlencode(query)}"
         sink.cancel_request = self.http.open_stream("GET", target, None, sink)
         self.pending_response = sink.response
-        limit_seconds = (WATCH_WAIT + WATCH_MARGIN).total_seconds()
+        limit_seconds = (self.wait + WATCH_MARGIN).total_seconds()
         sink.response.addTimeout(limit_seconds, self.reactor)
         sink.response.addCallbacks(self._response_received, self._timed_out)
 
@@ -134,6 +141,7 @@
             self.after_revision = max(self.after_revision, current_revision)
             # The watch goes on if the changes can't be applied.
             run_each((self.on_events,), events)
+        self.wait = WATCH_WAIT
         if not self.ended:
             self.poll()
 
@@ -146,4 +154,4 @@
         self.on_closed(WatchClosed(reason, compacted))
 
 
-__all__ = ["LongPoll"]
+__all__ = ["RESUMED_WAIT", "WATCH_WAIT", "LongPoll"]
--- a/src/briarslip/platform/store.py
+++ b/src/briarslip/platform/store.py
@@ -13,6 +13,8 @@
 from result import Ok
 from result import Result
 
+from briarslip.platform.long_poll import RESUMED_WAIT
+from briarslip.platform.long_poll import WATCH_WAIT
 from briarslip.platform.long_poll import LongPoll
 from briarslip.platform.store_copy import copy_number
 from briarslip.platform.store_messages import OK
@@ -191,6 +193,7 @@
         start_revision: int,
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_closed: Callable[[WatchClosed], None],
+        is_resumed: bool = False,
     ) -> Watch:
         """Watch a prefix from ``start_revision`` on (inclusive)."""
         watch = LongPoll(
@@ -202,6 +205,7 @@
             on_closed,
             self.record_copy,
             self.watches.discard,
+            RESUMED_WAIT if is_resumed else WATCH_WAIT,
         )
         self.watches.add(watch)
         watch.poll()
--- a/src/briarslip/process/store/client.py
+++ b/src/briarslip/process/store/client.py
@@ -135,10 +135,13 @@
         start_revision: int,
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_closed: Callable[[WatchClosed], None],
+        is_resumed: bool = False,
     ) -> Watch:
         """Watch the keys under a prefix from ``start_revision`` on (inclusive).
 
-        ``on_closed`` is called once, if the watch ends other than by ``stop``.
+        ``is_resumed`` is whether an earlier watch up to that revision broke off, so
+        that the store may have been restored since. ``on_closed`` is called once, if
+        the watch ends other than by ``stop``.
         """
 
 
--- a/src/briarslip/process/store/etcd_gateway.py
+++ b/src/briarslip/process/store/etcd_gateway.py
@@ -202,6 +202,7 @@
         start_revision: int,
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_closed: Callable[[WatchClosed], None],
+        is_resumed: bool = False,
     ) -> Watch:
         """Watch the keys under a prefix from ``start_revision`` on (inclusive)."""
         start, end = prefix_range(prefix)
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -63,11 +63,11 @@
             self.watch.stop()
             self.watch = None
 
-    def _open(self, generation: int) -> None:
+    def _open(self, generation: int, is_resumed: bool = False) -> None:
         if generation != self.generation:
             return
         self.watch = self.store.watch(
-            self.prefix, self.next_revision, self._events, self._closed
+            self.prefix, self.next_revision, self._events, self._closed, is_resumed
         )
 
     def _events(self, events: tuple[WatchEvent, ...]) -> None:
@@ -86,7 +86,7 @@
             self.rng, self.failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
         )
         self.failures += 1
-        self.reactor.callLater(delay, self._open, self.generation)
+        self.reactor.callLater(delay, self._open, self.generation, True)
 
 
 __all__ = ["StoreWatch"]
--- a/standins/local_store_client.py
+++ b/standins/local_store_client.py
@@ -124,6 +124,7 @@
         start_revision: int,
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_closed: Callable[[WatchClosed], None],
+        is_resumed: bool = False,  # noqa: ARG002  # revisions are never given out again
     ) -> Watch:
         """Watch a prefix from ``start_revision`` on (inclusive)."""
         self.store.call_counts["watch"] += 1
--- a/standins/users_store_server.py
+++ b/standins/users_store_server.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qsl
+from weakref import WeakSet
 
 from twisted.web import http
 
@@ -106,6 +107,13 @@
         self.faults: dict[str, str] = {}
         self.delay_seconds = 0.0
         self.drops_write_answers = False
+        self.channels: WeakSet[http.HTTPChannel] = WeakSet()
+
+    def drop_connections(self) -> None:
+        """Reset all connections, as a store that stops does."""
+        for channel in tuple(self.channels):
+            if channel.transport is not None:
+                channel.transport.abortConnection()
 
     def fault_for(self, host: str) -> str:
         """Return the fault set for a client's IP address, empty for none."""
@@ -116,6 +124,7 @@
         channel = http.HTTPChannel()
         channel.requestFactory = StoreRequest
         channel.factory = self
+        self.channels.add(channel)
         return channel
 
     def log(self, request: http.Request) -> None:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -147,6 +147,27 @@
 
         run_with_fixture(steps)
 
+    def test_restore_unnoticed_by_a_watch_that_was_cut_off_meanwhile(self) -> None:
+        async def steps(fixture: Fixture) -> None:
+            write_version(fixture, 3)
+            daemon = WatchingDaemon(fixture)
+            await fixture.sleep(0.1)
+            copy = fixture.store.copy()
+            write_version(fixture, 4)
+            await fixture.sleep(0.1)
+            fixture.server.faults = {"": "reset"}
+            fixture.server.drop_connections()
+            fixture.store.restore(copy)
+            write_version(fixture, 5)
+            fixture.store.put("other/1", b"")
+            await fixture.sleep(0.2)
+            fixture.server.faults = {}
+            await fixture.sleep(1.5)
+            self.assertEqual(1005, daemon.timeout_ms)
+            daemon.source.set_active(False)
+
+        run_with_fixture(steps)
+
     def test_two_restores_in_a_row(self) -> None:
         async def steps(fixture: Fixture) -> None:
             write_version(fixture, 3)
