End the back-off of a watch with each response of the store

What callers saw: 404 on a route that a change has added, up to 4 s after it, on daemons whose connections to the store had been reset a few times before.

Cause: the watch counted failures in a row, but only a response with events ended the row. Between two changes every lost connection doubled the wait for the next reopening, up to 4 s, however well the store answered in between. A relay counted as out of touch with the store for as long.

Evidence, before the change:

test_change_waits_for_a_back_off_that_grew_with_every_lost_connection AssertionError: 1004 != 1003

Why it works: a poll that ends without changes is now reported as no events, which resets the count. With the first poll after a break answered at once, the count falls back as soon as the store answers.

Ruled out: resetting when the connection is open, since a store that accepts and then resets it would be called without a pause.

--- a/src/briarslip/platform/long_poll.py
+++ b/src/briarslip/platform/long_poll.py
@@ -45,7 +45,8 @@
     """A watch made of consecutive long polls.
 
     ``after_revision`` is the revision after which the next poll asks for changes,
-    ``wait`` the time that the store may take to answer it.
+    ``wait`` the time that the store may take to answer it. ``on_events`` receives the
+    changes of each response, which may be none.
     ``record_copy`` records the copy of the store that a response is from, and returns
     False if it is outdated. ``on_ended`` is called once, however the watch ends.
     """
@@ -139,9 +140,9 @@
             # A response without events may skip changes whose history was
             # compacted, so only a response with events advances the watch.
             self.after_revision = max(self.after_revision, current_revision)
-            # The watch goes on if the changes can't be applied.
-            run_each((self.on_events,), events)
         self.wait = WATCH_WAIT
+        # The watch goes on if the changes can't be applied.
+        run_each((self.on_events,), events)
         if not self.ended:
             self.poll()
 
--- a/src/briarslip/process/store/client.py
+++ b/src/briarslip/process/store/client.py
@@ -140,8 +140,9 @@
         """Watch the keys under a prefix from ``start_revision`` on (inclusive).
 
         ``is_resumed`` is whether an earlier watch up to that revision broke off, so
-        that the store may have been restored since. ``on_closed`` is called once, if
-        the watch ends other than by ``stop``.
+        that the store may have been restored since. ``on_events`` may be called without
+        events, when the store has said that there are none. ``on_closed`` is called
+        once, if the watch ends other than by ``stop``.
         """
 
 
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -26,8 +26,9 @@
     """Watches the keys under a prefix without missing an event.
 
     A watch that ends is reopened after a back-off, from the revision after the last
-    one received. If the store has compacted that revision, the watch stops and
-    ``on_compacted`` is called; the owner must then read the prefix again.
+    one received. A response, also one without events, ends the row of failures that
+    the back-off grows with. If the store has compacted that revision, the watch stops
+    and ``on_compacted`` is called; the owner must then read the prefix again.
     """
 
     def __init__(
@@ -72,6 +73,8 @@
 
     def _events(self, events: tuple[WatchEvent, ...]) -> None:
         self.failures = 0
+        if not events:
+            return
         newest = max(event.mod_revision for event in events)
         self.next_revision = max(self.next_revision, newest + 1)
         self.on_events(events)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -168,6 +168,22 @@
 
         run_with_fixture(steps)
 
+    def test_change_waits_for_a_back_off_that_grew_with_every_lost_connection(
+        self,
+    ) -> None:
+        async def steps(fixture: Fixture) -> None:
+            write_version(fixture, 3)
+            daemon = WatchingDaemon(fixture)
+            for _ in range(10):
+                await fixture.sleep(0.35)
+                fixture.server.drop_connections()
+            write_version(fixture, 4)
+            await fixture.sleep(0.35)
+            self.assertEqual(1004, daemon.timeout_ms)
+            daemon.source.set_active(False)
+
+        run_with_fixture(steps)
+
     def test_two_restores_in_a_row(self) -> None:
         async def steps(fixture: Fixture) -> None:
             write_version(fixture, 3)
