--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -330,6 +330,8 @@
         if isinstance(decoded, Err):
             if self.puller.pulled_peer == sender:
                 record_failure(self.puller, self.clock.monotonic(), self.rng)
+                # The peer would answer the same version with the same deltas again.
+                self.puller.needs_full_snapshot = True
             # Deltas of another base, for example: the sender has what is missing.
             emit(Event.PEER_VERSION_REJECTED, peer=sender, reason=decoded.err_value)
             newer_version = max(
@@ -360,7 +362,8 @@
         self.puller.drop_outdated_sources(self.state.newest_version)
         source = start_pull(self.puller, now, self.rng)
         if source is not None:
-            self._send(source, Pull(self.snapshot.version))
+            base = 0 if self.puller.needs_full_snapshot else self.snapshot.version
+            self._send(source, Pull(base))
         wakeup_at = next_wakeup(self.puller)
         if wakeup_at is not None:
             delay = max(wakeup_at - now, 0.001)
--- a/src/briarslip/version/puller.py
+++ b/src/briarslip/version/puller.py
@@ -29,7 +29,9 @@
 
     ``sources`` maps each peer to its version. ``pulled_peer`` is the peer of the
     pull in progress, of which there is at most one. ``failures`` counts failed
-    pulls in a row. Times are seconds of a monotonic clock.
+    pulls in a row. ``needs_full_snapshot`` is whether deltas that were pulled could
+    not be applied: for the peer, the number of the running version has other contents.
+    Times are seconds of a monotonic clock.
     """
 
     sources: dict[Address, int] = field(default_factory=dict)
@@ -37,6 +39,7 @@
     reply_deadline: float = 0.0
     next_pull_at: float = 0.0
     failures: int = 0
+    needs_full_snapshot: bool = False
 
     def drop_outdated_sources(self, own_version: int) -> None:
         """Remove peers whose version is not newer than ``own_version``."""
@@ -97,6 +100,7 @@
     if puller.pulled_peer == peer or not puller.sources:
         puller.pulled_peer = None
         puller.failures = 0
+        puller.needs_full_snapshot = False
 
 
 def record_failure(puller: Puller, now: float, rng: random.Random) -> None:
