Put documents with versions above 2^25 in force

What callers saw: once operators use versions above 33,554,431, such as Unix times, the first such configuration is in force and no later one, at no daemon: 404 on every route added since.

Two of them are equal, and what is not newer is not run.

Evidence, before the change:

test_larger_version_is_never_in_force AssertionError: unexpectedly None : (, Address(...10.0.0.1...))

Why it works: the number may have 128 bits, 90 of them for the document's version, enough for a time in any unit. Messages between daemons carried it as UInt64 and get a second word for the higher bits. Below 2^25 the number and the first word stay the same, so releases can be mixed.

Beyond 63 restores, orders of rollouts and evacuations still count as equal.

--- a/src/briarslip/platform/configuration.py
+++ b/src/briarslip/platform/configuration.py
@@ -28,6 +28,7 @@
 from briarslip.version.record_schema import MAX_TIMEOUT_MS
 from briarslip.version.routing_table import CALLER_LIMITS_NAME
 from briarslip.version.snapshot import Snapshot
+from briarslip.version.version_words import VERSION_BITS
 
 
 if TYPE_CHECKING:
@@ -41,9 +42,9 @@
 
 OPERATOR_PREFIX = "op/"
 
-# Parts of the 63 bits of a snapshot's version.
+# Parts of a snapshot's version. Operators may take the time in any unit as theirs.
 ORDER_BITS = 38
-MAX_DOCUMENT_VERSION = (1 << 25) - 1
+MAX_DOCUMENT_VERSION = (1 << (VERSION_BITS - ORDER_BITS)) - 1
 
 Records = dict[RecordKey, Record]
 
--- a/src/briarslip/process/membership/codec.py
+++ b/src/briarslip/process/membership/codec.py
@@ -29,6 +29,8 @@
 from briarslip.process.membership.messages import SyncRequest
 from briarslip.process.membership.messages import Updates
 from briarslip.process.membership.messages import ZoneSummary
+from briarslip.version.version_words import join_version
+from briarslip.version.version_words import split_version
 
 
 if TYPE_CHECKING:
@@ -52,7 +54,7 @@
     message.zoneTag = _zone_tag(locality)
     message.kind = int(datagram.kind)
     message.sequence = datagram.sequence
-    message.runningVersion = datagram.running_version
+    _write_version(message, datagram.running_version)
     if datagram.target is not None:
         _write_address(message.init("target"), datagram.target)
     _write_updates(message, datagram.updates, locality)
@@ -77,7 +79,7 @@
             Datagram(
                 kind=DatagramKind(message.kind),
                 sequence=message.sequence,
-                running_version=message.runningVersion,
+                running_version=_read_version(message),
                 updates=_read_updates(message, locality),
                 target=_read_address(message.target) if has_target else None,
             )
@@ -125,8 +127,16 @@
     return zlib.crc32("/".join(locality).encode())
 
 
+def _write_version(target: Any, version: int) -> None:
+    target.runningVersion, target.runningVersionHigh = split_version(version)
+
+
+def _read_version(source: Any) -> int:
+    return join_version(source.runningVersion, source.runningVersionHigh)
+
+
 def _write_request(target: Any, message: SyncRequest) -> None:
-    target.runningVersion = message.sender.running_version
+    _write_version(target, message.sender.running_version)
     target.wantsTable = message.wants_table
     entries = target.init("summaries", len(message.summaries))
     for entry, summary in zip(entries, message.summaries, strict=True):
@@ -144,8 +154,10 @@
 
 
 def _write_reply(target: Any, message: SyncReply) -> None:
-    target.runningVersion = message.running_version
-    target.minimumVersion = message.minimum_version
+    _write_version(target, message.running_version)
+    target.minimumVersion, target.minimumVersionHigh = split_version(
+        message.minimum_version
+    )
     target.busy = message.busy
     target.more = message.more
     servers = target.init("drainingServers", len(message.draining_servers))
@@ -160,8 +172,8 @@
 
 def _read_reply(source: Any, updates: tuple[Member, ...]) -> SyncReply:
     return SyncReply(
-        running_version=source.runningVersion,
-        minimum_version=source.minimumVersion,
+        running_version=_read_version(source),
+        minimum_version=join_version(source.minimumVersion, source.minimumVersionHigh),
         availability_zone=source.availabilityZone,
         updates=updates,
         peers=tuple(_read_address(entry) for entry in source.peers),
@@ -192,7 +204,7 @@
     _write_address(entry, member.address)
     entry.incarnation = member.incarnation
     entry.status = int(member.status)
-    entry.runningVersion = member.running_version
+    _write_version(entry, member.running_version)
     entry.availabilityZone = index_of(member.availability_zone)
     entry.region = index_of(member.region)
     if not member.endpoints or member.status is not Status.ALIVE:
@@ -221,7 +233,7 @@
         region=names[entry.region],
         incarnation=entry.incarnation,
         status=Status(entry.status),
-        running_version=entry.runningVersion,
+        running_version=_read_version(entry),
         endpoints=_read_endpoints(entry.endpoints, names),
     )
 
--- a/src/briarslip/process/membership/membership.capnp
+++ b/src/briarslip/process/membership/membership.capnp
@@ -25,6 +25,7 @@
   region @6 :UInt16;
   ipv6 @7 :Data;
   endpoints @8 :List(Endpoint);
+  runningVersionHigh @9 :UInt64; # bits of the version from 64 on; 0 for most
 }
 
 struct PeerAddress {
@@ -42,6 +43,7 @@
   target @4 :PeerAddress;
   names @5 :List(Text);
   statements @6 :List(Statement);
+  runningVersionHigh @7 :UInt64;
 }
 
 # `age` is in seconds.
@@ -55,6 +57,7 @@
   runningVersion @0 :UInt64;
   wantsTable @1 :Bool;
   summaries @2 :List(ZoneSummary);
+  runningVersionHigh @3 :UInt64;
 }
 
 # A backend server that drains: its start, and its report by which it began to.
@@ -71,6 +74,8 @@
   availabilityZone @4 :Text;
   peers @5 :List(PeerAddress);
   drainingServers @6 :List(DrainingServer); # at the requester's address
+  runningVersionHigh @7 :UInt64;
+  minimumVersionHigh @8 :UInt64;
 }
 
 # In a request the only statement is about the sender.
--- a/src/briarslip/version/configuration.capnp
+++ b/src/briarslip/version/configuration.capnp
@@ -1,13 +1,16 @@
 @0xc7a1e0b2d3f49586;
 # Configuration messages between daemons. Snapshots and deltas are canonical
-# JSON, compressed with zlib.
+# JSON, compressed with zlib. A version has two words; those of its bits from 64 on are
+# 0 for most.
 
 struct Offer {
   version @0 :UInt64;
+  versionHigh @1 :UInt64;
 }
 
 struct Pull {
   running @0 :UInt64;
+  runningHigh @1 :UInt64;
 }
 
 struct Whole {
@@ -22,6 +25,8 @@
 struct VersionReply {
   running @0 :UInt64;
   lastHeard @1 :UInt64;     # last version recorded for the querying address
+  runningHigh @2 :UInt64;
+  lastHeardHigh @3 :UInt64;
 }
 
 struct Message {
--- a/src/briarslip/version/configuration_codec.py
+++ b/src/briarslip/version/configuration_codec.py
@@ -12,6 +12,9 @@
 from result import Ok
 from result import Result
 
+from briarslip.version.version_words import join_version
+from briarslip.version.version_words import split_version
+
 
 SCHEMA = capnp.load(str(Path(__file__).with_name("configuration.capnp")))
 MAX_SNAPSHOT_BYTES = 64 << 20
@@ -100,9 +103,11 @@
     builder = SCHEMA.Message.new_message()
     match message:
         case Offer(version):
-            builder.init("offer").version = version
+            offer = builder.init("offer")
+            offer.version, offer.versionHigh = split_version(version)
         case Pull(running_version):
-            builder.init("pull").running = running_version
+            pull = builder.init("pull")
+            pull.running, pull.runningHigh = split_version(running_version)
         case FullSnapshot(digest, data):
             whole = builder.init("whole")
             whole.digest, whole.data = digest, data
@@ -114,7 +119,8 @@
             builder.versionQuery = None
         case VersionReply(running_version, last_known_version):
             reply = builder.init("versionReply")
-            reply.running, reply.lastHeard = running_version, last_known_version
+            reply.running, reply.runningHigh = split_version(running_version)
+            reply.lastHeard, reply.lastHeardHigh = split_version(last_known_version)
     encoded: bytes = builder.to_bytes_packed()
     return encoded
 
@@ -130,9 +136,11 @@
 def _read_message(reader: Any) -> ConfigurationMessage:
     match reader.which():
         case "offer":
-            return Offer(reader.offer.version)
+            offer = reader.offer
+            return Offer(join_version(offer.version, offer.versionHigh))
         case "pull":
-            return Pull(reader.pull.running)
+            pull = reader.pull
+            return Pull(join_version(pull.running, pull.runningHigh))
         case "whole":
             return FullSnapshot(reader.whole.digest, reader.whole.data)
         case "deltas":
@@ -143,7 +151,10 @@
             return VersionQuery()
         case _:
             reply = reader.versionReply
-            return VersionReply(reply.running, reply.lastHeard)
+            return VersionReply(
+                join_version(reply.running, reply.runningHigh),
+                join_version(reply.lastHeard, reply.lastHeardHigh),
+            )
 
 
 __all__ = [
