--- a/src/briarslip/platform/long_poll.py
+++ b/src/briarslip/platform/long_poll.py
@@ -35,14 +35,20 @@
 # A connection that went silent, or a restore, shows only when a poll ends. A change
 # must be in force within 3 s of either.
 WATCH_WAIT = timedelta(seconds=1.5)
-# Time for the response of a poll that has waited the whole ``WATCH_WAIT``.
-WATCH_MARGIN = timedelta(seconds=0.75)
+# For the first poll after a watch broke off, so that it is answered at once: a store
+# that was restored meanwhile may have passed the watched revision again, and then only
+# a response tells that it was restored.
+RESUMED_WAIT = timedelta(milliseconds=1)
+# Time for the response of a poll, also of one that the store answers late.
+RESPONSE_TIMEOUT = WATCH_WAIT + timedelta(seconds=0.75)
 
 
 class LongPoll:
     """A watch made of consecutive long polls.
 
-    ``after_revision`` is the revision after which the next poll asks for changes.
+    ``after_revision`` is the revision after which the next poll asks for changes,
+    ``wait`` the time that the store may take to answer it. ``on_events`` receives the
+    changes of each response, which may be none.
     ``record_copy`` records the copy of the store that a response is from, and returns
     False if it is outdated. ``on_ended`` is called once, however the watch ends.
     """
@@ -57,11 +63,13 @@
         on_closed: Callable[[WatchClosed], None],
         record_copy: Callable[[HttpResponse], bool],
         on_ended: Callable[[LongPoll], None],
+        wait: timedelta = WATCH_WAIT,
     ) -> None:
         self.reactor = reactor
         self.http = http
         self.prefix = prefix
         self.after_revision = after_revision
+        self.wait = wait
         self.on_events = on_events
         self.on_closed = on_closed
         self.record_copy = record_copy
@@ -69,19 +77,18 @@
         self.ended = False
         self.pending_response: Deferred[Any] | None = None
 
-    def poll(self, wait: timedelta = WATCH_WAIT) -> None:
-        """Send the next poll; the store waits up to ``wait`` for changes."""
+    def poll(self) -> None:
+        """Send the next poll."""
         query = {
             "prefix": self.prefix,
             "after": str(to_store_revision(self.after_revision)),
-            "wait-ms": str(int(wait.total_seconds() * 1000)),
+            "wait-ms": str(int(self.wait.total_seconds() * 1000)),
         }
         sink = HttpResponseSink()
         target = f"/-/kv-watch?{urlencode(query)}"
         sink.cancel_request = self.http.open_stream("GET", target, None, sink)
         self.pending_response = sink.response
-        limit_seconds = (wait + WATCH_MARGIN).total_seconds()
-        sink.response.addTimeout(limit_seconds, self.reactor)
+        sink.response.addTimeout(RESPONSE_TIMEOUT.total_seconds(), self.reactor)
         sink.response.addCallbacks(self._response_received, self._timed_out)
 
     def end_if_outdated(self, copy: int) -> None:
@@ -134,6 +141,7 @@
             # A response without events may skip changes whose history was
             # compacted, so only a response with events advances the watch.
             self.after_revision = max(self.after_revision, current_revision)
+        self.wait = WATCH_WAIT
         # The watch goes on if the changes can't be applied.
         run_each((self.on_events,), events)
         if not self.ended:
@@ -148,4 +156,4 @@
         self.on_closed(WatchClosed(reason, compacted))
 
 
-__all__ = ["WATCH_WAIT", "LongPoll"]
+__all__ = ["RESUMED_WAIT", "WATCH_WAIT", "LongPoll"]
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -20,17 +20,15 @@
 
 RETRY_BASE_SECONDS = 0.25
 RETRY_CAP_SECONDS = 4.0
-# A watch that lasted as long was opened, whatever ended it.
-OPEN_SECONDS = 2.0
 
 
 class StoreWatch:
     """Watches the keys under a prefix without missing an event.
 
     A watch that ends is reopened after a back-off, from the revision after the last
-    one received. ``failures`` counts those that ended since the store last answered.
-    If the store has compacted that revision, the watch stops and ``on_compacted`` is
-    called; the owner must then read the prefix again.
+    one received. A response, also one without events, ends the row of failures that
+    the back-off grows with. If the store has compacted that revision, the watch stops
+    and ``on_compacted`` is called; the owner must then read the prefix again.
     """
 
     def __init__(
@@ -52,7 +50,6 @@
         self.failures = 0
         self.watch: Watch | None = None
         self.generation = 0
-        self.opened_at = 0.0
 
     def start(self, revision: int) -> None:
         """Watch from a revision on, in place of the current watch if there is one."""
@@ -67,12 +64,11 @@
             self.watch.stop()
             self.watch = None
 
-    def _open(self, generation: int) -> None:
+    def _open(self, generation: int, is_resumed: bool = False) -> None:
         if generation != self.generation:
             return
-        self.opened_at = self.reactor.seconds()
         self.watch = self.store.watch(
-            self.prefix, self.next_revision, self._events, self._closed
+            self.prefix, self.next_revision, self._events, self._closed, is_resumed
         )
 
     def _events(self, events: tuple[WatchEvent, ...]) -> None:
@@ -89,13 +85,11 @@
             self.stop()
             self.on_compacted()
             return
-        was_open = self.reactor.seconds() - self.opened_at >= OPEN_SECONDS
-        previous_failures = 0 if was_open else self.failures
         delay = full_jitter(
-            self.rng, previous_failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+            self.rng, self.failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
         )
-        self.failures = previous_failures + 1
-        self.reactor.callLater(delay, self._open, self.generation)
+        self.failures += 1
+        self.reactor.callLater(delay, self._open, self.generation, True)
 
 
 __all__ = ["StoreWatch"]
--- a/standins/users_store_server.py
+++ b/standins/users_store_server.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qsl
+from weakref import WeakSet
 
 from twisted.web import http
 
@@ -113,6 +114,13 @@
         self.delay_seconds = 0.0
         self.drops_write_answers = False
         self.waiting: set[StoreRequest] = set()
+        self.channels: WeakSet[http.HTTPChannel] = WeakSet()
+
+    def drop_connections(self) -> None:
+        """Reset all connections, as a store that stops does."""
+        for channel in tuple(self.channels):
+            if channel.transport is not None:
+                channel.transport.abortConnection()
 
     def lose_waiting(self) -> None:
         """Never answer the watches that wait now; their connections stay open."""
@@ -128,6 +136,7 @@
         channel = http.HTTPChannel()
         channel.requestFactory = StoreRequest
         channel.factory = self
+        self.channels.add(channel)
         return channel
 
     def log(self, request: http.Request) -> None:
