A response without the server's signature is discarded whatever its status

Cause: BackendConnection required the signature only below status 300. From 300 on, whatever spoke on the connection was forwarded as the server's response.

Evidence before the change, tests.connection.test_caller_statuses: 22 of 26 cases of unsigned responses failed. The caller of a POST got 301, 304, 400, 401, 404, 409, 413, 422, 500, 503 and 504 as they came, and a GET ended with them at its first attempt ("(502, 1) != (400, 1)", "(200, 2) != (404, 1)").

Why this works: servers sign each response to a request that they ran, also 500 and 504, so an unsigned one that does not say "not run" is not theirs. It is treated as one below 300 was: event 409, the connection is aborted, the outcome is unknown. That is a 502, or a retry if the request may run more than once.

Ruled out: signed responses of the same statuses pass unchanged, and so do those of a deployment without signatures (both tested). Malformed heads and 101 ended the connection before this change too.

Tests: tests.connection (160), tests.platform.test_late_report, tests.process.test_crash_reports (10), tests.docs (4) pass.

--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -14,6 +14,7 @@
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
 from briarslip.connection.http_head import HEAD_END
 from briarslip.connection.http_head import MAX_HEAD_BYTES
+from briarslip.connection.http_head import lacks_signature
 from briarslip.connection.http_head import parse_response_head
 from briarslip.connection.immediate_write import write_immediately
 from briarslip.connection.server_status import NO_STATUS
@@ -168,11 +169,7 @@
             return self._discard(head_bytes) and self._skip_response(
                 response_head, trailing_data
             )
-        if (
-            self.conventions.signature
-            and not response_head.signed
-            and response_head.status < 300
-        ):
+        if lacks_signature(response_head, self.conventions):
             self._log_discarded("the response has no server signature", response_head)
             self.transport.abortConnection()
             return False
--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -54,6 +54,7 @@
 DECLARED_LENGTH = re.compile(rb"(?im)^content-length:[ \t]*([0-9]+)[ \t]*\r\n")
 ABSOLUTE_FORM = re.compile(rb"(?i)http://([^/?#@]+)([/?][^#]*)?")
 MAX_NUMBER_DIGITS = 15
+FIRST_REDIRECTION_STATUS = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -261,6 +262,17 @@
     )
 
 
+def lacks_signature(head: BackendResponseHead, conventions: HeaderConventions) -> bool:
+    """Return whether a final response can't be the server's own.
+
+    A server signs each response to a request that it ran, whatever the status. It need
+    not sign that it did not run one; a status below 300 contradicts that.
+    """
+    if not conventions.signature or head.signed:
+        return False
+    return not head.shed or head.status < FIRST_REDIRECTION_STATUS
+
+
 def declared_length(header_lines: bytes) -> int | None:
     """Return the Content-Length from header lines, None if there is none."""
     match = DECLARED_LENGTH.search(header_lines)
@@ -274,6 +286,7 @@
     "HeadError",
     "RequestHead",
     "declared_length",
+    "lacks_signature",
     "parse_request_head",
     "parse_response_head",
 ]
--- /dev/null
+++ b/tests/connection/test_caller_statuses.py
@@ -0,0 +1,111 @@
+"""Tests of the statuses that callers get for proper requests which servers refuse."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+from typing import Any
+
+from twisted.internet.error import ConnectionAborted
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure as TwistedFailure
+
+from briarslip.address import Address
+from briarslip.connection.backend_pool import BackendPool
+from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
+from briarslip.platform.header_conventions import PLATFORM_CONVENTIONS
+from tests.connection.support import FakeClock
+from tests.connection.support import FakeTransport
+from tests.request.support import ForwarderHarness
+from tests.request.support import SentCall
+from tests.request.support import member
+
+
+if TYPE_CHECKING:
+    from briarslip.connection.header_conventions import HeaderConventions
+
+
+SIGNED = b"Server-Signature: s\r\n"
+# 421 says by itself that the request was not run.
+UNSIGNED_STATUSES = (200, 204, 301, 304, 400, 401, 404, 409, 413, 422, 500, 503, 504)
+
+
+def response(status: int, headers: bytes = b"") -> bytes:
+    """Return a server's response to the request of these tests."""
+    return (
+        b"HTTP/1.1 %d X\r\nAttempt-Id: aaaa1111\r\n" % status
+        + headers
+        + b"Content-Length: 0\r\n\r\n"
+    )
+
+
+class CallerStatusCase(unittest.TestCase):
+    """A daemon between a caller and two servers that the test plays."""
+
+    conventions: HeaderConventions = PLATFORM_CONVENTIONS
+
+    def send(self, method: bytes, *responses: bytes) -> tuple[int, int, bytes]:
+        """Return status, attempts and response if the attempts are answered so."""
+        reactor: Any = MemoryReactorClock()
+        pool = BackendPool(
+            reactor, Address("127.0.0.1", 8000), 10, conventions=self.conventions
+        )
+        remaining = list(responses)
+
+        def respond(sent: SentCall) -> None:
+            pool(sent.call, sent.sink)
+            connection = reactor.tcpClients[-1][2].buildProtocol(None)
+            connection.makeConnection(FakeTransport())
+            connection.dataReceived(remaining.pop(0))
+            if connection.transport.aborted:
+                connection.connectionLost(TwistedFailure(ConnectionAborted()))
+
+        harness = ForwarderHarness(member(1), member(2))
+        harness.on_send = respond
+        factory = CallerHttpFactory(
+            FakeClock(), harness.forwarder, conventions=self.conventions
+        )
+        caller: Any = factory.buildProtocol(None)
+        caller.makeConnection(FakeTransport())
+        head = b" /x HTTP/1.1\r\nHost: a\r\nAttempt-Id: aaaa1111\r\n\r\n"
+        caller.dataReceived(method + head)
+        written = caller.transport.take_written()
+        return int(written.split()[1]), len(harness.sent), written
+
+
+class UnsignedResponseTest(CallerStatusCase):
+    """The response to a request does not have the server's signature."""
+
+    def test_unsigned_response_reaches_the_caller(self) -> None:
+        for status in UNSIGNED_STATUSES:
+            with self.subTest(status=status):
+                self.assertEqual((502, 1), self.send(b"POST", response(status))[:2])
+
+    def test_unsigned_response_ends_a_request_that_may_be_repeated(self) -> None:
+        for status in UNSIGNED_STATUSES:
+            answers = (response(status), response(200, SIGNED))
+            with self.subTest(status=status):
+                self.assertEqual((200, 2), self.send(b"GET", *answers)[:2])
+
+    def test_signed_response_is_discarded(self) -> None:
+        for status in UNSIGNED_STATUSES:
+            with self.subTest(status=status):
+                got, attempts, written = self.send(b"POST", response(status, SIGNED))
+                self.assertEqual((status, 1), (got, attempts))
+                self.assertIn(SIGNED, written)
+
+
+class ConventionsWithoutSignatureTest(CallerStatusCase):
+    """Servers of a deployment without signatures need not sign."""
+
+    conventions = DEFAULT_CONVENTIONS
+
+    def test_response_is_discarded_where_servers_do_not_sign(self) -> None:
+        for status in UNSIGNED_STATUSES:
+            with self.subTest(status=status):
+                self.assertEqual((status, 1), self.send(b"GET", response(status))[:2])
+
+
+if __name__ == "__main__":
+    unittest.main()
