A request that no server ran is answered 503, not with the server's 400 or 421

Cause: Attempt.head forwarded the refusal with its own status if the request was not retried: out of attempts, out of retry tokens, close to the deadline, or at the last server.

Evidence before the change, tests.connection.test_caller_statuses: 20 of 20 cases of 301, 304, 400, 401, 404, 413, 421, 500, 502 and 504 with "not run", signed and unsigned, reached the caller as they came ("(503, 2) != (400, 2)"), and so did a 421 without the header and a 400 with Retry-After.

Why this works: such a refusal ends the attempt as a failure with the reason SHED and the outcome "not run", which is a 503 with Retry-After. The server's Retry-After in seconds is kept exactly, without jitter and bounds, since an earlier request would be refused again.

429 and 503 are still forwarded with header and body: they are true, the caller may send the request again, and they say more than the daemon could. 421 is not: it is about the daemon's choice of a server, not about the request.

Ruled out: a response that says "not run" is one for this request only, since the echoed id is checked before (tests.connection.test_faulty_server).

Tests: tests.connection.test_caller_statuses (8), and 97 of tests.request.test_forwarder, test_overload, tests.connection.test_header_conventions, test_caller_http, test_endless_responses, test_backend_pool and tests.docs.test_reference pass.

--- a/src/briarslip/connection/caller_exchange.py
+++ b/src/briarslip/connection/caller_exchange.py
@@ -54,6 +54,7 @@
         Reason.KEY_MISMATCH,
     )
 )
+EXACT_RETRY_AFTER_REASONS = frozenset((Reason.QUOTA_EXCEEDED, Reason.SHED))
 CONNECTION_CLOSE_LINE = b"Connection: close\r\n"
 
 
@@ -138,10 +139,11 @@
     def _retry_after_seconds(self, failure: Failure) -> float:
         """Return the seconds after which the caller may retry.
 
-        Those of a limit are exact: an earlier request would be refused again.
+        Those of a limit and of a server are exact: an earlier request would be
+        refused again.
         """
         seconds = failure.retry_after_seconds
-        if failure.reason is Reason.QUOTA_EXCEEDED and seconds is not None:
+        if failure.reason in EXACT_RETRY_AFTER_REASONS and seconds is not None:
             return math.ceil(seconds * MS_PER_SECOND) / MS_PER_SECOND
         return self.connection.factory.retry_after_seconds(seconds)
 
--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -15,6 +15,8 @@
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
+from briarslip.request.refusal import may_forward_refusal
+from briarslip.request.refusal import refusal_failure
 from briarslip.request.retry import STALE_MEMBERSHIP_REASONS
 from briarslip.request.server import record_latency
 from briarslip.request.server import record_load
@@ -99,15 +101,28 @@
                 self.server.address, head.leaving_incarnation
             )
         if head.outcome is Outcome.NOT_RUN:
-            failure = Failure(Outcome.NOT_RUN, Reason.SHED)
-            if self.exchange.try_withdraw_retry(failure):
-                self._end(Outcome.NOT_RUN, Reason.SHED)
-                self.exchange.retry(failure)
+            if self._is_refusal_handled(head):
                 return
         elif head.status < FIRST_SERVER_ERROR_STATUS:
             self._record_service_time(head.load, now)
         self.exchange.head(head)
 
+    def _is_refusal_handled(self, head: ResponseHead) -> bool:
+        """Retry or fail a call that the server has not run; return whether to stop.
+
+        Otherwise the refusal is the response for the caller.
+        """
+        failure = refusal_failure(head)
+        if not may_forward_refusal(head):
+            self._end(failure.outcome, failure.reason)
+            self.exchange.attempt_failed(failure)
+            return True
+        if not self.exchange.try_withdraw_retry(failure):
+            return False
+        self._end(failure.outcome, failure.reason)
+        self.exchange.retry(failure)
+        return True
+
     def body(self, data: bytes, last: bool) -> None:
         """Forward a part of the body."""
         if self.ended:
--- a/tests/connection/test_caller_statuses.py
+++ b/tests/connection/test_caller_statuses.py
@@ -96,6 +96,42 @@
                 self.assertIn(SIGNED, written)
 
 
+class RefusedRequestTest(CallerStatusCase):
+    """The servers did not run the request, and it is not sent to another one."""
+
+    def refuse(self, status: int, headers: bytes, method: bytes = b"POST") -> bytes:
+        """Return what the caller gets if both servers refuse with a status."""
+        refusal = response(status, b"Not-Executed: x\r\n" + headers)
+        got, attempts, written = self.send(method, refusal, refusal)
+        self.assertEqual((503, 2), (got, attempts))
+        return written
+
+    def test_refusal_tells_the_caller_that_its_request_is_wrong(self) -> None:
+        for status in (301, 304, 400, 401, 404, 413, 421, 500, 502, 504):
+            for headers in (b"", SIGNED):
+                with self.subTest(status=status, headers=headers):
+                    self.assertIn(b"\r\nRetry-After: ", self.refuse(status, headers))
+
+    def test_wrong_server_without_a_header_is_told_to_the_caller(self) -> None:
+        got = self.send(b"POST", response(421), response(421))
+        self.assertEqual((503, 2), got[:2])
+
+    def test_refusal_hides_when_the_server_accepts_requests_again(self) -> None:
+        for value in (b"7", b"0.125"):
+            written = self.refuse(400, b"Retry-After: " + value + b"\r\n")
+            self.assertIn(b"\r\nRetry-After: %.3f\r\n" % float(value), written)
+        for value in (b"-1", b"soon", b"Sun, 06 Dec 2026 21:00:00 GMT", b"9" * 30):
+            written = self.refuse(400, b"Retry-After: " + value + b"\r\n")
+            self.assertNotIn(value, written)
+
+    def test_full_server_loses_what_it_says(self) -> None:
+        for status in (429, 503):
+            refusal = response(status, b"Not-Executed: x\r\nRetry-After: 7\r\n")
+            got, attempts, written = self.send(b"POST", refusal, refusal)
+            self.assertEqual((status, 2), (got, attempts))
+            self.assertIn(b"Not-Executed: x\r\nRetry-After: 7\r\n", written)
+
+
 class ConventionsWithoutSignatureTest(CallerStatusCase):
     """Servers of a deployment without signatures need not sign."""
 
