A request that may have run is not answered with the 429 or 503 of a later refusal

Callers saw: 429 or 503, with the server's "not run" header and Retry-After, for a request whose first attempt had ended with an unknown outcome. Such a caller sends the request again, although it may have run.

Cause: Exchange.head changed only the outcome of a refusal, which callers see in a header that a deployment may not have; status and headers stayed the server's.

Evidence before the change, RefusedRepetitionTest in tests.connection.test_caller_statuses: "(502, 2) != (429, 2)" and "(502, 2) != (503, 2)".

Why this works: once an attempt may have run, a refusal ends the next attempt as a failure, and Exchange turns "not run" into "unknown" as for all other failures: 502 without Retry-After.

--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -113,7 +113,7 @@
         Otherwise the refusal is the response for the caller.
         """
         failure = refusal_failure(head)
-        if not may_forward_refusal(head):
+        if self.exchange.may_have_run or not may_forward_refusal(head):
             self._end(failure.outcome, failure.reason)
             self.exchange.attempt_failed(failure)
             return True
--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -251,8 +251,6 @@
     def head(self, head: ResponseHead) -> None:
         """Forward the response head of an attempt to the caller."""
         self.head_sent = True
-        if self.may_have_run and head.outcome is Outcome.NOT_RUN:
-            head = replace(head, outcome=Outcome.UNKNOWN)
         if self.acquired_claim is not None:
             self.stored_response = StoredResponse(head.status, head.headers, b"")
             if head.outcome is Outcome.NOT_RUN:
--- a/tests/connection/test_caller_statuses.py
+++ b/tests/connection/test_caller_statuses.py
@@ -132,6 +132,19 @@
             self.assertIn(b"Not-Executed: x\r\nRetry-After: 7\r\n", written)
 
 
+class RefusedRepetitionTest(CallerStatusCase):
+    """A request may have run at one server, and another one refuses its repetition."""
+
+    def test_request_that_may_have_run_is_answered_as_not_run(self) -> None:
+        for status in (400, 421, 429, 503):
+            refusal = response(status, b"Not-Executed: x\r\nRetry-After: 7\r\n")
+            with self.subTest(status=status):
+                got, attempts, written = self.send(b"GET", response(200), refusal)
+                self.assertEqual((502, 2), (got, attempts))
+                self.assertNotIn(b"Not-Executed", written)
+                self.assertNotIn(b"Retry-After", written)
+
+
 class ConventionsWithoutSignatureTest(CallerStatusCase):
     """Servers of a deployment without signatures need not sign."""
 
