Only the daemon that received a request says that it is wrong

Cause: CallerExchange chooses the status by the reason of a failure, wherever it came from, and a peer link accepts every reason. Daemons of this version send none of these six for a call: their places in the code are the first daemon's checks and the claims, whose results go to another receiver. One of another version is free to, so this closes a way that was not seen in use.

Why this works: Attempt, which receives what servers and their daemons report, turns such a reason into an unexpected error and keeps the outcome. "Not run" is retried or ends as 503, everything else as 502.

Ruled out: claims on a route with claims = none, as all routes of the users' platform have: no decision about a key is asked for (tested with three decisions). A reason that is not known here ends the link with an unknown outcome (tests.connection.test_peer_link). The test leaves out "all slots are occupied", which ends no request.

--- a/src/briarslip/connection/caller_exchange.py
+++ b/src/briarslip/connection/caller_exchange.py
@@ -11,6 +11,7 @@
 from briarslip.connection.client_errors import TOO_MANY_REQUESTS
 from briarslip.connection.http_head import declared_length
 from briarslip.request.flow_control import FlowControl
+from briarslip.request.outcome import VERDICT_REASONS
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
 
@@ -44,16 +45,6 @@
     Reason.ALREADY_FORWARDED: http.CONFLICT,
     Reason.KEY_MISMATCH: UNPROCESSABLE,
 }
-NO_RETRY_AFTER_REASONS = frozenset(
-    (
-        Reason.NO_ROUTE,
-        Reason.UNKNOWN_KEY,
-        Reason.BAD_REQUEST,
-        Reason.BODY_TOO_LARGE,
-        Reason.ALREADY_FORWARDED,
-        Reason.KEY_MISMATCH,
-    )
-)
 EXACT_RETRY_AFTER_REASONS = frozenset((Reason.QUOTA_EXCEEDED, Reason.SHED))
 CONNECTION_CLOSE_LINE = b"Connection: close\r\n"
 
@@ -115,10 +106,7 @@
         header_lines = (
             conventions.outcome_line(failure.outcome.value) + self._connection_line()
         )
-        if (
-            failure.outcome is Outcome.NOT_RUN
-            and failure.reason not in NO_RETRY_AFTER_REASONS
-        ):
+        if failure.outcome is Outcome.NOT_RUN and failure.reason not in VERDICT_REASONS:
             if failure.reason is Reason.QUOTA_EXCEEDED:
                 status = TOO_MANY_REQUESTS
             else:
--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from briarslip.process.events import Event
@@ -12,6 +13,7 @@
 from briarslip.request.ejection import record_failure
 from briarslip.request.ejection import record_lost_link
 from briarslip.request.ejection import record_success
+from briarslip.request.outcome import VERDICT_REASONS
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -140,6 +142,9 @@
         if failure.reason is Reason.SERVER_BUSY:
             self._move_on()
             return
+        if failure.reason in VERDICT_REASONS:
+            # A daemon of another version may send it. The request itself was accepted.
+            failure = replace(failure, reason=Reason.INTERNAL_ERROR)
         # A failure without a load was not reported by the server's daemon.
         self.link_lost = load is None and failure.reason in LINK_FAILURE_REASONS
         self._end(failure.outcome, failure.reason)
--- a/src/briarslip/request/outcome.py
+++ b/src/briarslip/request/outcome.py
@@ -48,6 +48,20 @@
     ALREADY_FORWARDED = "already handed over, outcome unknown"
 
 
+# Verdicts on the request itself, which only the daemon that received it from its caller
+# gives. Sent again, it would fail again.
+VERDICT_REASONS = frozenset(
+    (
+        Reason.NO_ROUTE,
+        Reason.UNKNOWN_KEY,
+        Reason.BAD_REQUEST,
+        Reason.BODY_TOO_LARGE,
+        Reason.ALREADY_FORWARDED,
+        Reason.KEY_MISMATCH,
+    )
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Failure:
     """The failure of a request that got no complete response.
@@ -61,4 +75,4 @@
     retry_after_seconds: float | None = field(default=None, compare=False)
 
 
-__all__ = ["Failure", "Outcome", "Reason"]
+__all__ = ["VERDICT_REASONS", "Failure", "Outcome", "Reason"]
--- a/tests/connection/test_caller_statuses.py
+++ b/tests/connection/test_caller_statuses.py
@@ -15,6 +15,12 @@
 from briarslip.connection.caller_http import CallerHttpFactory
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
 from briarslip.platform.header_conventions import PLATFORM_CONVENTIONS
+from briarslip.request.claim import AlreadyForwarded
+from briarslip.request.claim import KeyMismatch
+from briarslip.request.claim import StoreUnavailable
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
 from tests.connection.support import FakeClock
 from tests.connection.support import FakeTransport
 from tests.request.support import ForwarderHarness
@@ -45,6 +51,9 @@
 
     conventions: HeaderConventions = PLATFORM_CONVENTIONS
 
+    def setUp(self) -> None:
+        self.harness = ForwarderHarness(member(1), member(2))
+
     def send(self, method: bytes, *responses: bytes) -> tuple[int, int, bytes]:
         """Return status, attempts and response if the attempts are answered so."""
         reactor: Any = MemoryReactorClock()
@@ -61,17 +70,22 @@
             if connection.transport.aborted:
                 connection.connectionLost(TwistedFailure(ConnectionAborted()))
 
-        harness = ForwarderHarness(member(1), member(2))
-        harness.on_send = respond
+        # Earlier requests would have used up the tokens for retries.
+        self.setUp()
+        self.harness.on_send = respond
+        return self.request(method)
+
+    def request(self, method: bytes, headers: bytes = b"") -> tuple[int, int, bytes]:
+        """Send a request; return status, number of attempts and response."""
         factory = CallerHttpFactory(
-            FakeClock(), harness.forwarder, conventions=self.conventions
+            FakeClock(), self.harness.forwarder, conventions=self.conventions
         )
         caller: Any = factory.buildProtocol(None)
         caller.makeConnection(FakeTransport())
-        head = b" /x HTTP/1.1\r\nHost: a\r\nAttempt-Id: aaaa1111\r\n\r\n"
-        caller.dataReceived(method + head)
+        head = b" /x HTTP/1.1\r\nHost: a\r\nAttempt-Id: aaaa1111\r\n"
+        caller.dataReceived(method + head + headers + b"\r\n")
         written = caller.transport.take_written()
-        return int(written.split()[1]), len(harness.sent), written
+        return int(written.split()[1]), len(self.harness.sent), written
 
 
 class UnsignedResponseTest(CallerStatusCase):
@@ -145,6 +159,28 @@
                 self.assertNotIn(b"Retry-After", written)
 
 
+class VerdictTest(CallerStatusCase):
+    """Only the first daemon may say that a request is wrong."""
+
+    def test_daemon_of_another_version_judges_the_request(self) -> None:
+        # A busy server ends no request: the call goes to another one.
+        for reason in set(Reason) - {Reason.SERVER_BUSY}:
+            for outcome in Outcome:
+                self.setUp()
+                self.harness.fail_all(Failure(outcome, reason))
+                not_run = 429 if reason is Reason.QUOTA_EXCEEDED else 503
+                expected = (not_run,) if outcome is Outcome.NOT_RUN else (502, 504)
+                with self.subTest(reason=reason, outcome=outcome):
+                    self.assertIn(self.request(b"POST")[0], expected)
+
+    def test_claim_denies_a_request_of_a_route_without_claims(self) -> None:
+        for decision in (AlreadyForwarded(), KeyMismatch(), StoreUnavailable()):
+            self.harness.claims.decision = decision
+            self.harness.on_send = lambda sent: sent.answer()
+            status, _, _ = self.request(b"POST", b"Idempotency-Key: k\r\n")
+            self.assertEqual(200, status)
+
+
 class ConventionsWithoutSignatureTest(CallerStatusCase):
     """Servers of a deployment without signatures need not sign."""
 
