A response that reaches the caller unsigned is not taken for a signed one

Cause: the signature counted as present by its name alone, and a header that Connection names is removed as one for this hop only, after the response was found to be signed.

Why this works: an empty value is no signature, and the signature is never removed.

Ruled out by the same test: all other spoiled heads of a 404 end as 502 or keep a signature. A spoiled value of it can't be seen here, daemons do not know the servers' keys.

--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -246,17 +246,19 @@
             return Err("the body has two framings")
         if [encoding.lower() for encoding in encodings] != [b"chunked"]:
             return Err("unknown transfer encoding")
+    # Callers tell by the signature that a response is the server's.
+    retained_names = frozenset((b"content-length", conventions.signature.lower()))
     return Ok(
         BackendResponseHead(
             status=status,
-            headers=inspected.end_to_end(frozenset((b"content-length",))),
+            headers=inspected.end_to_end(retained_names),
             length=length.ok_value,
             chunked=encodings is not None,
             keep_alive=inspected.is_keep_alive(minor),
             shed=conventions.not_run.lower() in inspected.values
             or status in conventions.not_run_statuses,
             request_id=inspected.first_value(conventions.request_id),
-            signed=conventions.signature.lower() in inspected.values,
+            signed=inspected.first_value(conventions.signature) != b"",
             server_status=parse_server_status(inspected.values, conventions),
         )
     )
--- a/tests/connection/test_caller_statuses.py
+++ b/tests/connection/test_caller_statuses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import unittest
 from typing import TYPE_CHECKING
 from typing import Any
@@ -33,6 +34,7 @@
 
 
 SIGNED = b"Server-Signature: s\r\n"
+SIGNATURE = re.compile(rb"\r\nServer-Signature:[^\r\n]*[^\r\n \t]")
 # 421 says by itself that the request was not run.
 UNSIGNED_STATUSES = (200, 204, 301, 304, 400, 401, 404, 409, 413, 422, 500, 503, 504)
 
@@ -67,8 +69,7 @@
             connection = reactor.tcpClients[-1][2].buildProtocol(None)
             connection.makeConnection(FakeTransport())
             connection.dataReceived(remaining.pop(0))
-            if connection.transport.aborted:
-                connection.connectionLost(TwistedFailure(ConnectionAborted()))
+            connection.connectionLost(TwistedFailure(ConnectionAborted()))
 
         # Earlier requests would have used up the tokens for retries.
         self.setUp()
@@ -110,6 +111,30 @@
                 self.assertIn(SIGNED, written)
 
 
+class SpoiledSignatureTest(CallerStatusCase):
+    """The signature of a response is spoiled or marked as one for this hop."""
+
+    def test_caller_gets_a_response_whose_signature_is_lost_on_the_way(self) -> None:
+        for options in (b"Server-Signature", b"close, x, server-signature"):
+            headers = b"Connection: " + options + b"\r\n" + SIGNED
+            got, _, written = self.send(b"POST", response(404, headers))
+            self.assertEqual(404, got)
+            self.assertIn(SIGNED, written)
+
+    def test_empty_signature_is_taken_for_one(self) -> None:
+        for headers in (b"Server-Signature:\r\n", b"Server-Signature: \t\r\n"):
+            self.assertEqual(502, self.send(b"POST", response(404, headers))[0])
+
+    def test_spoiled_head_becomes_a_status_of_the_daemon(self) -> None:
+        whole = response(404, SIGNED)
+        for position in range(len(whole)):
+            for byte in (b"", b"\0", b"\n", b"\r", b" ", b":", b"9", b"\xff"):
+                spoiled = whole[:position] + byte + whole[position + 1 :]
+                with self.subTest(spoiled=spoiled):
+                    got, _, written = self.send(b"POST", spoiled)
+                    self.assertTrue(got == 502 or SIGNATURE.search(written), written)
+
+
 class RefusedRequestTest(CallerStatusCase):
     """The servers did not run the request, and it is not sent to another one."""
 
