Test interim responses and responses to other requests at the caller

A signed 404 to another request, an interim response, or a 101 must not become the status of a request: the own response that follows does, or 502 if none follows. The code was right before; 5 sequences with and without an own response pass.

--- a/tests/connection/test_caller_statuses.py
+++ b/tests/connection/test_caller_statuses.py
@@ -103,6 +103,15 @@
             with self.subTest(status=status):
                 self.assertEqual((200, 2), self.send(b"GET", *answers)[:2])
 
+    def test_interim_response_or_one_to_another_request_ends_the_request(self) -> None:
+        other = response(404, SIGNED).replace(b"aaaa1111", b"bbbb2222")
+        for earlier in (response(100), response(103), response(199), other, other * 3):
+            with self.subTest(earlier=earlier):
+                got = self.send(b"POST", earlier + response(200, SIGNED))
+                self.assertEqual((200, 1), got[:2])
+                self.assertEqual((502, 1), self.send(b"POST", earlier)[:2])
+        self.assertEqual((502, 1), self.send(b"POST", response(101, SIGNED))[:2])
+
     def test_signed_response_is_discarded(self) -> None:
         for status in UNSIGNED_STATUSES:
             with self.subTest(status=status):
