--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -54,6 +54,7 @@
 DECLARED_LENGTH = re.compile(rb"(?im)^content-length:[ \t]*([0-9]+)[ \t]*\r\n")
 ABSOLUTE_FORM = re.compile(rb"(?i)http://([^/?#@]+)([/?][^#]*)?")
 MAX_NUMBER_DIGITS = 15
+FIRST_REDIRECTION_STATUS = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,22 +246,35 @@
             return Err("the body has two framings")
         if [encoding.lower() for encoding in encodings] != [b"chunked"]:
             return Err("unknown transfer encoding")
+    # Callers tell by the signature that a response is the server's.
+    retained_names = frozenset((b"content-length", conventions.signature.lower()))
     return Ok(
         BackendResponseHead(
             status=status,
-            headers=inspected.end_to_end(frozenset((b"content-length",))),
+            headers=inspected.end_to_end(retained_names),
             length=length.ok_value,
             chunked=encodings is not None,
             keep_alive=inspected.is_keep_alive(minor),
             shed=conventions.not_run.lower() in inspected.values
             or status in conventions.not_run_statuses,
             request_id=inspected.first_value(conventions.request_id),
-            signed=conventions.signature.lower() in inspected.values,
+            signed=inspected.first_value(conventions.signature) != b"",
             server_status=parse_server_status(inspected.values, conventions),
         )
     )
 
 
+def lacks_signature(head: BackendResponseHead, conventions: HeaderConventions) -> bool:
+    """Return whether a final response can't be the server's own.
+
+    A server signs each response to a request that it ran, whatever the status. It need
+    not sign that it did not run one; a status below 300 contradicts that.
+    """
+    if not conventions.signature or head.signed:
+        return False
+    return not head.shed or head.status < FIRST_REDIRECTION_STATUS
+
+
 def declared_length(header_lines: bytes) -> int | None:
     """Return the Content-Length from header lines, None if there is none."""
     match = DECLARED_LENGTH.search(header_lines)
@@ -274,6 +288,7 @@
     "HeadError",
     "RequestHead",
     "declared_length",
+    "lacks_signature",
     "parse_request_head",
     "parse_response_head",
 ]
--- a/src/briarslip/request/attempt.py
+++ b/src/briarslip/request/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from briarslip.process.events import Event
@@ -12,9 +13,12 @@
 from briarslip.request.ejection import record_failure
 from briarslip.request.ejection import record_lost_link
 from briarslip.request.ejection import record_success
+from briarslip.request.outcome import VERDICT_REASONS
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
+from briarslip.request.refusal import may_forward_refusal
+from briarslip.request.refusal import refusal_failure
 from briarslip.request.retry import STALE_MEMBERSHIP_REASONS
 from briarslip.request.server import record_latency
 from briarslip.request.server import record_load
@@ -99,15 +103,28 @@
                 self.server.address, head.leaving_incarnation
             )
         if head.outcome is Outcome.NOT_RUN:
-            failure = Failure(Outcome.NOT_RUN, Reason.SHED)
-            if self.exchange.try_withdraw_retry(failure):
-                self._end(Outcome.NOT_RUN, Reason.SHED)
-                self.exchange.retry(failure)
+            if self._is_refusal_handled(head):
                 return
         elif head.status < FIRST_SERVER_ERROR_STATUS:
             self._record_service_time(head.load, now)
         self.exchange.head(head)
 
+    def _is_refusal_handled(self, head: ResponseHead) -> bool:
+        """Retry or fail a call that the server has not run; return whether to stop.
+
+        Otherwise the refusal is the response for the caller.
+        """
+        failure = refusal_failure(head)
+        if self.exchange.may_have_run or not may_forward_refusal(head):
+            self._end(failure.outcome, failure.reason)
+            self.exchange.attempt_failed(failure)
+            return True
+        if not self.exchange.try_withdraw_retry(failure):
+            return False
+        self._end(failure.outcome, failure.reason)
+        self.exchange.retry(failure)
+        return True
+
     def body(self, data: bytes, last: bool) -> None:
         """Forward a part of the body."""
         if self.ended:
@@ -125,6 +142,9 @@
         if failure.reason is Reason.SERVER_BUSY:
             self._move_on()
             return
+        if failure.reason in VERDICT_REASONS:
+            # A daemon of another version may send it. The request itself was accepted.
+            failure = replace(failure, reason=Reason.INTERNAL_ERROR)
         # A failure without a load was not reported by the server's daemon.
         self.link_lost = load is None and failure.reason in LINK_FAILURE_REASONS
         self._end(failure.outcome, failure.reason)
