Answer a large request 503 while the operators' limits are unknown

Callers saw 431 for heads above 32 KiB and 413 for large bodies, from daemons that had no configuration yet, and for as long as the limits in the document could not be read.

Cause: the defaults applied in both cases, as if an operator had set them. A document was among the unreadable ones if its header or idle timeout exceeded ten minutes, the most that a record holds.

Evidence, before: tests.process.test_unknown_limits fails in 16 cases, for example b'503' != b'431' : b'HTTP/1.1 431 ... the head is too large b'503' != b'413' : b'HTTP/1.1 413 Request Entity Too Large ... before the first configuration, without limits, with one field of four unreadable, and with an idle timeout of 10,000 s.

Fix: while the limits are unknown the sizes only protect the daemon (256 KiB, 1 GiB, and the limit on all buffers), and a larger request gets 503 with Retry-After; it has not run. Times are shortened to what a record holds, as those of routes are. Where the settings hold the limit and the configuration has none, 413 is as before. A request that is half received when the limits change may keep to the old or the new ones. Any 503 that ends a connection now has Retry-After, also that for too many connections.

Ruled out: a request beyond known limits still gets 431 or 413 (tested).

--- a/src/briarslip/connection/caller_connection.py
+++ b/src/briarslip/connection/caller_connection.py
@@ -279,10 +279,7 @@
         conventions = self.factory.conventions
         read = self.reader.read(self.factory.limits(), conventions, self._check_key)
         if isinstance(read, Err):
-            error = read.err_value
-            is_unauthorized = error.status == http.UNAUTHORIZED
-            line = conventions.challenge_line if is_unauthorized else b""
-            self.reject(error.status, error.reason, line)
+            self.reject(read.err_value.status, read.err_value.reason)
             return False
         request = read.ok_value
         if request is None:
@@ -352,17 +349,16 @@
 
     def reject_as_not_run(self, reason: Reason) -> None:
         """Reject the request that is being received; its caller may come again."""
-        seconds = self.factory.retry_after_seconds(None)
-        line = self.factory.conventions.retry_after_line(seconds)
-        self.reject(http.SERVICE_UNAVAILABLE, reason.value, line)
+        self.reject(http.SERVICE_UNAVAILABLE, reason.value)
 
-    def reject(self, status: int, text: str, header_lines: bytes = b"") -> None:
+    def reject(self, status: int, text: str) -> None:
         """Reject a request after which the next can't be found, and close."""
         conventions = self.factory.conventions
         received = describe_unread(self.reader, conventions, self.request_count)
         self.factory.client_errors.record(status, text, received)
         self.reader.discard()
         self.request_bytes = 0
+        header_lines = self.factory.rejection_line(status)
         header_lines += conventions.outcome_line(Outcome.NOT_RUN.value)
         header_lines += CONNECTION_CLOSE_LINE
         self.write(error_response(status, text, header_lines))
--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
+from twisted.web import http
 
 from briarslip.connection.buffer_budget import BufferBudget
 from briarslip.connection.caller_connection import CallerConnection
@@ -126,6 +127,14 @@
         """Build the connection of one caller."""
         return CallerConnection(self)
 
+    def rejection_line(self, status: int) -> bytes:
+        """Return the header line that goes with the status of a rejection."""
+        if status == http.UNAUTHORIZED:
+            return self.conventions.challenge_line
+        if status == http.SERVICE_UNAVAILABLE:
+            return self.conventions.retry_after_line(self.retry_after_seconds(None))
+        return b""
+
     @property
     def unfinished_count(self) -> int:
         """The number of requests that are received or served, or whose response waits.
--- a/src/briarslip/connection/request_reader.py
+++ b/src/briarslip/connection/request_reader.py
@@ -30,6 +30,7 @@
 
 MAX_DEPTH = 64
 HEAD_TOO_LARGE = 431
+LIMITS_UNKNOWN = "the limits for requests are not known"
 # Smaller bodies are received before the request is checked, so that a caller that sends
 # head and body in two writes keeps its connection after a 401.
 LARGE_BODY_BYTES = 64 << 10
@@ -43,6 +44,13 @@
     body: Body
 
 
+def _too_large(status: int, reason: str, limits_known: bool) -> HeadError:
+    """Return the error of a request that may be proper if the limits are unknown."""
+    if limits_known:
+        return HeadError(status, reason)
+    return HeadError(http.SERVICE_UNAVAILABLE, LIMITS_UNKNOWN)
+
+
 def _accept(head: RequestHead) -> HeadError | None:
     """Return no error: the body of each request is received."""
     return None
@@ -52,7 +60,8 @@
     """The bytes of a connection that have not been read as requests yet.
 
     ``head`` and ``body`` belong to the request whose body is being received.
-    ``expects_continue`` is whether its caller waits for leave to send it.
+    ``expects_continue`` is whether its caller waits for leave to send it, and
+    ``limits_known`` whether its limits were known when its head was read.
     """
 
     def __init__(self) -> None:
@@ -60,6 +69,7 @@
         self.head: RequestHead | None = None
         self.body: RequestBody | None = None
         self.expects_continue = False
+        self.limits_known = True
 
     @property
     def is_started(self) -> bool:
@@ -101,7 +111,7 @@
         if self.body is None:
             self.head = None
             return Ok(ReadRequest(head, EMPTY_BODY))
-        return self._read_body(head, self.body)
+        return self._read_body(head, self.body, limits)
 
     def read_ahead(
         self,
@@ -139,7 +149,8 @@
         if end < 0 and len(self.buffer) <= limits.head_bytes:
             return None
         if not 0 <= end <= limits.head_bytes:
-            return HeadError(HEAD_TOO_LARGE, "the head is too large")
+            known = limits.are_known
+            return _too_large(HEAD_TOO_LARGE, "the head is too large", known)
         parsed = parse_request_head(self.buffer[: end + 2], conventions)
         if isinstance(parsed, Err):
             return parsed.err_value
@@ -154,6 +165,7 @@
         self.head = head
         if head.length != 0:
             self.body = RequestBody(head.length, limits.body_bytes)
+            self.limits_known = limits.are_known
             body_expected = self.body.state is BodyState.PARTIAL
             self.expects_continue = (
                 head.expects_continue and body_expected and not self.buffer
@@ -161,9 +173,11 @@
         return None
 
     def _read_body(
-        self, head: RequestHead, body: RequestBody
+        self, head: RequestHead, body: RequestBody, limits: CallerLimits
     ) -> Result[ReadRequest | None, HeadError]:
         data, self.buffer = self.buffer, b""
+        # A request that is half received when the limits change may keep to either.
+        body.max_bytes = max(body.max_bytes, limits.body_bytes)
         body.feed(data)
         match body.state:
             case BodyState.COMPLETE:
@@ -172,7 +186,8 @@
                 return Ok(ReadRequest(head, body.take_content()))
             case BodyState.TOO_LARGE:
                 status, reason = http.REQUEST_ENTITY_TOO_LARGE, Reason.BODY_TOO_LARGE
-                return Err(HeadError(status, reason.value))
+                known = self.limits_known and limits.are_known
+                return Err(_too_large(status, reason.value, known))
             case BodyState.MALFORMED:
                 return Err(HeadError(http.BAD_REQUEST, "the body is malformed"))
         return Ok(None)
--- a/src/briarslip/platform/configuration.py
+++ b/src/briarslip/platform/configuration.py
@@ -267,15 +267,23 @@
 
 
 def _add_limits(records: Records, document: JsonObject) -> None:
-    """Add the limits for callers; without readable ones the defaults apply."""
+    """Add the limits for callers; without readable ones they are unknown.
+
+    A longer time than a record may hold is shortened; a size is not, as larger requests
+    would be rejected as wrong.
+    """
     known = len(document.findings)
     limits = document.nested("limits")
     values = {
         "head_bytes": str(limits.whole_part("header-bytes", minimum=1)),
         "body_bytes": str(limits.whole_part("max-body-bytes")),
-        "read_ms": str(limits.whole_part("header-timeout-ms", minimum=1)),
-        "idle_ms": str(limits.whole_part("idle-timeout-ms", minimum=1)),
     }
+    for field, name in (
+        ("read_ms", "header-timeout-ms"),
+        ("idle_ms", "idle-timeout-ms"),
+    ):
+        milliseconds = limits.whole_part(name, minimum=1)
+        values[field] = str(min(milliseconds, MAX_TIMEOUT_MS))
     record = Record(RecordKey("limits", CALLER_LIMITS_NAME, 1), values)
     if isinstance(record.parsed, Err):
         for finding in record.parsed.err_value:
--- a/src/briarslip/platform/settings.py
+++ b/src/briarslip/platform/settings.py
@@ -33,7 +33,6 @@
 DEFAULT_TIMEOUT = timedelta(seconds=5)
 HEARTBEAT_INTERVAL = timedelta(milliseconds=500)
 CONTACTS_INTERVAL = timedelta(seconds=15)
-MAX_BODY_BYTES = 64 << 20
 # A server expires after this many report intervals without a report.
 REPORTS_PER_LEASE = 4
 DEFAULT_RETRY_SLACK = 50
@@ -90,7 +89,7 @@
         ),
         membership=MembershipSettings((), HEARTBEAT_INTERVAL, CONTACTS_INTERVAL),
         limits=LimitSettings(
-            max_body_bytes=MAX_BODY_BYTES,
+            max_body_bytes=None,
             default_timeout=DEFAULT_TIMEOUT,
             announcement_lease=heartbeat * REPORTS_PER_LEASE,
             stop_grace=grace * STOP_GRACE_SHARE,
--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -9,6 +9,7 @@
 
 from briarslip.connection.buffer_budget import BufferBudget
 from briarslip.connection.caller_http import CallerHttpFactory
+from briarslip.connection.caller_limits import UNKNOWN_LIMITS
 from briarslip.connection.caller_limits import CallerLimits
 from briarslip.connection.client_errors import ClientErrors
 from briarslip.connection.deadline_wheel import DeadlineWheel
@@ -343,11 +344,13 @@
         return self.forwarder.may_repeat(method, target, head.host)
 
     def caller_limits(self) -> CallerLimits:
-        """Return the limits on callers from the configuration, or else the defaults."""
-        record = self.distribution.table.caller_limits
-        if record is None:
-            return CallerLimits(body_bytes=self.settings.limits.max_body_bytes)
-        return CallerLimits.from_record(record)
+        """Return the limits on callers of the configuration, or else the settings."""
+        table, body_bytes = self.distribution.table, self.settings.limits.max_body_bytes
+        if table.caller_limits is not None:
+            return CallerLimits.from_record(table.caller_limits)
+        if not table.version or body_bytes is None:
+            return UNKNOWN_LIMITS
+        return CallerLimits(body_bytes=body_bytes)
 
     def max_retry_tokens(self) -> float:
         """Return the size of this daemon's retry budget."""
--- a/src/briarslip/process/settings.py
+++ b/src/briarslip/process/settings.py
@@ -67,6 +67,8 @@
 class LimitSettings:
     """Limits on the work of one daemon.
 
+    ``max_body_bytes`` is the largest body of a request where the configuration has no
+    limits for callers, None if it always should have them.
     A shutdown ends after ``stop_grace`` at the latest; None lets each request use
     its whole deadline. ``retry_slack`` is the number of retries that all daemons
     together may make at once beyond their share of the requests; None gives each
@@ -79,7 +81,7 @@
     chosen for even load from old views, and calls move on from full ones.
     """
 
-    max_body_bytes: int
+    max_body_bytes: int | None
     default_timeout: timedelta
     announcement_lease: timedelta
     stop_grace: timedelta | None = None
