Ignore empty lines before a request

Callers that end a body with an additional line break, or send an empty line before a request line, saw 400 for the next request on the connection.

Cause: the empty line was read as the begin of the head. RFC 9112, section 2.2: a server should ignore at least one empty line before the request line.

Fix: line breaks where a request may begin are skipped as they arrive, also between pipelined requests and in pieces of any size; those in bodies stay. A connection that has received nothing else stays idle: it gets no 408, and no longer time than before.

Ruled out: a body that itself holds empty lines is not shortened (tested, by length and chunked).

--- a/src/briarslip/connection/caller_connection.py
+++ b/src/briarslip/connection/caller_connection.py
@@ -118,13 +118,16 @@
     def dataReceived(self, data: bytes) -> None:
         """Receive bytes; a pipelined request may wait for the response before it.
 
-        Bytes that arrive after the last response are discarded.
+        Bytes that arrive after the last response are discarded. Empty lines between
+        requests leave the connection idle.
         """
         if self.closed:
             return
+        self.reader.add(data)
+        if not self.reader.is_started:
+            return
         self.last_active_at = self.factory.now
         self.factory.table.mark_active(self)
-        self.reader.add(data)
         if not self.processing:
             self._process_buffer()
         if (
--- a/src/briarslip/connection/request_reader.py
+++ b/src/briarslip/connection/request_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,7 @@
 MAX_DEPTH = 64
 HEAD_TOO_LARGE = 431
 LIMITS_UNKNOWN = "the limits for requests are not known"
+EMPTY_LINES = re.compile(rb"(?:\r\n)++")
 # Smaller bodies are received before the request is checked, so that a caller that sends
 # head and body in two writes keeps its connection after a 401.
 LARGE_BODY_BYTES = 64 << 10
@@ -89,6 +91,8 @@
     def add(self, data: bytes) -> None:
         """Add received bytes."""
         self.buffer = self.buffer + data if self.buffer else data
+        if self.head is None:
+            self._skip_empty_lines()
 
     def read(
         self,
@@ -110,6 +114,7 @@
             return Ok(None)
         if self.body is None:
             self.head = None
+            self._skip_empty_lines()
             return Ok(ReadRequest(head, EMPTY_BODY))
         return self._read_body(head, self.body, limits)
 
@@ -129,6 +134,7 @@
         if head.length != 0 or head.depth >= MAX_DEPTH or not is_wanted(head):
             return None
         self.buffer = self.buffer[end + len(HEAD_END) :]
+        self._skip_empty_lines()
         return head
 
     def discard(self) -> None:
@@ -139,6 +145,12 @@
             body.discard()
         self.head = None
 
+    def _skip_empty_lines(self) -> None:
+        """Skip empty lines before a request (RFC 9112, section 2.2)."""
+        empty = EMPTY_LINES.match(self.buffer)
+        if empty is not None:
+            self.buffer = self.buffer[empty.end() :]
+
     def _read_head(
         self,
         limits: CallerLimits,
@@ -183,6 +195,7 @@
             case BodyState.COMPLETE:
                 self.buffer = body.trailing_data
                 self.head = self.body = None
+                self._skip_empty_lines()
                 return Ok(ReadRequest(head, body.take_content()))
             case BodyState.TOO_LARGE:
                 status, reason = http.REQUEST_ENTITY_TOO_LARGE, Reason.BODY_TOO_LARGE
