Accept deadlines with fractions, a plus sign, many digits or repeated lines

Callers saw 400 for requests whose deadline was sent as 12.5, +12, 12 twice, as a number of more than 15 digits, or empty.

Cause: the deadline was read by the strict rule for Content-Length, although it frames nothing: a request can be served without it.

Evidence, before: tests.connection.test_deadline_value fails in 23 cases with HeadError(status=400, reason='briarslip-deadline-ms is malformed')

Fix: a fraction is rounded down and the smallest of several values counts, so that no response comes after its caller has left; a number with more digits counts as 10^15 ms, which the route's timeout shortens. A value that is no number is ignored, and the route's timeout holds alone. 0 is read as before: the request ends with 504.

A negative number stays 400, as test_caller_http asks for: it is no time that a caller can wait. Ruled out: Content-Length stays strict, where a second reading could find the end of the body elsewhere.

--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -12,6 +12,7 @@
 from result import Result
 from twisted.web import http
 
+from briarslip.connection.deadline_value import parse_deadline_ms
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
 from briarslip.connection.header_conventions import HeaderConventions
 from briarslip.connection.server_status import NO_STATUS
@@ -162,6 +163,10 @@
         """Return the first value of a header, empty if there is none."""
         return self.values.get(name.lower(), [b""])[0]
 
+    def all_values(self, name: bytes) -> list[bytes]:
+        """Return the values of a header, empty if there is none."""
+        return self.values.get(name.lower(), [])
+
     def parse_number(self, name: bytes) -> Result[int | None, str]:
         """Parse a header that may occur once and holds a whole number.
 
@@ -196,12 +201,14 @@
     if absolute is not None:
         hosts, target = [absolute[1]], absolute[2] or b"/"
     numbers: dict[bytes, int | None] = {}
-    deadline = conventions.deadline.lower()
-    for name in (SET_PER_HOP | {deadline}) & inspected.values.keys():
+    for name in SET_PER_HOP & inspected.values.keys():
         number = inspected.parse_number(name)
         if isinstance(number, Err):
             return Err(HeadError(http.BAD_REQUEST, number.err_value))
         numbers[name] = number.ok_value
+    timeout = parse_deadline_ms(inspected.all_values(conventions.deadline))
+    if isinstance(timeout, Err):
+        return Err(HeadError(http.BAD_REQUEST, timeout.err_value))
     length = numbers.get(b"content-length")
     encodings = inspected.values.get(b"transfer-encoding")
     if encodings is not None:
@@ -219,7 +226,7 @@
             keep_alive=inspected.is_keep_alive(minor),
             expects_continue=expects == [b"100-continue"],
             minor_version=minor,
-            timeout_ms=numbers.get(deadline),
+            timeout_ms=timeout.ok_value,
             depth=numbers.get(b"briarslip-depth") or 0,
             host=hosts[0].decode("latin-1").lower() if hosts else "",
         )
