Don't count a part of the end of a head against its limit

A caller whose head was as large as the limit, or up to two bytes smaller, saw 431 if the connection delivered the last bytes of the head in a second piece, and its response otherwise.

Cause: the empty line that ends a head does not count, but where the end had not been received whole, the part of it that had been did.

Evidence, before, for a head of 1,000 bytes and a limit of 1,000, cut at byte 1,001: test_head_within_the_limit_is_too_large_if_it_arrives_in_pieces AssertionError: b'' != b'431' : 1001

Fix: up to three bytes over the limit may be a part of the end; after a fourth one the head is over the limit in any case. Ruled out: a pipelined request behind the head does not count (tested).

--- a/src/briarslip/connection/request_reader.py
+++ b/src/briarslip/connection/request_reader.py
@@ -31,6 +31,8 @@
 
 MAX_DEPTH = 64
 HEAD_TOO_LARGE = 431
+# Received bytes may end with a part of the end of the head, which does not count.
+PARTIAL_END_BYTES = len(HEAD_END) - 1
 LIMITS_UNKNOWN = "the limits for requests are not known"
 EMPTY_LINES = re.compile(rb"(?:\r\n)++")
 # Smaller bodies are received before the request is checked, so that a caller that sends
@@ -158,11 +160,12 @@
         check_large: Callable[[RequestHead], HeadError | None],
     ) -> HeadError | None:
         end = self.buffer.find(HEAD_END)
-        if end < 0 and len(self.buffer) <= limits.head_bytes:
-            return None
-        if not 0 <= end <= limits.head_bytes:
+        size_bytes = len(self.buffer) - PARTIAL_END_BYTES if end < 0 else end
+        if size_bytes > limits.head_bytes:
             known = limits.are_known
             return _too_large(HEAD_TOO_LARGE, "the head is too large", known)
+        if end < 0:
+            return None
         parsed = parse_request_head(self.buffer[: end + 2], conventions)
         if isinstance(parsed, Err):
             return parsed.err_value
