Count the first line of a request apart from its headers

Where the operators' limit is meant for the headers alone, a caller with a long target saw 431 for headers within the limit.

Cause: the first line and the headers were compared with the limit together. Nothing here says whether `header-bytes` includes the first line.

Fix: each of the two may have as many bytes as the limit, so a request that keeps to the limit under either reading is read. A head of more than twice the limit is never kept.

Ruled out: a first line or headers over the limit still get 431, whole or in part.

--- a/src/briarslip/connection/request_reader.py
+++ b/src/briarslip/connection/request_reader.py
@@ -161,7 +161,9 @@
     ) -> HeadError | None:
         end = self.buffer.find(HEAD_END)
         size_bytes = len(self.buffer) - PARTIAL_END_BYTES if end < 0 else end
-        if size_bytes > limits.head_bytes:
+        if size_bytes > limits.head_bytes and self._is_head_over(
+            size_bytes, limits.head_bytes
+        ):
             known = limits.are_known
             return _too_large(HEAD_TOO_LARGE, "the head is too large", known)
         if end < 0:
@@ -187,6 +189,11 @@
             )
         return None
 
+    def _is_head_over(self, size_bytes: int, limit_bytes: int) -> bool:
+        """Return whether the first line or the headers of the head are over a limit."""
+        line_bytes = self.buffer.find(b"\r\n")
+        return not size_bytes - limit_bytes <= line_bytes <= limit_bytes
+
     def _read_body(
         self, head: RequestHead, body: RequestBody, limits: CallerLimits
     ) -> Result[ReadRequest | None, HeadError]:
--- a/tests/connection/test_head_size.py
+++ b/tests/connection/test_head_size.py
@@ -41,6 +41,14 @@
         for cut in range(1, len(text)):
             self.assertEqual(b"", self.send(text[:cut], text[cut:]), cut)
 
+    def test_long_target_takes_bytes_of_the_headers(self) -> None:
+        """Guards against 431 where operators limit the header fields alone."""
+        line = b"GET /%b HTTP/1.1\r\n" % (b"a" * (LIMIT_BYTES - 20))
+        fields = HOST + b"x" * (LIMIT_BYTES - len(HOST) - 2) + b"\r\n"
+        text = line + fields + b"\r\n"
+        for cut in (1, len(line) - 1, len(line), LIMIT_BYTES + 10, len(text) - 1):
+            self.assertEqual(b"", self.send(text[:cut], text[cut:]), cut)
+
     def test_next_request_takes_bytes_of_the_headers(self) -> None:
         text = b"GET /a HTTP/1.1\r\n" + HOST + b"x" * 700 + b"\r\n\r\n"
         self.assertEqual(b"", self.send(text + text + text[:800]))
