Accept repeated or unreadable lines with the depth of a nested request

A server that copies the headers of the request it serves to a nested request, and whose client library does the same, saw 400 for two equal lines.

Cause: the depth was read by the strict rule for Content-Length, although it frames nothing and each hop sets its own.

Fix: the largest depth that can be read counts, so that loops still end at the limit; an unreadable one is ignored.

--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -20,6 +20,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from briarslip.request.call import ServerStatus
 
 
@@ -40,7 +42,8 @@
     )
 )
 # Each hop sets its own value.
-SET_PER_HOP = frozenset((b"content-length", b"briarslip-depth"))
+DEPTH_NAME = b"briarslip-depth"
+SET_PER_HOP = frozenset((b"content-length", DEPTH_NAME))
 NOT_END_TO_END = HOP_BY_HOP | SET_PER_HOP
 ALWAYS_INSPECTED = NOT_END_TO_END | {b"host"}
 
@@ -55,6 +58,7 @@
 DECLARED_LENGTH = re.compile(rb"(?im)^content-length:[ \t]*([0-9]+)[ \t]*\r\n")
 ABSOLUTE_FORM = re.compile(rb"(?i)http://([^/?#@]+)([/?][^#]*)?")
 MAX_NUMBER_DIGITS = 15
+DEPTH = re.compile(rb"[0-9]{1,%d}" % MAX_NUMBER_DIGITS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,16 +204,13 @@
     absolute = ABSOLUTE_FORM.fullmatch(target)
     if absolute is not None:
         hosts, target = [absolute[1]], absolute[2] or b"/"
-    numbers: dict[bytes, int | None] = {}
-    for name in SET_PER_HOP & inspected.values.keys():
-        number = inspected.parse_number(name)
-        if isinstance(number, Err):
-            return Err(HeadError(http.BAD_REQUEST, number.err_value))
-        numbers[name] = number.ok_value
+    content_length = inspected.parse_number(b"content-length")
+    if isinstance(content_length, Err):
+        return Err(HeadError(http.BAD_REQUEST, content_length.err_value))
+    length = content_length.ok_value
     timeout = parse_deadline_ms(inspected.all_values(conventions.deadline))
     if isinstance(timeout, Err):
         return Err(HeadError(http.BAD_REQUEST, timeout.err_value))
-    length = numbers.get(b"content-length")
     encodings = inspected.values.get(b"transfer-encoding")
     if encodings is not None:
         if length is not None or minor == b"0":
@@ -227,12 +228,18 @@
             expects_continue=expects == [b"100-continue"],
             minor_version=minor,
             timeout_ms=timeout.ok_value,
-            depth=numbers.get(b"briarslip-depth") or 0,
+            depth=_parse_depth(inspected.all_values(DEPTH_NAME)),
             host=hosts[0].decode("latin-1").lower() if hosts else "",
         )
     )
 
 
+def _parse_depth(values: Iterable[bytes]) -> int:
+    """Return the largest of the depths that can be read, 0 if there is none."""
+    members = (member.strip() for value in values for member in value.split(b","))
+    return max((int(m) for m in members if DEPTH.fullmatch(m)), default=0)
+
+
 def parse_response_head(
     data: bytes, conventions: HeaderConventions = DEFAULT_CONVENTIONS
 ) -> Result[BackendResponseHead, str]:
