--- a/src/briarslip/connection/request_reader.py
+++ b/src/briarslip/connection/request_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,10 @@
 
 MAX_DEPTH = 64
 HEAD_TOO_LARGE = 431
+# Received bytes may end with a part of the end of the head, which does not count.
+PARTIAL_END_BYTES = len(HEAD_END) - 1
+LIMITS_UNKNOWN = "the limits for requests are not known"
+EMPTY_LINES = re.compile(rb"(?:\r\n)++")
 # Smaller bodies are received before the request is checked, so that a caller that sends
 # head and body in two writes keeps its connection after a 401.
 LARGE_BODY_BYTES = 64 << 10
@@ -43,6 +48,13 @@
     body: Body
 
 
+def _too_large(status: int, reason: str, limits_known: bool) -> HeadError:
+    """Return the error of a request that may be proper if the limits are unknown."""
+    if limits_known:
+        return HeadError(status, reason)
+    return HeadError(http.SERVICE_UNAVAILABLE, LIMITS_UNKNOWN)
+
+
 def _accept(head: RequestHead) -> HeadError | None:
     """Return no error: the body of each request is received."""
     return None
@@ -52,7 +64,8 @@
     """The bytes of a connection that have not been read as requests yet.
 
     ``head`` and ``body`` belong to the request whose body is being received.
-    ``expects_continue`` is whether its caller waits for leave to send it.
+    ``expects_continue`` is whether its caller waits for leave to send it, and
+    ``limits_known`` whether its limits were known when its head was read.
     """
 
     def __init__(self) -> None:
@@ -60,6 +73,7 @@
         self.head: RequestHead | None = None
         self.body: RequestBody | None = None
         self.expects_continue = False
+        self.limits_known = True
 
     @property
     def is_started(self) -> bool:
@@ -79,6 +93,8 @@
     def add(self, data: bytes) -> None:
         """Add received bytes."""
         self.buffer = self.buffer + data if self.buffer else data
+        if self.head is None:
+            self._skip_empty_lines()
 
     def read(
         self,
@@ -100,8 +116,9 @@
             return Ok(None)
         if self.body is None:
             self.head = None
+            self._skip_empty_lines()
             return Ok(ReadRequest(head, EMPTY_BODY))
-        return self._read_body(head, self.body)
+        return self._read_body(head, self.body, limits)
 
     def read_ahead(
         self,
@@ -119,6 +136,7 @@
         if head.length != 0 or head.depth >= MAX_DEPTH or not is_wanted(head):
             return None
         self.buffer = self.buffer[end + len(HEAD_END) :]
+        self._skip_empty_lines()
         return head
 
     def discard(self) -> None:
@@ -129,6 +147,12 @@
             body.discard()
         self.head = None
 
+    def _skip_empty_lines(self) -> None:
+        """Skip empty lines before a request (RFC 9112, section 2.2)."""
+        empty = EMPTY_LINES.match(self.buffer)
+        if empty is not None:
+            self.buffer = self.buffer[empty.end() :]
+
     def _read_head(
         self,
         limits: CallerLimits,
@@ -136,10 +160,14 @@
         check_large: Callable[[RequestHead], HeadError | None],
     ) -> HeadError | None:
         end = self.buffer.find(HEAD_END)
-        if end < 0 and len(self.buffer) <= limits.head_bytes:
+        size_bytes = len(self.buffer) - PARTIAL_END_BYTES if end < 0 else end
+        if size_bytes > limits.head_bytes and self._is_head_over(
+            size_bytes, limits.head_bytes
+        ):
+            known = limits.are_known
+            return _too_large(HEAD_TOO_LARGE, "the head is too large", known)
+        if end < 0:
             return None
-        if not 0 <= end <= limits.head_bytes:
-            return HeadError(HEAD_TOO_LARGE, "the head is too large")
         parsed = parse_request_head(self.buffer[: end + 2], conventions)
         if isinstance(parsed, Err):
             return parsed.err_value
@@ -154,25 +182,35 @@
         self.head = head
         if head.length != 0:
             self.body = RequestBody(head.length, limits.body_bytes)
+            self.limits_known = limits.are_known
             body_expected = self.body.state is BodyState.PARTIAL
             self.expects_continue = (
                 head.expects_continue and body_expected and not self.buffer
             )
         return None
 
+    def _is_head_over(self, size_bytes: int, limit_bytes: int) -> bool:
+        """Return whether the first line or the headers of the head are over a limit."""
+        line_bytes = self.buffer.find(b"\r\n")
+        return not size_bytes - limit_bytes <= line_bytes <= limit_bytes
+
     def _read_body(
-        self, head: RequestHead, body: RequestBody
+        self, head: RequestHead, body: RequestBody, limits: CallerLimits
     ) -> Result[ReadRequest | None, HeadError]:
         data, self.buffer = self.buffer, b""
+        # A request that is half received when the limits change may keep to either.
+        body.max_bytes = max(body.max_bytes, limits.body_bytes)
         body.feed(data)
         match body.state:
             case BodyState.COMPLETE:
                 self.buffer = body.trailing_data
                 self.head = self.body = None
+                self._skip_empty_lines()
                 return Ok(ReadRequest(head, body.take_content()))
             case BodyState.TOO_LARGE:
                 status, reason = http.REQUEST_ENTITY_TOO_LARGE, Reason.BODY_TOO_LARGE
-                return Err(HeadError(status, reason.value))
+                known = self.limits_known and limits.are_known
+                return Err(_too_large(status, reason.value, known))
             case BodyState.MALFORMED:
                 return Err(HeadError(http.BAD_REQUEST, "the body is malformed"))
         return Ok(None)
