Call the store again within a second while it is away

What callers saw: 404 on a route that was written as soon as the store was back from an outage, at daemons that had to hear of it from a peer.

Cause: after some failures a daemon waited up to 4 s for its next call of the store, longer than a change may take to be in force (2 to 2.5 s). Daemons that were served earlier offer the version, but one that watches waits 1.25 s first.

Evidence, before the change, with 22 daemons:

test_change_after_an_outage_waits_for_back_offs_that_have_grown AssertionError: unexpectedly None : (3, Address(host='10.0.0.3', ...))

Why it works: the source of the configuration waits at most one read interval, 1 s, as between two reads while changes follow one another. While the store is away this is two calls a second of each daemon on average, far below what the store allows. Other jobs, and relays on etcd, keep 4 s.

--- a/src/briarslip/process/distribution/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -43,6 +43,10 @@
 # Share by which an interval may be shorter, so that daemons do not read all at once.
 READ_INTERVAL_JITTER = 0.25
 
+# Longest wait before the store is called again after a failure. A change that is
+# written as soon as the store is back must be in force in time.
+RETRY_CAP_SECONDS = READ_INTERVAL_SECONDS
+
 
 class StoredConfiguration:
     """Watches the operators' keys under ``prefix`` and converts them to snapshots.
@@ -81,9 +85,15 @@
         self.rng = rng
         self.last_change_at = -math.inf
         self.watch = StoreWatch(
-            reactor, rng, store, prefix, self._changed, self._resync
+            reactor,
+            rng,
+            store,
+            prefix,
+            self._changed,
+            self._resync,
+            RETRY_CAP_SECONDS,
         )
-        self.read_job = RetryingJob(reactor, rng, self._read_all)
+        self.read_job = RetryingJob(reactor, rng, self._read_all, RETRY_CAP_SECONDS)
 
     @property
     def is_in_touch(self) -> bool:
--- a/src/briarslip/process/retrying_job.py
+++ b/src/briarslip/process/retrying_job.py
@@ -29,7 +29,8 @@
 
     ``work`` is a coroutine function that returns whether it succeeded. A run
     requested while another one is in progress starts after it. A run that fails
-    or raises is retried with exponential back-off and full jitter.
+    or raises is retried with exponential back-off and full jitter, at most
+    ``retry_cap_seconds`` later.
     """
 
     def __init__(
@@ -37,10 +38,12 @@
         reactor: Any,
         rng: random.Random,
         work: Callable[[], Coroutine[Deferred[Any], Any, bool]],
+        retry_cap_seconds: float = RETRY_CAP_SECONDS,
     ) -> None:
         self.reactor = reactor
         self.rng = rng
         self.work = work
+        self.retry_cap_seconds = retry_cap_seconds
         self.is_running = False
         self.is_rerun_requested = False
         self.failures = 0
@@ -86,7 +89,7 @@
         is_rerun_requested, self.is_rerun_requested = self.is_rerun_requested, False
         if not succeeded:
             delay_seconds = full_jitter(
-                self.rng, self.failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+                self.rng, self.failures, RETRY_BASE_SECONDS, self.retry_cap_seconds
             )
             self.failures += 1
             self.run_after(delay_seconds + MIN_RETRY_SECONDS)
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -39,6 +39,7 @@
         prefix: str,
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_compacted: Callable[[], None],
+        retry_cap_seconds: float = RETRY_CAP_SECONDS,
     ) -> None:
         self.reactor = reactor
         self.rng = rng
@@ -46,6 +47,7 @@
         self.prefix = prefix
         self.on_events = on_events
         self.on_compacted = on_compacted
+        self.retry_cap_seconds = retry_cap_seconds
         self.next_revision = 0
         self.failures = 0
         self.watch: Watch | None = None
@@ -86,7 +88,7 @@
             self.on_compacted()
             return
         delay = full_jitter(
-            self.rng, self.failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+            self.rng, self.failures, RETRY_BASE_SECONDS, self.retry_cap_seconds
         )
         self.failures += 1
         self.reactor.callLater(delay, self._open, self.generation, True)
--- a/tests/process/distribution/test_lost_routes.py
+++ b/tests/process/distribution/test_lost_routes.py
@@ -36,6 +36,10 @@
 # check. A daemon is in touch once it has been free of disruptions for as long.
 CONVERGE_SECONDS = 2.6
 STEP_SECONDS = 0.1
+# In a small deployment.
+SMALL_CONVERGE_SECONDS = 2.0
+# After a restore, until the operators write again.
+REWRITE_SECONDS = 0.5
 STORE_TIMEOUT = timedelta(seconds=1)
 HOST = "jepu9.example"
 # With these, routes were missing before the watch of the store was mended.
@@ -118,32 +122,35 @@
             self.disturbed_until[daemon.address] = end
 
     def restore(self) -> None:
-        """Take the store away, and bring it back from a copy some seconds old."""
-        if self.is_store_away or not self.copies:
-            return
+        """Take the store away for a while; it may come back from an older copy."""
+        if not self.is_store_away:
+            copy = self.rng.choice([None, *self.copies])
+            self.stop_store(copy, self.rng.uniform(0.3, 9.0))
+
+    def stop_store(self, copy: Any, seconds: float) -> None:
+        """Take the store away until it comes back from a copy, or as it was."""
         self.is_store_away = True
         for http in self.https.values():
             http.fault = "reset"
             http.break_polls()
         self.store.waiters.clear()
-        seconds = self.rng.uniform(0.3, 9.0)
         self.disturb(list(self.fleet.daemons.values()), seconds)
-        self.fleet.clock.callLater(
-            seconds, self.come_back, self.rng.choice(self.copies)
-        )
+        self.fleet.clock.callLater(seconds, self.come_back, copy)
 
     def come_back(self, copy: Any) -> None:
-        """Bring the store back; the operators write again what was lost."""
-        self.store.restore(copy)
-        self.copies.clear()
+        """Bring the store back; the operators write again what a copy lacks."""
         self.is_store_away = False
         for address, http in self.https.items():
             http.fault = self.faults.get(address, "")
+        if copy is None:
+            return
+        self.store.restore(copy)
+        self.copies.clear()
         for number in range(self.rng.choice((0, 1, 30))):
             self.store.put(f"other/{number}", b"")
         newest = self.written[-1][1]
-        self.written = [(self.now + 1.0, version) for _, version in self.written]
-        self.fleet.clock.callLater(0.5, self.write_again, newest)
+        self.written = [(self.now + REWRITE_SECONDS, v) for _, v in self.written]
+        self.fleet.clock.callLater(REWRITE_SECONDS, self.write_again, newest)
 
     def write_again(self, version: int) -> None:
         """Write a lost version again, unless the store is away or has a later one."""
@@ -261,6 +268,17 @@
             with self.subTest(seed=seed):
                 self.assertEqual([], LossyDay(seed).play(SECONDS)[:20])
 
+    def test_change_after_an_outage_waits_for_back_offs_that_have_grown(self) -> None:
+        for seed in range(1, 4):
+            day = LossyDay(seed)
+            day.stop_store(None, 20.0)
+            day.fleet.run(20.01)
+            day.write()
+            day.fleet.run(SMALL_CONVERGE_SECONDS)
+            for daemon in day.fleet.running:
+                found = daemon.distribution.table.match(f"/v{day.version}/", "", HOST)
+                self.assertIsNotNone(found, (seed, daemon.address))
+
 
 if __name__ == "__main__":
     unittest.main()
