--- a/src/briarslip/process/retrying_job.py
+++ b/src/briarslip/process/retrying_job.py
@@ -29,8 +29,8 @@
 
     ``work`` is a coroutine function that returns whether it succeeded. A run
     requested while another one is in progress starts after it. A run that fails
-    or raises is retried with exponential back-off and full jitter, after
-    ``retry_cap_seconds`` at the latest.
+    or raises is retried with exponential back-off and full jitter, at most
+    ``retry_cap_seconds`` later.
     """
 
     def __init__(
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -19,8 +19,7 @@
 
 
 RETRY_BASE_SECONDS = 0.25
-# A daemon must have each change 3 s after the store is back.
-RETRY_CAP_SECONDS = 2.0
+RETRY_CAP_SECONDS = 4.0
 
 
 class StoreWatch:
@@ -40,6 +39,7 @@
         prefix: str,
         on_events: Callable[[tuple[WatchEvent, ...]], None],
         on_compacted: Callable[[], None],
+        retry_cap_seconds: float = RETRY_CAP_SECONDS,
     ) -> None:
         self.reactor = reactor
         self.rng = rng
@@ -47,6 +47,7 @@
         self.prefix = prefix
         self.on_events = on_events
         self.on_compacted = on_compacted
+        self.retry_cap_seconds = retry_cap_seconds
         self.next_revision = 0
         self.failures = 0
         self.watch: Watch | None = None
@@ -87,10 +88,10 @@
             self.on_compacted()
             return
         delay = full_jitter(
-            self.rng, self.failures, RETRY_BASE_SECONDS, RETRY_CAP_SECONDS
+            self.rng, self.failures, RETRY_BASE_SECONDS, self.retry_cap_seconds
         )
         self.failures += 1
         self.reactor.callLater(delay, self._open, self.generation, True)
 
 
-__all__ = ["RETRY_CAP_SECONDS", "StoreWatch"]
+__all__ = ["StoreWatch"]
--- a/tests/process/distribution/test_stored_configuration.py
+++ b/tests/process/distribution/test_stored_configuration.py
@@ -122,6 +122,21 @@
         self.advance(CONTACT_SECONDS)
         self.assertEqual([revision], self.versions)
 
+    def test_change_after_a_long_outage_waits_for_the_back_off(self) -> None:
+        first = self.write(b"1")
+        self.source.set_active(True)
+        self.advance(1)
+        self.source.watch.rng = LongestDelays()
+        self.world.store.outage = "close"
+        self.advance(40)
+        attempts = self.world.store.call_counts["watch"]
+        while self.world.store.call_counts["watch"] == attempts:
+            self.advance(0.1)
+        self.world.store.outage = ""
+        second = self.write(b"2")
+        self.advance(CONTACT_SECONDS)
+        self.assertEqual([first, second], self.versions)
+
     def test_start_during_an_outage_and_compaction(self) -> None:
         self.world.store.outage = "close"
         self.source.set_active(True)
