Apply a delta to a version after its base as well, if the digest is right

What callers saw: while configurations follow one another, 404 on a route that is in force for more than 2.5 s, at daemons of a large zone that are in touch.

Cause: relays read the newest state once a second, so they skip different versions. A delta that one of them pushes names its own previous version as the base, and a daemon that runs a later one, from another relay, refused it.

Why it works: a delta has every record in which its base and its result differ, so it leads to the result from the versions in between too, unless one of them made a change that was undone. The digest of the result tells; the daemon then pulls as before.

--- a/src/briarslip/version/delta.py
+++ b/src/briarslip/version/delta.py
@@ -106,11 +106,30 @@
     The error says how the base or the resulting digest differs from the expected one.
     """
     if (delta.base_version, delta.base_digest) != (base.version, base.digest):
-        return Err(
-            f"delta applies to version {delta.base_version}"
-            f" with digest {delta.base_digest},"
-            f" got version {base.version} with digest {base.digest}"
-        )
+        return Err(_wrong_base(base, delta))
+    return _apply(base, delta)
+
+
+def apply_delta_to_later(snapshot: Snapshot, delta: Delta) -> Result[Snapshot, str]:
+    """Apply a delta to its base or to a later version, and verify the digest.
+
+    A delta has every record that its base and its result do not share, so it mostly
+    leads there from a version in between as well. The error says why it does not.
+    """
+    if snapshot.version < delta.base_version:
+        return Err(_wrong_base(snapshot, delta))
+    return _apply(snapshot, delta)
+
+
+def _wrong_base(base: Snapshot, delta: Delta) -> str:
+    return (
+        f"delta applies to version {delta.base_version}"
+        f" with digest {delta.base_digest},"
+        f" got version {base.version} with digest {base.digest}"
+    )
+
+
+def _apply(base: Snapshot, delta: Delta) -> Result[Snapshot, str]:
     records = {k: v for k, v in base.records.items() if k not in delta.origins}
     records.update(delta.records)
     origins = {**base.origins, **delta.origins}
@@ -126,4 +145,10 @@
     return Ok(snapshot)
 
 
-__all__ = ["Delta", "apply_delta", "decode_delta", "delta_between"]
+__all__ = [
+    "Delta",
+    "apply_delta",
+    "apply_delta_to_later",
+    "decode_delta",
+    "delta_between",
+]
--- a/src/briarslip/version/distribution.py
+++ b/src/briarslip/version/distribution.py
@@ -16,7 +16,7 @@
 from briarslip.version.configuration_codec import FullSnapshot
 from briarslip.version.configuration_codec import compress
 from briarslip.version.configuration_codec import decompress
-from briarslip.version.delta import apply_delta
+from briarslip.version.delta import apply_delta_to_later
 from briarslip.version.delta import decode_delta
 from briarslip.version.delta import delta_between
 from briarslip.version.routing_table import EMPTY_TABLE
@@ -151,7 +151,7 @@
             return delta
         if delta.ok_value.version <= snapshot.version:
             continue
-        applied = apply_delta(snapshot, delta.ok_value)
+        applied = apply_delta_to_later(snapshot, delta.ok_value)
         if isinstance(applied, Err):
             return applied
         snapshot = applied.ok_value
