Back off from a store that refuses polls; take no silent connection for its calls

An Idempotency-Key over 255 bytes was refused with 400 on routes that don't use it, and a head that is half received when its limit is lowered got 431.

Back-off and contact are two fields now: a watch that lasted 0.1 s starts the back-off anew, any answer ends the time out of touch. A poll waits 1 s and is given up after 2.25 s. Connections to the store that rested for 1 s are not used again; test_http takes that limit in place of the pool's.

--- a/src/briarslip/connection/request_reader.py
+++ b/src/briarslip/connection/request_reader.py
@@ -66,6 +66,7 @@
     ``head`` and ``body`` belong to the request whose body is being received.
     ``expects_continue`` is whether its caller waits for leave to send it, and
     ``limits_known`` whether its limits were known when its head was read.
+    ``max_head_bytes`` is the largest limit while a head has been received in part.
     """
 
     def __init__(self) -> None:
@@ -74,6 +75,7 @@
         self.body: RequestBody | None = None
         self.expects_continue = False
         self.limits_known = True
+        self.max_head_bytes = 0
 
     @property
     def is_started(self) -> bool:
@@ -146,6 +148,7 @@
         if body is not None:
             body.discard()
         self.head = None
+        self.max_head_bytes = 0
 
     def _skip_empty_lines(self) -> None:
         """Skip empty lines before a request (RFC 9112, section 2.2)."""
@@ -161,13 +164,15 @@
     ) -> HeadError | None:
         end = self.buffer.find(HEAD_END)
         size_bytes = len(self.buffer) - PARTIAL_END_BYTES if end < 0 else end
-        if size_bytes > limits.head_bytes and self._is_head_over(
-            size_bytes, limits.head_bytes
-        ):
+        # A request that is half received when the limits change may keep to either.
+        max_bytes = max(self.max_head_bytes, limits.head_bytes)
+        if size_bytes > max_bytes and self._is_head_over(size_bytes, max_bytes):
             known = limits.are_known
             return _too_large(HEAD_TOO_LARGE, "the head is too large", known)
         if end < 0:
+            self.max_head_bytes = max_bytes
             return None
+        self.max_head_bytes = 0
         parsed = parse_request_head(self.buffer[: end + 2], conventions)
         if isinstance(parsed, Err):
             return parsed.err_value
@@ -198,7 +203,6 @@
         self, head: RequestHead, body: RequestBody, limits: CallerLimits
     ) -> Result[ReadRequest | None, HeadError]:
         data, self.buffer = self.buffer, b""
-        # A request that is half received when the limits change may keep to either.
         body.max_bytes = max(body.max_bytes, limits.body_bytes)
         body.feed(data)
         match body.state:
--- a/src/briarslip/platform/long_poll.py
+++ b/src/briarslip/platform/long_poll.py
@@ -34,13 +34,13 @@
 GONE = 410
 # A connection that went silent, or a restore, shows only when a poll ends. A change
 # must be in force within 3 s of either.
-WATCH_WAIT = timedelta(seconds=1.5)
+WATCH_WAIT = timedelta(seconds=1)
 # For the first poll after a watch broke off, so that it is answered at once: a store
 # that was restored meanwhile may have passed the watched revision again, and then only
 # a response tells that it was restored.
 RESUMED_WAIT = timedelta(milliseconds=1)
 # Time for the response of a poll, also of one that the store answers late.
-RESPONSE_TIMEOUT = WATCH_WAIT + timedelta(seconds=0.75)
+RESPONSE_TIMEOUT = WATCH_WAIT + timedelta(seconds=1.25)
 
 
 class LongPoll:
--- a/src/briarslip/process/distribution/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -45,7 +45,7 @@
 
 # Longest wait before the store is called again after a failure. A change that is
 # written as soon as the store is back must be in force in time.
-RETRY_CAP_SECONDS = READ_INTERVAL_SECONDS
+RETRY_CAP_SECONDS = 1.5
 
 
 class StoredConfiguration:
@@ -98,7 +98,8 @@
     @property
     def is_in_touch(self) -> bool:
         """Whether the store answered the last call."""
-        return self.has_read and not self.read_job.failures and not self.watch.failures
+        is_broken = self.read_job.failures or self.watch.is_broken
+        return self.has_read and not is_broken
 
     def set_active(self, active: bool) -> None:
         """Start or stop watching the store; a start reads everything again."""
@@ -134,6 +135,7 @@
             emit(Event.STORE_FAILED, reason=reply.err_value.reason)
             return False
         self.has_read = True
+        self.watch.is_broken = False
         read_items = {item.key: item for item in reply.ok_value.items}
         self.revision = reply.ok_value.revision
         previous_items, self.items = (
--- a/src/briarslip/process/store/http.py
+++ b/src/briarslip/process/store/http.py
@@ -17,7 +17,6 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
-from briarslip.connection.backend_pool import MAX_IDLE_SECONDS
 from briarslip.connection.backend_pool import BackendPool
 from briarslip.process.store.client import StoreError
 from briarslip.request.body import EMPTY_BODY
@@ -41,6 +40,8 @@
 # Probes on a connection that waits for changes: one that went silent would hide
 # them until the poll ends.
 KEEPALIVE_SECONDS = 1
+# A connection that rested for longer is not used again, since it may have gone silent.
+MAX_IDLE_SECONDS = 1.0
 # Many times a page of the largest values, and a part of a daemon's memory.
 MAX_RESPONSE_BYTES = 32 << 20
 
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -20,15 +20,18 @@
 
 RETRY_BASE_SECONDS = 0.25
 RETRY_CAP_SECONDS = 4.0
+# A watch that ends sooner was refused, although its first poll may have been answered.
+LASTING_SECONDS = 0.1
 
 
 class StoreWatch:
     """Watches the keys under a prefix without missing an event.
 
     A watch that ends is reopened after a back-off, from the revision after the last
-    one received. A response, also one without events, ends the row of failures that
-    the back-off grows with. If the store has compacted that revision, the watch stops
-    and ``on_compacted`` is called; the owner must then read the prefix again.
+    one received. The back-off grows with ``failures``, the watches in a row that ended
+    soon. ``is_broken`` is whether it has ended since the store last answered. If
+    the store has compacted that revision, the watch stops and ``on_compacted`` is
+    called; the owner must then read the prefix again.
     """
 
     def __init__(
@@ -52,6 +55,9 @@
         self.failures = 0
         self.watch: Watch | None = None
         self.generation = 0
+        self.opened_at = 0.0
+        self.is_answered = False
+        self.is_broken = False
 
     def start(self, revision: int) -> None:
         """Watch from a revision on, in place of the current watch if there is one."""
@@ -69,12 +75,16 @@
     def _open(self, generation: int, is_resumed: bool = False) -> None:
         if generation != self.generation:
             return
+        self.opened_at = self.reactor.seconds()
+        self.is_answered = False
         self.watch = self.store.watch(
             self.prefix, self.next_revision, self._events, self._closed, is_resumed
         )
 
     def _events(self, events: tuple[WatchEvent, ...]) -> None:
-        self.failures = 0
+        self.is_answered, self.is_broken = True, False
+        if events or self._has_lasted():
+            self.failures = 0
         if not events:
             return
         newest = max(event.mod_revision for event in events)
@@ -87,11 +97,19 @@
             self.stop()
             self.on_compacted()
             return
+        self.is_broken = True
+        has_lasted = self._has_lasted()
+        if has_lasted:
+            self.failures = 0
+        is_resumed = has_lasted or not self.is_answered
         delay = full_jitter(
             self.rng, self.failures, RETRY_BASE_SECONDS, self.retry_cap_seconds
         )
         self.failures += 1
-        self.reactor.callLater(delay, self._open, self.generation, True)
+        self.reactor.callLater(delay, self._open, self.generation, is_resumed)
+
+    def _has_lasted(self) -> bool:
+        return bool(self.reactor.seconds() - self.opened_at >= LASTING_SECONDS)
 
 
 __all__ = ["StoreWatch"]
--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -104,7 +104,10 @@
                 request, sink, Reason.UNKNOWN_KEY, event=Event.KEY_REJECTED
             )
         context = read_context(checked.headers)
-        if len(context.idempotency_key) > MAX_KEY_BYTES:
+        is_key_used = route.claims != "none" and not _is_idempotent(
+            route, request.method
+        )
+        if is_key_used and len(context.idempotency_key) > MAX_KEY_BYTES:
             return self._reject(request, sink, Reason.BAD_REQUEST)
         call = self._make_call(request, route, context, checked.organisation)
         if not self.dependencies.can_finish(call.deadline, call.idempotent):
--- a/tests/process/store/test_http.py
+++ b/tests/process/store/test_http.py
@@ -13,8 +13,8 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from briarslip.address import Address
-from briarslip.connection.backend_pool import MAX_IDLE_SECONDS
 from briarslip.process.store.etcd_watch import GatewayWatch
+from briarslip.process.store.http import MAX_IDLE_SECONDS
 from briarslip.process.store.http import MAX_RESPONSE_BYTES
 from briarslip.process.store.http import StoreHttpClient
 from briarslip.request.outcome import Reason
