--- a/src/briarslip/platform/long_poll.py
+++ b/src/briarslip/platform/long_poll.py
@@ -32,15 +32,17 @@
 
 
 GONE = 410
-# A connection that went silent, or a restore, shows only when a poll ends. A change
-# must be in force within 3 s of either.
+# A connection that went silent, a poll that the store has forgotten, or a restore shows
+# only when a poll ends. A change must be in force within 3 s of either.
 WATCH_WAIT = timedelta(seconds=1)
 # For the first poll after a watch broke off, so that it is answered at once: a store
 # that was restored meanwhile may have passed the watched revision again, and then only
 # a response tells that it was restored.
 RESUMED_WAIT = timedelta(milliseconds=1)
-# Time for the response of a poll, also of one that the store answers late.
-RESPONSE_TIMEOUT = WATCH_WAIT + timedelta(seconds=1.25)
+# Until a response begins, also of a store that answers late.
+RESPONSE_START_TIMEOUT = WATCH_WAIT + timedelta(seconds=1.25)
+# For a whole response, which has the configuration and may come on a slow link.
+RESPONSE_TIMEOUT = timedelta(seconds=12)
 
 
 class LongPoll:
@@ -90,6 +92,8 @@
         self.pending_response = sink.response
         sink.response.addTimeout(RESPONSE_TIMEOUT.total_seconds(), self.reactor)
         sink.response.addCallbacks(self._response_received, self._timed_out)
+        start_seconds = RESPONSE_START_TIMEOUT.total_seconds()
+        self.reactor.callLater(start_seconds, self._cancel_silent, sink)
 
     def end_if_outdated(self, copy: int) -> None:
         """End the watch as after a compaction if it began in another copy."""
@@ -108,6 +112,12 @@
         if pending_response is not None:
             pending_response.cancel()
 
+    def _cancel_silent(self, sink: HttpResponseSink) -> None:
+        """Cancel a poll whose response has not begun in time."""
+        pending = self.pending_response
+        if pending is not None and pending is sink.response and not sink.status:
+            pending.cancel()
+
     def _timed_out(self, _: Any) -> None:
         self._end("no response in time")
 
--- a/tests/process/distribution/test_lost_routes.py
+++ b/tests/process/distribution/test_lost_routes.py
@@ -36,6 +36,8 @@
 # check. A daemon is in touch once it has been free of disruptions for as long.
 CONVERGE_SECONDS = 2.6
 STEP_SECONDS = 0.1
+# After which daemons count as in touch with a store that forgot their polls.
+CONTACT_SECONDS = 3.0
 # In a small deployment.
 SMALL_CONVERGE_SECONDS = 2.0
 # After a restore, until the operators write again.
@@ -279,6 +281,17 @@
                 found = daemon.distribution.table.match(f"/v{day.version}/", "", HOST)
                 self.assertIsNotNone(found, (seed, daemon.address))
 
+    def test_change_is_hidden_by_polls_that_the_store_has_forgotten(self) -> None:
+        day = LossyDay(1)
+        for http in day.https.values():
+            for poll in tuple(http.polls):
+                poll.cancel()
+        day.write()
+        day.fleet.run(CONTACT_SECONDS)
+        for daemon in day.fleet.running:
+            found = daemon.distribution.table.match(f"/v{day.version}/", "", HOST)
+            self.assertIsNotNone(found, daemon.address)
+
 
 if __name__ == "__main__":
     unittest.main()
