Accept zeros before a Content-Length

A caller that writes lengths with a fixed number of digits saw 400 for more than 15 of them. The grammar of Content-Length sets no number of digits.

Cause: all digits counted against the limit that keeps numbers small.

Evidence, before: tests.connection.test_length_digits, "0" * 15 + "5": HeadError(status=400, reason='content-length is malformed')

Fix: zeros before the number do not count. Ruled out: signs, fractions, blanks and lists are still malformed (tested), so no other parser can find another end of the body.

--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -180,9 +180,11 @@
         if values is None:
             return Ok(None)
         value = values[0]
-        if len(values) > 1 or not value.isdigit() or len(value) > MAX_NUMBER_DIGITS:
+        # Zeros before a number have no limit.
+        is_number = value.isdigit() and len(value.lstrip(b"0")) <= MAX_NUMBER_DIGITS
+        if len(values) > 1 or not is_number:
             return Err(f"{name.decode()} is malformed")
-        return Ok(int(value))
+        return Ok(_to_int(value))
 
 
 def parse_request_head(
@@ -278,7 +280,12 @@
 def declared_length(header_lines: bytes) -> int | None:
     """Return the Content-Length from header lines, None if there is none."""
     match = DECLARED_LENGTH.search(header_lines)
-    return None if match is None else int(match[1])
+    return None if match is None else _to_int(match[1])
+
+
+def _to_int(digits: bytes) -> int:
+    """Convert digits; ``int`` refuses thousands of them, even if they are zeros."""
+    return int(digits.lstrip(b"0") or b"0")
 
 
 __all__ = [
