--- a/src/briarslip/request/forwarder.py
+++ b/src/briarslip/request/forwarder.py
@@ -104,10 +104,8 @@
                 request, sink, Reason.UNKNOWN_KEY, event=Event.KEY_REJECTED
             )
         context = read_context(checked.headers)
-        is_key_used = route.claims != "none" and not _is_idempotent(
-            route, request.method
-        )
-        if is_key_used and len(context.idempotency_key) > MAX_KEY_BYTES:
+        uses_claims = route.claims != "none"
+        if uses_claims and len(context.idempotency_key) > MAX_KEY_BYTES:
             return self._reject(request, sink, Reason.BAD_REQUEST)
         call = self._make_call(request, route, context, checked.organisation)
         if not self.dependencies.can_finish(call.deadline, call.idempotent):
