Name what decides who reads the store SourceActivation; constants and comparisons in order

Two classes were called StoreWatch: the watch of the store, and what starts and stops a daemon's source by what relays say.

--- a/src/briarslip/connection/request_reader.py
+++ b/src/briarslip/connection/request_reader.py
@@ -197,7 +197,10 @@
     def _is_head_over(self, size_bytes: int, limit_bytes: int) -> bool:
         """Return whether the first line or the headers of the head are over a limit."""
         line_bytes = self.buffer.find(b"\r\n")
-        return not size_bytes - limit_bytes <= line_bytes <= limit_bytes
+        if line_bytes < 0:
+            return True
+        header_bytes = size_bytes - line_bytes
+        return max(line_bytes, header_bytes) > limit_bytes
 
     def _read_body(
         self, head: RequestHead, body: RequestBody, limits: CallerLimits
--- a/src/briarslip/process/distribution/store_watch.py
+++ b/src/briarslip/process/distribution/source_activation.py
@@ -1,4 +1,4 @@
-"""This daemon's own watch of the store, started and stopped by what relays say."""
+"""When a daemon reads the store itself, by what the relays of its zone say."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 TIMER_MARGIN_SECONDS = 0.01
 
 
-class StoreWatch:
+class SourceActivation:
     """Keeps a configuration source active while this daemon must watch the store."""
 
     def __init__(self, reactor: Any, clock: Clock, source: ConfigurationSource) -> None:
@@ -61,4 +61,4 @@
             self._schedule_check(silent_at - now + TIMER_MARGIN_SECONDS)
 
 
-__all__ = ["StoreWatch"]
+__all__ = ["SourceActivation"]
--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -12,7 +12,7 @@
 from briarslip.finding import format_findings
 from briarslip.process.distribution.bootstrap import Bootstrap
 from briarslip.process.distribution.peers import DistributionPeers
-from briarslip.process.distribution.store_watch import StoreWatch
+from briarslip.process.distribution.source_activation import SourceActivation
 from briarslip.process.distribution.stored_configuration import READ_INTERVAL_SECONDS
 from briarslip.process.distribution.watch_duty import MAX_WATCHING_ZONE_MEMBERS
 from briarslip.process.events import Event
@@ -115,7 +115,7 @@
         self.first_version_at = math.inf
         self.version_active_at = math.inf
         # None if only relays read the store.
-        self.store_watch: StoreWatch | None = None
+        self.source_activation: SourceActivation | None = None
         self.relay: ConfigurationSource
         if make_source is None:
             from briarslip.process.distribution.relay import Relay
@@ -131,7 +131,7 @@
             )
         else:
             self.relay = make_source(self._activate_newest)
-            self.store_watch = StoreWatch(reactor, clock, self.relay)
+            self.source_activation = SourceActivation(reactor, clock, self.relay)
         self.bootstrap = Bootstrap(
             reactor,
             clock,
@@ -168,11 +168,11 @@
         self.is_relay = active
         if active:
             self.relay.rank = self.peers.own_rank
-        if self.store_watch is None:
+        if self.source_activation is None:
             self.relay.set_active(active)
         else:
             is_chosen = self.chosen_as_relay_since is not None
-            self.store_watch.update(is_chosen, len(self.peers.zone_addresses))
+            self.source_activation.update(is_chosen, len(self.peers.zone_addresses))
             self._send_relay_heartbeat()
         if not self.started:
             self.started = True
@@ -194,8 +194,8 @@
 
     def _record_relay_heartbeat(self, sender: Address) -> None:
         """Tell the watch of the store that a relay of this zone was heard."""
-        if self.store_watch is not None and sender in self.peers.zone_relays:
-            self.store_watch.record_relay()
+        if self.source_activation is not None and sender in self.peers.zone_relays:
+            self.source_activation.record_relay()
 
     def _is_relay_delay_over(self) -> bool:
         """Return whether this daemon has been chosen for the relay start delay."""
@@ -286,7 +286,7 @@
         self.peers.record_version(peer, version)
         if version > self.state.newest_version and peer != self.own_address:
             now = self.clock.monotonic()
-            has_own_source = self.store_watch is not None and self.relay.active
+            has_own_source = self.source_activation is not None and self.relay.active
             # What a daemon reads when it starts may be an older copy of the store.
             is_settled = now - self.first_version_at >= SETTLING_SECONDS
             pull_grace_seconds = (
--- a/src/briarslip/request/quota/group.py
+++ b/src/briarslip/request/quota/group.py
@@ -35,11 +35,11 @@
 # few daemons is known as early as one at many.
 MIN_BATCH_REQUESTS = 2.0
 BATCH_EXCESS_SHARE = 0.02
-# Rounding of the clock must not leave a timer that expires just before its report.
 # What a daemon was told is of use to another relay for this time.
 LEVEL_LIFETIME_SECONDS = 3.0
-NOTHING = Pending()
+# Rounding of the clock must not leave a timer that expires just before its report.
 TIMER_TOLERANCE_SECONDS = 1e-3
+NOTHING = Pending()
 
 
 class QuotaGroup:
--- a/tests/platform/test_store_contact.py
+++ b/tests/platform/test_store_contact.py
@@ -12,7 +12,7 @@
 
 from briarslip.address import Address
 from briarslip.platform.store import PlatformStore
-from briarslip.process.distribution.store_watch import StoreWatch as WatchDutyTask
+from briarslip.process.distribution.source_activation import SourceActivation
 from briarslip.process.distribution.stored_configuration import RETRY_CAP_SECONDS
 from briarslip.process.distribution.watch_duty import MAX_WATCHING_ZONE_MEMBERS
 from briarslip.process.distribution.watch_duty import RELAY_HEARTBEAT_SECONDS
@@ -196,7 +196,7 @@
             write_version(fixture, 3)
             daemon = WatchingDaemon(fixture)
             reactor = fixture.reactor
-            duty = WatchDutyTask(reactor, ReactorClock(reactor), daemon.source)  # type: ignore[arg-type]
+            duty = SourceActivation(reactor, ReactorClock(reactor), daemon.source)  # type: ignore[arg-type]
             zone = MAX_WATCHING_ZONE_MEMBERS + 1
             for _ in range(8):
                 duty.record_relay()
