--- a/tests/platform/test_store_contact.py
+++ b/tests/platform/test_store_contact.py
@@ -196,7 +196,7 @@
             write_version(fixture, 3)
             daemon = WatchingDaemon(fixture)
             reactor = fixture.reactor
-            duty = SourceActivation(reactor, ReactorClock(reactor), daemon.source)  # type: ignore[arg-type]
+            duty = SourceActivation(reactor, ReactorClock(reactor), daemon.source)  # type: ignore[arg-type]  # monotonic time only
             zone = MAX_WATCHING_ZONE_MEMBERS + 1
             for _ in range(8):
                 duty.record_relay()
