--- a/src/briarslip/process/distribution/stored_configuration.py
+++ b/src/briarslip/process/distribution/stored_configuration.py
@@ -17,6 +17,7 @@
 from briarslip.process.events import emit
 from briarslip.process.retrying_job import RetryingJob
 from briarslip.process.store.client import KeyValue
+from briarslip.process.store.watch import RETRY_CAP_SECONDS
 from briarslip.process.store.watch import StoreWatch
 
 
@@ -83,7 +84,7 @@
         self.watch = StoreWatch(
             reactor, rng, store, prefix, self._changed, self._resync
         )
-        self.read_job = RetryingJob(reactor, rng, self._read_all)
+        self.read_job = RetryingJob(reactor, rng, self._read_all, RETRY_CAP_SECONDS)
 
     @property
     def is_in_touch(self) -> bool:
--- a/src/briarslip/process/store/watch.py
+++ b/src/briarslip/process/store/watch.py
@@ -19,7 +19,8 @@
 
 
 RETRY_BASE_SECONDS = 0.25
-RETRY_CAP_SECONDS = 4.0
+# A daemon must have each change 3 s after the store is back.
+RETRY_CAP_SECONDS = 2.0
 
 
 class StoreWatch:
@@ -92,4 +93,4 @@
         self.reactor.callLater(delay, self._open, self.generation, True)
 
 
-__all__ = ["StoreWatch"]
+__all__ = ["RETRY_CAP_SECONDS", "StoreWatch"]
--- a/tests/process/distribution/test_stored_configuration.py
+++ b/tests/process/distribution/test_stored_configuration.py
@@ -13,6 +13,7 @@
 from briarslip.process.distribution.stored_configuration import StoredConfiguration
 from briarslip.version.snapshot import Snapshot
 from standins.simulated_store import SimulatedStore
+from tests.support.delays import LongestDelays
 
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
 
 
 KEY = "given/config"
+# After this time without a disruption a daemon must have what was written before.
+CONTACT_SECONDS = 3.0
 
 
 def parse_items(
@@ -106,6 +109,19 @@
         self.assertEqual(last, self.versions[-1])
         self.assertEqual(2, len(self.versions))
 
+    def test_read_after_a_long_outage_waits_for_the_back_off(self) -> None:
+        self.source.read_job.rng = LongestDelays()
+        self.world.store.outage = "close"
+        self.source.set_active(True)
+        self.advance(40)
+        attempts = self.world.store.call_counts["range"]
+        while self.world.store.call_counts["range"] == attempts:
+            self.advance(0.1)
+        self.world.store.outage = ""
+        revision = self.write(b"1")
+        self.advance(CONTACT_SECONDS)
+        self.assertEqual([revision], self.versions)
+
     def test_start_during_an_outage_and_compaction(self) -> None:
         self.world.store.outage = "close"
         self.source.set_active(True)
--- a/tests/process/store/test_watch.py
+++ b/tests/process/store/test_watch.py
@@ -9,12 +9,17 @@
 from briarslip.process.store.watch import RETRY_CAP_SECONDS
 from briarslip.process.store.watch import StoreWatch
 from standins.simulated_store import SimulatedStore
+from tests.support.delays import LongestDelays
 
 
 if TYPE_CHECKING:
     from briarslip.process.store.client import WatchEvent
 
 
+# After this time without a disruption a daemon must have what was written before.
+CONTACT_SECONDS = 3.0
+
+
 class StoreWatchTest(unittest.TestCase):
     """No event is missed, and reopening backs off during an outage."""
 
@@ -54,6 +59,19 @@
         self.world.clock.pump([0.1] * 50)
         self.assertEqual((self.received_values, self.compaction_count), ([2, 3, 4], 0))
 
+    def test_change_after_a_long_outage_waits_for_the_back_off(self) -> None:
+        self.watch.rng = LongestDelays()
+        self.world.store.outage = "close"
+        self.watch.start(1)
+        self.world.clock.pump([0.1] * 400)
+        attempts = self.world.store.call_counts["watch"]
+        while self.world.store.call_counts["watch"] == attempts:
+            self.world.clock.advance(0.1)
+        self.world.store.outage = ""
+        self.write(7)
+        self.world.clock.pump([0.1] * round(CONTACT_SECONDS / 0.1))
+        self.assertEqual([7], self.received_values)
+
     def test_compacted_revision_is_reported(self) -> None:
         self.watch.start(0)
         self.world.store.outage = "close"
