Decode chunked responses in steps of bounded work

Cause: a read of 64 KiB holds up to 10,922 chunks of one byte. All of them were decoded, passed on and written (a system call or a frame each) before the reactor went on, for each such connection in each turn. Flow control and the limits of buffers count bytes, not chunks.

Hypotheses: (1) the work of one read has no limit; (2) the endless response fills a buffer whose handling grows with its size; (3) the server's slots or queue are used up. Ruled out: (2), the case reports stable memory and the buffers have limits; (3), requests to other services are hit as well, and readiness checks, which need no server.

Change: a decoder that decodes 64 chunks or trailer lines at most in one step, whose data is passed on as one part. What is left of a read is decoded in later turns, 16 steps a turn for all connections of a pool together, in turn; the connection is not read meanwhile.

--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -8,7 +8,6 @@
 from twisted.internet.error import ConnectionAborted
 from twisted.internet.protocol import Protocol
 from twisted.internet.protocol import connectionDone
-from twisted.web import http
 
 from briarslip.connection.body_writer import BodyWriter
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
@@ -17,8 +16,12 @@
 from briarslip.connection.http_head import lacks_signature
 from briarslip.connection.http_head import parse_response_head
 from briarslip.connection.immediate_write import write_immediately
+from briarslip.connection.reading import PauseReason
+from briarslip.connection.reading import Reading
+from briarslip.connection.response_body import ResponseBody
 from briarslip.connection.server_status import NO_STATUS
 from briarslip.connection.socket_options import set_socket_options
+from briarslip.connection.stepwise_input import StepwiseInput
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.request.call import ResponseHead
@@ -35,13 +38,13 @@
 
     from briarslip.connection.header_conventions import HeaderConventions
     from briarslip.connection.http_head import BackendResponseHead
+    from briarslip.connection.input_scheduler import InputScheduler
     from briarslip.request.call import Call
     from briarslip.request.call import Load
     from briarslip.request.call import ResponseSink
     from briarslip.request.call import ServerStatus
 
 
-BODILESS_STATUSES = frozenset((204, 304))
 METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
 SWITCHING_PROTOCOLS = 101
 # Interim responses and responses to other requests that a server may send before the
@@ -67,10 +70,12 @@
         on_idle: Callable[[BackendConnection], None],
         on_lost: Callable[[BackendConnection], None],
         on_connected: Callable[[BackendConnection], None],
+        scheduler: InputScheduler,
         conventions: HeaderConventions = DEFAULT_CONVENTIONS,
         keepalive_seconds: int | None = None,
     ) -> None:
         self.load = load
+        self.scheduler = scheduler
         self.conventions = conventions
         self.keepalive_seconds = keepalive_seconds
         self.on_idle = on_idle
@@ -91,13 +96,14 @@
     def _reset(self) -> None:
         self.buffer = b""
         self.response_head: BackendResponseHead | None = None
-        self.remaining_bytes: int | None = None
-        self.decoder: Any = None
+        self.response_body: ResponseBody | None = None
         self.skipping = False
 
     def connectionMade(self) -> None:
         """Set the socket options and call ``on_connected``."""
         set_socket_options(self.transport, self.keepalive_seconds)
+        self.reading = Reading(self.transport)
+        self.input = StepwiseInput(self.scheduler, self.reading, self._process_step)
         on_connected, self.on_connected = self.on_connected, None
         if on_connected is not None:
             on_connected(self)
@@ -138,44 +144,49 @@
             # the next one.
             self.transport.abortConnection()
             return
-        if self.response_head is None:
-            self.buffer = self.buffer + data if self.buffer else data
-        else:
-            self._receive_body(data)
-        while self._parse_head():
+        self.buffer = self.buffer + data if self.buffer else data
+        self.input.process()
+
+    def _process_step(self) -> bool:
+        """Process received data; return whether more can be without further data."""
+        while self._process_next():
             pass
+        body = self.response_body
+        return self.sink is not None and body is not None and body.has_backlog
 
-    def _parse_head(self) -> bool:
-        """Parse the next head in the buffer; return whether another may follow."""
-        if self.sink is None or self.response_head is not None or not self.buffer:
+    def _process_next(self) -> bool:
+        """Process a head or a part of a body; return whether another may follow."""
+        if self.sink is None:
             return False
+        if self.response_body is None:
+            return self._parse_head()
+        return self._read_body(self.response_body)
+
+    def _parse_head(self) -> bool:
+        """Parse the next head in the buffer; return whether more may follow."""
         end = self.buffer.find(HEAD_END)
         if end < 0:
             if len(self.buffer) > MAX_HEAD_BYTES:
-                self.transport.abortConnection()
+                self._abort()
             return False
         parsed = parse_response_head(self.buffer[: end + 2], self.conventions)
         if isinstance(parsed, Err) or parsed.ok_value.status == SWITCHING_PROTOCOLS:
-            self.transport.abortConnection()
+            self._abort()
             return False
         head_bytes = end + len(HEAD_END)
-        trailing_data = self.buffer[head_bytes:]
+        self.buffer = self.buffer[head_bytes:]
         response_head = parsed.ok_value
         if response_head.status < 200:
-            self.buffer = trailing_data
             return self._discard(head_bytes)
         if self.request_id and response_head.request_id != self.request_id:
             self._log_discarded("the response is for another request", response_head)
-            return self._discard(head_bytes) and self._skip_response(
-                response_head, trailing_data
-            )
+            return self._discard(head_bytes) and self._skip_response(response_head)
         if lacks_signature(response_head, self.conventions):
             self._log_discarded("the response has no server signature", response_head)
-            self.transport.abortConnection()
+            self._abort()
             return False
-        self.buffer = b""
-        self._start_response(response_head, trailing_data)
-        return False
+        self._start_response(response_head)
+        return True
 
     def _discard(self, byte_count: int) -> bool:
         """Count bytes that belong to no request; return whether more may follow.
@@ -185,9 +196,15 @@
         self.discarded_bytes += byte_count
         if self.discarded_bytes <= MAX_DISCARDED_BYTES:
             return True
-        self.transport.abortConnection()
+        self._abort()
         return False
 
+    def _abort(self) -> None:
+        """Abort the connection and process nothing more; its loss fails the call."""
+        self.buffer = b""
+        self.response_body = None
+        self.transport.abortConnection()
+
     def _log_discarded(self, reason: str, response_head: BackendResponseHead) -> None:
         emit(
             Event.RESPONSE_DISCARDED,
@@ -197,43 +214,32 @@
             answers=response_head.request_id.decode("latin-1"),
         )
 
-    def _skip_response(
-        self, response_head: BackendResponseHead, trailing_data: bytes
-    ) -> bool:
+    def _skip_response(self, response_head: BackendResponseHead) -> bool:
         """Skip a response to another request; that to this request may follow.
 
         Return whether it may be in the buffer already.
         """
         self.close_after_response = True
-        self.buffer = b""
-        self.remaining_bytes = response_head.length
-        if self.previous_method == "HEAD" or response_head.status in BODILESS_STATUSES:
-            self.remaining_bytes = 0
-        elif response_head.chunked:
-            self.decoder = http._ChunkedTransferDecoder(
-                self._forward_part, self._receive_last_chunk
-            )
-        elif self.remaining_bytes is None:
-            # It ends with the connection, so no other response can follow.
-            self.transport.abortConnection()
+        body = ResponseBody.from_head(response_head, self.previous_method)
+        if body.ends_with_connection:
+            # No other response can follow.
+            self._abort()
             return False
         self.skipping = True
         self.response_head = response_head
-        self._receive_body(trailing_data)
+        self.response_body = body
         return True
 
     def _finish_skipping(self, trailing_data: bytes) -> None:
         self._reset()
         self.buffer = trailing_data
 
-    def _start_response(
-        self, response_head: BackendResponseHead, trailing_data: bytes
-    ) -> None:
+    def _start_response(self, response_head: BackendResponseHead) -> None:
         sink, call = self.sink, self.call
         assert sink is not None
         assert call is not None
         self.response_head = response_head
-        self.remaining_bytes = response_head.length
+        self.response_body = ResponseBody.from_head(response_head, call.method)
         outcome = Outcome.NOT_RUN if response_head.shed else Outcome.RAN
         sink.head(
             ResponseHead(
@@ -244,14 +250,6 @@
                 self._server_status(response_head),
             )
         )
-        if call.method == "HEAD" or response_head.status in BODILESS_STATUSES:
-            self.remaining_bytes = 0
-        elif response_head.chunked:
-            self.decoder = http._ChunkedTransferDecoder(
-                self._forward_part, self._receive_last_chunk
-            )
-        if trailing_data or self.remaining_bytes == 0:
-            self._receive_body(trailing_data)
 
     def _server_status(self, response_head: BackendResponseHead) -> ServerStatus | None:
         """Return what the server states about itself, None if it can't be relied on."""
@@ -270,44 +268,31 @@
             return None
         return status.ok_value
 
-    def _receive_body(self, data: bytes) -> None:
-        if self.skipping and not self._discard(len(data)):
-            return
-        if self.decoder is not None:
-            self._decode_chunks(data)
-            return
-        if self.remaining_bytes is None:
-            self._forward_part(data)
-            return
-        if self.skipping and len(data) >= self.remaining_bytes:
-            self._finish_skipping(data[self.remaining_bytes :])
-            return
-        if len(data) > self.remaining_bytes:
-            self.close_after_response = True
-            data = data[: self.remaining_bytes]
-        self.remaining_bytes -= len(data)
-        if self.remaining_bytes == 0:
-            self._finish_response(data)
-        else:
-            self._forward_part(data)
-
-    def _decode_chunks(self, data: bytes) -> None:
-        try:
-            self.decoder.dataReceived(data)
-        except (http._MalformedChunkedDataError, ValueError):
-            self.transport.abortConnection()
-
-    def _forward_part(self, data: bytes) -> None:
-        if self.sink is not None and data and not self.skipping:
-            self.sink.body(data, False)
-
-    def _receive_last_chunk(self, trailing_data: bytes) -> None:
+    def _read_body(self, body: ResponseBody) -> bool:
+        """Read the body in the buffer; return whether another response may follow."""
+        data, self.buffer = self.buffer, b""
+        part = body.read(data)
+        if isinstance(part, Err):
+            self._abort()
+            return False
         if self.skipping:
-            self._finish_skipping(trailing_data)
-            return
-        if trailing_data:
-            self.close_after_response = True
-        self._finish_response(b"")
+            return self._skip_body(body, len(data))
+        sink = self.sink
+        if body.is_complete:
+            self.close_after_response |= bool(body.trailing_data)
+            self._finish_response(part.ok_value)
+        elif sink is not None and part.ok_value:
+            sink.body(part.ok_value, False)
+        return False
+
+    def _skip_body(self, body: ResponseBody, size_bytes: int) -> bool:
+        """Skip bytes of a body; return whether another response may follow."""
+        if not self._discard(size_bytes - len(body.trailing_data)):
+            return False
+        if not body.is_complete:
+            return False
+        self._finish_skipping(body.trailing_data)
+        return True
 
     def _finish_response(self, data: bytes) -> None:
         sink, self.sink = self.sink, None
@@ -336,14 +321,13 @@
             self.previous_method = call.method
         if call is not None and call.flow.on_change == self._on_flow_change:
             call.flow.on_change = None
-            if call.flow.paused:
-                self.transport.resumeProducing()
+            self.reading.resume(PauseReason.FLOW_CONTROL)
 
     def _on_flow_change(self, paused: bool) -> None:
         if paused:
-            self.transport.pauseProducing()
+            self.reading.pause(PauseReason.FLOW_CONTROL)
         else:
-            self.transport.resumeProducing()
+            self.reading.resume(PauseReason.FLOW_CONTROL)
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
         """Fail the current request, unless its body ends with the connection."""
@@ -355,12 +339,9 @@
         self.on_lost(self)
         if sink is None:
             return
-        response_head = self.response_head
+        response_head, body = self.response_head, self.response_body
         ends_with_connection = (
-            response_head is not None
-            and response_head.length is None
-            and not response_head.chunked
-            and not self.skipping
+            body is not None and body.ends_with_connection and not self.skipping
         )
         if ends_with_connection and reason.check(type(connectionDone.value)):
             sink.body(b"", True)
--- a/src/briarslip/connection/backend_pool.py
+++ b/src/briarslip/connection/backend_pool.py
@@ -11,6 +11,7 @@
 
 from briarslip.connection.backend_connection import BackendConnection
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
+from briarslip.connection.input_scheduler import InputScheduler
 from briarslip.request.call import Load
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
@@ -72,6 +73,7 @@
     ) -> None:
         self.keepalive_seconds = keepalive_seconds
         self.reactor = reactor
+        self.scheduler = InputScheduler(reactor)
         self.address = address
         self.slots = slots
         self.connect_timeout_seconds = connect_timeout_seconds
@@ -124,6 +126,7 @@
             on_idle=self.release,
             on_lost=self.remove,
             on_connected=on_connected,
+            scheduler=self.scheduler,
             conventions=self.conventions,
             keepalive_seconds=self.keepalive_seconds,
         )
--- a/tests/connection/support.py
+++ b/tests/connection/support.py
@@ -118,6 +118,18 @@
     return Call(body=Body.from_bytes(body), urgent=urgent, **(values | fields))
 
 
+def run_turn(clock: Clock) -> None:
+    """Run the calls that are due, as one turn of the reactor does.
+
+    Those that they schedule run in the next turn, while ``advance`` runs them too.
+    """
+    due = [pending for pending in clock.calls if pending.getTime() <= clock.seconds()]
+    for pending in due:
+        clock.calls.remove(pending)
+        pending.called = 1
+        pending.func(*pending.args, **pending.kw)
+
+
 class LinkPair:
     """Two ends of a link; ``deliver`` moves the bytes between them."""
 
@@ -155,4 +167,5 @@
     "LinkPair",
     "RecordingDispatch",
     "call",
+    "run_turn",
 ]
--- a/tests/connection/test_endless_responses.py
+++ b/tests/connection/test_endless_responses.py
@@ -19,6 +19,7 @@
 from tests.connection.support import FakeSink
 from tests.connection.support import FakeTransport
 from tests.connection.support import call
+from tests.connection.support import run_turn
 from tests.connection.test_header_conventions import CONVENTIONS
 from tests.connection.test_header_conventions import REQUEST_ID_LINE
 from tests.connection.test_header_conventions import response
@@ -68,6 +69,8 @@
                 break
             self.connection.dataReceived(data)
             sent_bytes += len(data)
+            while self.connection.transport.producerState == "paused":
+                run_turn(self.reactor)
         return sent_bytes
 
     def test_connection_is_closed_and_the_request_fails(self) -> None:
