Process 16 heads of a backend connection at most in one turn

Cause: all heads of a read were parsed before the reactor went on, each with a copy of the rest of the buffer. The limit on discarded bytes ends such a connection only after 256 KiB, for each call anew.

--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -50,6 +50,8 @@
 # Interim responses and responses to other requests that a server may send before the
 # response to the request. Later copies are few; more is no server that works.
 MAX_DISCARDED_BYTES = 256 << 10
+# Heads that are processed in one step.
+MAX_HEADS_PER_STEP = 16
 # Larger bodies are written in parts, as the server reads them.
 MAX_WHOLE_BODY_BYTES = 64 << 10
 
@@ -149,10 +151,11 @@
 
     def _process_step(self) -> bool:
         """Process received data; return whether more can be without further data."""
-        while self._process_next():
-            pass
-        body = self.response_body
-        return self.sink is not None and body is not None and body.has_backlog
+        for _ in range(MAX_HEADS_PER_STEP):
+            if not self._process_next():
+                body = self.response_body
+                return self.sink is not None and body is not None and body.has_backlog
+        return True
 
     def _process_next(self) -> bool:
         """Process a head or a part of a body; return whether another may follow."""
