Decode chunked bodies of callers in steps of bounded work

All chunks of a read were decoded at once, for each connection in each turn of the reactor. The 408 followed from it: the time of the last activity was that of the last read.

Ruled out: memory (38 MB throughout) and the limit on connections.

Change: bodies of callers use the decoder with steps, and wait for their turn like those of servers. What waits counts in the buffers of the process, and a step counts as activity.

--- a/src/briarslip/connection/caller_connection.py
+++ b/src/briarslip/connection/caller_connection.py
@@ -20,11 +20,14 @@
 from briarslip.connection.immediate_write import write_immediately
 from briarslip.connection.pipeline import Pipeline
 from briarslip.connection.pipeline import is_simple
+from briarslip.connection.reading import PauseReason
+from briarslip.connection.reading import Reading
 from briarslip.connection.request_reader import RequestReader
 from briarslip.connection.socket_close import close_writing
 from briarslip.connection.socket_close import has_unsent_data
 from briarslip.connection.socket_close import read_pending
 from briarslip.connection.socket_options import set_socket_options
+from briarslip.connection.stepwise_input import StepwiseInput
 from briarslip.connection.write_progress import WriteProgress
 from briarslip.connection.write_progress import unsent_bytes
 from briarslip.process.error_log import record_error
@@ -67,7 +70,6 @@
         self.closed = False
         self.processing = False
         self.dispatching = False
-        self.reading = True
         self.paused = False
         self.last_active_at = factory.now
         self.write_progress = WriteProgress()
@@ -98,6 +100,10 @@
         """Register the connection and receive backpressure of its transport."""
         # The read timeout alone bounds how long a caller may stop reading.
         set_socket_options(self.transport, user_timeout_ms=None)
+        self.reading = Reading(self.transport)
+        self.input = StepwiseInput(
+            self.factory.scheduler, self.reading, self._process_step
+        )
         self.transport.registerProducer(self, True)
         self.factory.add(self)
 
@@ -128,20 +134,14 @@
             return
         self.last_active_at = self.factory.now
         self.factory.table.mark_active(self)
-        if not self.processing:
-            self._process_buffer()
+        self.input.process()
         if (
             self.exchange is not None
             and len(self.reader.buffer) > self.factory.limits().head_bytes
         ):
-            self._stop_reading()
+            self.reading.pause(PauseReason.FULL_BUFFER)
         self._count_bytes()
 
-    def _stop_reading(self) -> None:
-        if self.reading:
-            self.reading = False
-            self.transport.pauseProducing()
-
     def _count_bytes(self) -> None:
         """Count what is buffered; a request that may be running can't give way."""
         size_bytes = self.reader.size_bytes + self.request_bytes
@@ -165,7 +165,7 @@
             # The caller sends the requests behind this one again.
             self.reader.discard()
             self.close_after_response = True
-            self._stop_reading()
+            self.reading.pause(PauseReason.FULL_BUFFER)
             self._count_bytes()
         else:
             self.disconnect()
@@ -216,11 +216,9 @@
             return
         if not self.reader.buffer:
             self.factory.table.mark_idle(self)
-        if not self.reading:
-            self.reading = True
-            self.transport.resumeProducing()
-        if self.reader.buffer and not self.processing:
-            self._process_buffer()
+        self.reading.resume(PauseReason.FULL_BUFFER)
+        if self.reader.buffer:
+            self.input.process()
 
     def _write_next_response(self) -> None:
         response = self.pipeline.pop()
@@ -242,8 +240,7 @@
         self.last_active_at = self.factory.now
         self.transport.unregisterProducer()
         self.paused = False
-        if not self.reading:
-            self.transport.resumeProducing()
+        self.reading.resume(PauseReason.FULL_BUFFER)
         close_writing(self.transport)
         self._count_bytes()
 
@@ -269,11 +266,18 @@
         self.reader.discard()
         self.transport.abortConnection()
 
-    def _process_buffer(self) -> None:
+    def _process_step(self) -> bool:
+        """Process received data; return whether more can be without further data."""
+        if self.processing:
+            return False
         self.processing = True
-        while self.reader.buffer and self._process_next():
+        while self.reader.can_advance and self._process_next():
             pass
         self.processing = False
+        if self.input.is_waiting and not self.closed:
+            self.last_active_at = self.factory.now
+            self._count_bytes()
+        return self.reader.has_backlog
 
     def _process_next(self) -> bool:
         """Process the next request; return whether another may be there."""
--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -18,6 +18,7 @@
 from briarslip.connection.connection_table import ConnectionTable
 from briarslip.connection.connection_table import no_limit
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
+from briarslip.connection.input_scheduler import InputScheduler
 from briarslip.process.clock import SystemClock
 from briarslip.process.error_log import run_each
 from briarslip.process.events import Event
@@ -79,6 +80,7 @@
     ) -> None:
         self.may_repeat = may_repeat
         self.reactor = reactor
+        self.scheduler = InputScheduler(reactor)
         self.forward = forward
         self.limits = limits
         self.conventions = conventions
--- a/src/briarslip/connection/request_body.py
+++ b/src/briarslip/connection/request_body.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import Any
 
-from twisted.web import http
+from result import Err
 
+from briarslip.connection.chunked_decoder import ChunkedDecoder
 from briarslip.request.body import Body
 
 
@@ -40,12 +40,25 @@
         self.joined = bytearray()
         self.trailing_data = b""
         self.state = BodyState.PARTIAL
-        self.decoder: Any = None
+        self.decoder: ChunkedDecoder | None = None
         if length is None:
-            self.decoder = http._ChunkedTransferDecoder(self._append, self._end)
+            self.decoder = ChunkedDecoder()
         elif length > max_bytes:
             self.state = BodyState.TOO_LARGE
 
+    @property
+    def has_backlog(self) -> bool:
+        """Whether received data can be parsed further without more data."""
+        return self.state is BodyState.PARTIAL and (
+            self.decoder is not None and self.decoder.has_backlog
+        )
+
+    @property
+    def kept_bytes(self) -> int:
+        """The number of bytes that are kept, parsed or not."""
+        undecoded = b"" if self.decoder is None else self.decoder.undecoded
+        return self.size_bytes + len(undecoded)
+
     def take_content(self) -> Body:
         """Return the body received so far, and keep none of it."""
         content = Body.from_parts((*self.parts, bytes(self.joined)))
@@ -53,11 +66,7 @@
         return content
 
     def discard(self) -> None:
-        """Free what has been received.
-
-        The decoder refers back to this object, which would free it only with the next
-        run of the garbage collector.
-        """
+        """Free what has been received."""
         self.parts.clear()
         self.joined.clear()
         self.decoder = None
@@ -67,7 +76,7 @@
         if self.state is not BodyState.PARTIAL:
             return
         if self.decoder is not None:
-            self._feed_chunked(data)
+            self._feed_chunks(self.decoder, data)
             return
         remaining_bytes = self.remaining_bytes or 0
         self._append(data[:remaining_bytes])
@@ -75,11 +84,14 @@
         if self.remaining_bytes == 0:
             self._end(data[remaining_bytes:])
 
-    def _feed_chunked(self, data: bytes) -> None:
-        try:
-            self.decoder.dataReceived(data)
-        except (http._MalformedChunkedDataError, ValueError):
+    def _feed_chunks(self, decoder: ChunkedDecoder, data: bytes) -> None:
+        part = decoder.decode(data)
+        if isinstance(part, Err):
             self.state = BodyState.MALFORMED
+            return
+        self._append(part.ok_value)
+        if decoder.is_complete:
+            self._end(decoder.undecoded)
 
     def _append(self, data: bytes) -> None:
         self.size_bytes += len(data)
--- a/src/briarslip/connection/request_reader.py
+++ b/src/briarslip/connection/request_reader.py
@@ -82,6 +82,16 @@
         """Whether a part of a request has been received."""
         return bool(self.buffer) or self.head is not None
 
+    @property
+    def has_backlog(self) -> bool:
+        """Whether received data can be read further without more data."""
+        return self.body is not None and self.body.has_backlog
+
+    @property
+    def can_advance(self) -> bool:
+        """Whether there is data that has not been read."""
+        return bool(self.buffer) or self.has_backlog
+
     @property
     def size_bytes(self) -> int:
         """The number of bytes that are kept."""
@@ -89,7 +99,7 @@
         if self.head is not None:
             size_bytes += len(self.head.headers)
         if self.body is not None:
-            size_bytes += self.body.size_bytes
+            size_bytes += self.body.kept_bytes
         return size_bytes
 
     def add(self, data: bytes) -> None:
--- a/tests/connection/test_buffer_budget.py
+++ b/tests/connection/test_buffer_budget.py
@@ -129,6 +129,8 @@
         tracemalloc.start()
         for _ in range(256):
             body.feed(chunks)
+            while body.has_backlog:
+                body.feed(b"")
         used_bytes, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
         self.assertLess(used_bytes, 2 * body.size_bytes)
