Process nine pipelined requests of a caller at most in one turn

Cause: such a request frees its connection before the next one is looked at, so the limit on pipelined requests never applied, and all requests of a read were processed and answered before the reactor went on.

Ruled out: requests that are forwarded; a connection waits after nine of them.

Change: a step of a connection processes as many requests as may be forwarded ahead, and one; the rest waits for its turn.

Test: test_pipeline.

--- a/src/briarslip/connection/caller_connection.py
+++ b/src/briarslip/connection/caller_connection.py
@@ -16,8 +16,8 @@
 from briarslip.connection.caller_exchange import error_response
 from briarslip.connection.caller_request import describe_unread
 from briarslip.connection.caller_request import make_request
-from briarslip.connection.http_head import HeadError
 from briarslip.connection.immediate_write import write_immediately
+from briarslip.connection.pipeline import MAX_PIPELINED
 from briarslip.connection.pipeline import Pipeline
 from briarslip.connection.pipeline import is_simple
 from briarslip.connection.reading import PauseReason
@@ -34,7 +34,6 @@
 from briarslip.process.events import Event
 from briarslip.process.events import emit
 from briarslip.request.body import EMPTY_BODY
-from briarslip.request.flow_control import FlowControl
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -50,6 +49,8 @@
     from briarslip.request.call import ResponseSink
 
 
+# Requests of one connection that are processed in one step.
+MAX_REQUESTS_PER_STEP = MAX_PIPELINED + 1
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -271,20 +272,28 @@
         if self.processing:
             return False
         self.processing = True
-        while self.reader.can_advance and self._process_next():
-            pass
+        is_limited = self._process_some()
         self.processing = False
         if self.input.is_waiting and not self.closed:
             self.last_active_at = self.factory.now
             self._count_bytes()
-        return self.reader.has_backlog
+        return is_limited or self.reader.has_backlog
+
+    def _process_some(self) -> bool:
+        """Process requests; return whether the limit of one step ended it."""
+        for _ in range(MAX_REQUESTS_PER_STEP):
+            if not self.reader.can_advance or not self._process_next():
+                return False
+        return self.reader.can_advance and not self.pipeline.is_full
 
     def _process_next(self) -> bool:
         """Process the next request; return whether another may be there."""
         if self.exchange is not None:
             return self._process_pipelined(self.exchange)
         conventions = self.factory.conventions
-        read = self.reader.read(self.factory.limits(), conventions, self._check_key)
+        read = self.reader.read(
+            self.factory.limits(), conventions, self.factory.check_key
+        )
         if isinstance(read, Err):
             self.reject(read.err_value.status, read.err_value.reason)
             return False
@@ -313,14 +322,6 @@
         self._forward(head, EMPTY_BODY, exchange, self.pipeline.add(exchange))
         return True
 
-    def _check_key(self, head: RequestHead) -> HeadError | None:
-        """Return the error of a request whose key is not accepted."""
-        added_headers = self.factory.added_headers
-        request = make_request(head, EMPTY_BODY, FlowControl(), added_headers)
-        if self.factory.accepts_key(request):
-            return None
-        return HeadError(http.UNAUTHORIZED, Reason.UNKNOWN_KEY.value)
-
     def _dispatch(self, request: ReadRequest) -> None:
         head = request.head
         self.request_bytes = len(head.headers) + request.body.size_bytes
--- a/src/briarslip/connection/caller_http.py
+++ b/src/briarslip/connection/caller_http.py
@@ -13,16 +13,20 @@
 from briarslip.connection.caller_connection import CallerConnection
 from briarslip.connection.caller_limits import DEFAULT_LIMITS
 from briarslip.connection.caller_limits import default_retry_after_seconds
+from briarslip.connection.caller_request import make_request
 from briarslip.connection.caller_timeouts import close_if_inactive
 from briarslip.connection.client_errors import ClientErrors
 from briarslip.connection.connection_table import ConnectionTable
 from briarslip.connection.connection_table import no_limit
 from briarslip.connection.header_conventions import DEFAULT_CONVENTIONS
+from briarslip.connection.http_head import HeadError
 from briarslip.connection.input_scheduler import InputScheduler
 from briarslip.process.clock import SystemClock
 from briarslip.process.error_log import run_each
 from briarslip.process.events import Event
 from briarslip.process.events import emit
+from briarslip.request.body import EMPTY_BODY
+from briarslip.request.flow_control import FlowControl
 from briarslip.request.outcome import Reason
 
 
@@ -129,6 +133,13 @@
         """Build the connection of one caller."""
         return CallerConnection(self)
 
+    def check_key(self, head: RequestHead) -> HeadError | None:
+        """Return the error of a request whose key is not accepted."""
+        request = make_request(head, EMPTY_BODY, FlowControl(), self.added_headers)
+        if self.accepts_key(request):
+            return None
+        return HeadError(http.UNAUTHORIZED, Reason.UNKNOWN_KEY.value)
+
     def rejection_line(self, status: int) -> bytes:
         """Return the header line that goes with the status of a rejection."""
         if status == http.UNAUTHORIZED:
--- a/tests/connection/test_pipeline.py
+++ b/tests/connection/test_pipeline.py
@@ -3,15 +3,31 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 from typing import Any
 
 from briarslip.connection.caller_http import CallerHttpFactory
 from briarslip.connection.pipeline import MAX_HELD_BYTES
 from briarslip.connection.pipeline import MAX_PIPELINED
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
 from tests.connection.support import OK
 from tests.connection.support import FakeClock
 from tests.connection.support import FakeTransport
 from tests.connection.support import RecordingDispatch
+from tests.connection.support import run_turn
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from briarslip.request.call import ResponseSink
+    from briarslip.request.forwarder import CallerRequest
+
+
+MAX_REQUESTS_PER_READ = 9
+MAX_REQUESTS_PER_TURN = 144
 
 
 def get(target: str, *lines: str) -> bytes:
@@ -24,9 +40,10 @@
     """A caller that sends several requests at once."""
 
     def setUp(self) -> None:
+        self.clock = FakeClock()
         self.forwarded = RecordingDispatch()
         self.factory = CallerHttpFactory(
-            FakeClock(),
+            self.clock,
             self.forwarded,
             may_repeat=lambda head: head.target != b"/once",
         )
@@ -66,6 +83,30 @@
         self.respond(1, b"second")
         self.assertEqual(["/1", "/once", "/3"], self.targets())
 
+    def test_one_read_takes_the_reactor_for_all_of_its_requests(self) -> None:
+        """Guards against a daemon that hangs on requests that it rejects at once."""
+        rejected: list[str] = []
+
+        def reject(request: CallerRequest, sink: ResponseSink) -> Callable[[], None]:
+            rejected.append(request.target)
+            sink.failed(Failure(Outcome.NOT_RUN, Reason.NO_ROUTE), None)
+            return lambda: None
+
+        self.factory.forward = reject
+        targets = [f"/{number}" for number in range(1000)]
+        self.send(*map(get, targets))
+        self.assertLessEqual(len(rejected), MAX_REQUESTS_PER_READ)
+        self.assertEqual("paused", self.transport.producerState)
+        while len(rejected) < len(targets):
+            before = len(rejected)
+            run_turn(self.clock)
+            self.assertLessEqual(len(rejected) - before, MAX_REQUESTS_PER_TURN)
+            self.assertGreater(len(rejected), before)
+        run_turn(self.clock)
+        self.assertEqual(targets, rejected)
+        self.assertEqual(len(targets), self.transport.take_written().count(b" 404 "))
+        self.assertEqual("producing", self.transport.producerState)
+
     def test_one_connection_takes_any_number_of_slots(self) -> None:
         self.send(*(get(f"/{number}") for number in range(30)))
         self.assertEqual(1 + MAX_PIPELINED, len(self.forwarded.calls))
