Handle 32 frames of a peer link at most in one turn

Cause: all frames of a read were decoded and handled before the reactor went on; a body frame costs a write to the caller. After a malformed frame the rest of the read was handled as well.

Ruled out: the flow control of streams; its credit counts bytes, not frames.

Change: links handle their frames in steps; the rest waits for its turn, in order, and is dropped when the link has ended.

Test: test_peer_link. Before: one read handled 1,000 frames, expected 32.

--- a/src/briarslip/connection/peer_link.py
+++ b/src/briarslip/connection/peer_link.py
@@ -33,8 +33,10 @@
 from briarslip.connection.link_writer import LinkWriter
 from briarslip.connection.outgoing_body import PART_BYTES
 from briarslip.connection.outgoing_body import OutgoingBody
+from briarslip.connection.reading import Reading
 from briarslip.connection.served_requests import ServedRequests
 from briarslip.connection.socket_options import set_socket_options
+from briarslip.connection.stepwise_input import StepwiseInput
 from briarslip.process.error_log import run_each
 from briarslip.request.call import Call
 from briarslip.request.call import Load
@@ -53,12 +55,15 @@
     from briarslip.address import Address
     from briarslip.connection.buffer_budget import BufferBudget
     from briarslip.connection.frame import Frame
+    from briarslip.connection.input_scheduler import InputScheduler
     from briarslip.process.clock import Clock
     from briarslip.request.call import Dispatch
     from briarslip.request.call import ResponseSink
 
 
 MAX_STREAM = (1 << 32) - 1
+# Frames that are handled in one step.
+MAX_FRAMES_PER_STEP = 32
 
 
 class PeerLink(Int32StringReceiver):
@@ -78,10 +83,12 @@
         dispatch: Dispatch,
         on_control: Callable[[Address, ControlFrame], None],
         on_lost: Callable[[PeerLink], None],
+        scheduler: InputScheduler,
         on_connected: Callable[[PeerLink], None] | None = None,
         budget: BufferBudget | None = None,
     ) -> None:
         self.clock = clock
+        self.scheduler = scheduler
         self.on_control = on_control
         self.on_lost = on_lost
         self.on_connected = on_connected
@@ -96,6 +103,9 @@
         self.ping_after_seconds = PING_AFTER_SECONDS
         self.loss_reason = Reason.CONNECTION_LOST
         self.going_away = False
+        self.has_ended = False
+        self.unhandled_data = b""
+        self.frames_in_step = 0
 
     @property
     def activity(self) -> LinkActivity:
@@ -119,6 +129,9 @@
     def connectionMade(self) -> None:
         """Set up writing and call ``on_connected``."""
         set_socket_options(self.transport)
+        self.input = StepwiseInput(
+            self.scheduler, Reading(self.transport), self._handle_step
+        )
         self.writer = LinkWriter(self.transport)
         self.transport.registerProducer(self.writer, True)
         if self.on_connected is not None:
@@ -126,6 +139,7 @@
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
         """Fail the pending calls of this end and cancel the calls it serves."""
+        self.has_ended = True
         client_streams, self.client_streams = self.client_streams, {}
         self.writer.stopProducing()
         self.on_lost(self)
@@ -159,26 +173,47 @@
         self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
-        """Receive bytes; frames sent in response leave in one write."""
+        """Receive bytes, whose frames are handled in steps."""
         self.received_at = self.clock.monotonic()
         self.pinged_at = None
+        self.unhandled_data += data
+        self.input.process()
+        if self.on_received is not None:
+            on_received, self.on_received = self.on_received, None
+            on_received(self)
+
+    def _handle_step(self) -> bool:
+        """Handle some frames; return whether more may be there.
+
+        Frames sent in response leave in one write.
+        """
+        if self.has_ended:
+            return False
+        data, self.unhandled_data = self.unhandled_data, b""
+        self.frames_in_step = 0
+        self.paused = False
         self.writer.start_batch()
         try:
             super().dataReceived(data)
         finally:
             self.writer.send_batch()
-        if self.on_received is not None:
-            on_received, self.on_received = self.on_received, None
-            on_received(self)
+        return self.paused and not self.has_ended
 
     def stringReceived(self, data: bytes) -> None:
         """Decode and handle one frame; abort the link if it is malformed."""
+        self.frames_in_step += 1
+        self.paused = self.frames_in_step >= MAX_FRAMES_PER_STEP
         result = decode_frame(data)
         if isinstance(result, Err) or not self._handle_frame(result.ok_value):
-            self.transport.abortConnection()
+            self._abort()
 
     def lengthLimitExceeded(self, length: int) -> None:
         """Abort the link, since a frame is too long."""
+        self._abort()
+
+    def _abort(self) -> None:
+        """Abort the link; the frames that are left are not handled."""
+        self.has_ended = self.paused = True
         self.transport.abortConnection()
 
     def _handle_frame(self, frame: Frame) -> bool:
--- a/src/briarslip/connection/peer_link_pool.py
+++ b/src/briarslip/connection/peer_link_pool.py
@@ -16,6 +16,7 @@
 from briarslip.connection.heartbeat import LinkAction
 from briarslip.connection.heartbeat import is_silent
 from briarslip.connection.heartbeat import next_action
+from briarslip.connection.input_scheduler import InputScheduler
 from briarslip.connection.peer_link import PeerLink
 from briarslip.process.error_log import run_each
 from briarslip.process.events import Event
@@ -65,6 +66,7 @@
     ) -> None:
         self.budget = budget or BufferBudget.unlimited(clock)
         self.reactor = reactor
+        self.scheduler = InputScheduler(reactor)
         self.clock = clock
         self.hello = hello
         self.dispatch = dispatch
@@ -261,6 +263,7 @@
             pool.dispatch,
             pool.on_control,
             pool.accepted_links.discard,
+            pool.scheduler,
             self._on_connected,
             pool.budget,
         )
@@ -288,6 +291,7 @@
             pool.dispatch,
             pool.on_control,
             self._on_lost,
+            pool.scheduler,
             self._on_connected,
         )
         link.peer = self.peer
--- a/tests/connection/support.py
+++ b/tests/connection/support.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from briarslip.connection.input_scheduler import InputScheduler
 from briarslip.connection.peer_link import PeerLink
 from briarslip.request.body import Body
 from briarslip.request.call import Call
@@ -141,7 +142,13 @@
         self.server = self._end()
 
     def _end(self) -> PeerLink:
-        link = PeerLink(self.clock, self.dispatched, lambda *_: None, self.lost.append)
+        link = PeerLink(
+            self.clock,
+            self.dispatched,
+            lambda *_: None,
+            self.lost.append,
+            InputScheduler(self.clock),
+        )
         link.makeConnection(FakeTransport())
         return link
 
@@ -156,6 +163,9 @@
             if to_opener and (data := self.server.transport.take_written()):
                 self.opener.dataReceived(data)
                 moved = True
+            if self.opener.input.is_waiting or self.server.input.is_waiting:
+                run_turn(self.clock)
+                moved = True
 
 
 __all__ = [
--- a/tests/connection/test_peer_link.py
+++ b/tests/connection/test_peer_link.py
@@ -9,10 +9,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from briarslip.address import Address
 from briarslip.connection.frame import BodyFrame
+from briarslip.connection.frame import ControlFrame
 from briarslip.connection.frame import FailureFrame
 from briarslip.connection.frame import Ping
 from briarslip.connection.frame import ResponseFrame
+from briarslip.connection.frame import Topic
 from briarslip.connection.outgoing_body import PART_BYTES
 from briarslip.connection.outgoing_body import WINDOW_BYTES
 from briarslip.connection.peer_link import MAX_STREAM
@@ -23,6 +26,11 @@
 from tests.connection.support import FakeSink
 from tests.connection.support import LinkPair
 from tests.connection.support import call
+from tests.connection.support import run_turn
+
+
+MAX_FRAMES_PER_READ = 32
+MAX_FRAMES_PER_TURN = 512
 
 
 def response(stream: int, body: bytes = b"x", last: bool = True) -> ResponseFrame:
@@ -180,6 +188,43 @@
         self.assertEqual((len(body), 1), (len(sink.data), sink.ended))
         self.assertEqual({}, self.pair.server.served.streams)
 
+    def test_one_read_takes_the_reactor_for_all_of_its_frames(self) -> None:
+        """Guards against a daemon that hangs on thousands of small frames of a peer."""
+        received: list[ControlFrame] = []
+        server = self.pair.server
+        server.peer = Address("127.0.0.1", 7000)
+        server.on_control = lambda _, frame: received.append(frame)
+        for number in range(1000):
+            frame = ControlFrame(Topic.MEMBERSHIP, b"%d" % number)
+            self.pair.opener.send(frame)
+        server.dataReceived(self.pair.opener.transport.take_written())
+        self.assertLessEqual(len(received), MAX_FRAMES_PER_READ)
+        self.assertEqual("paused", server.transport.producerState)
+        while len(received) < 1000:
+            before = len(received)
+            run_turn(self.pair.clock)
+            self.assertLessEqual(len(received) - before, MAX_FRAMES_PER_TURN)
+            self.assertGreater(len(received), before)
+        run_turn(self.pair.clock)
+        payloads = [b"%d" % number for number in range(1000)]
+        self.assertEqual(payloads, [frame.payload for frame in received])
+        self.assertEqual("producing", server.transport.producerState)
+
+    def test_frames_of_a_lost_link_are_handled(self) -> None:
+        """Guards against work for a peer that has left."""
+        received: list[ControlFrame] = []
+        server = self.pair.server
+        server.peer = Address("127.0.0.1", 7000)
+        server.on_control = lambda _, frame: received.append(frame)
+        for _ in range(100):
+            self.pair.opener.send(ControlFrame(Topic.MEMBERSHIP, b""))
+        server.dataReceived(self.pair.opener.transport.take_written())
+        server.connectionLost()
+        before = len(received)
+        run_turn(self.pair.clock)
+        self.assertEqual(before, len(received))
+        self.assertEqual([], self.pair.clock.getDelayedCalls())
+
     def test_bytes_beyond_the_credit_end_the_link(self) -> None:
         self.open()
         self.pair.server.send(response(1, b"", False))
