Join queued parts of a body to frames of 16 KiB

Cause: a queued body of small parts left in a frame for each part. 64 KiB may wait, so up to 65,536 frames were encoded when the link took more again, in one turn, and as many had to be handled by the peer.

Ruled out: parts that don't wait; there is one for each read of the server.

Change: a frame takes as many parts as fit into it.

Test: test_peer_link. Before: 16,385 bytes that had waited left in 16,385 frames, expected 2.

--- a/src/briarslip/connection/outgoing_body.py
+++ b/src/briarslip/connection/outgoing_body.py
@@ -99,26 +99,32 @@
             self.flow.set_paused(False)
 
     def _next_part(self) -> bytes:
-        if not self.parts:
-            return b""
-        limit = (
-            PART_BYTES
-            if self.credit_bytes is None
-            else min(PART_BYTES, self.credit_bytes)
-        )
-        part = self.parts[0]
-        if not self.part_offset and len(part) <= limit:
-            data = self.parts.popleft()
-        else:
-            data = part[self.part_offset : self.part_offset + limit]
-            self.part_offset += len(data)
-            if self.part_offset == len(part):
-                self.parts.popleft()
-                self.part_offset = 0
+        """Remove and return queued bytes; small parts are joined to one."""
+        limit = PART_BYTES
+        if self.credit_bytes is not None:
+            limit = min(limit, self.credit_bytes)
+        pieces: list[bytes] = []
+        while self.parts and limit > 0:
+            piece = self._next_piece(limit)
+            pieces.append(piece)
+            limit -= len(piece)
+        data = pieces[0] if len(pieces) == 1 else b"".join(pieces)
         self.queued_bytes -= len(data)
         if self.credit_bytes is not None:
             self.credit_bytes -= len(data)
         return data
 
+    def _next_piece(self, limit: int) -> bytes:
+        """Remove and return at most ``limit`` bytes of the first part."""
+        part = self.parts[0]
+        if not self.part_offset and len(part) <= limit:
+            return self.parts.popleft()
+        piece = part[self.part_offset : self.part_offset + limit]
+        self.part_offset += len(piece)
+        if self.part_offset == len(part):
+            self.parts.popleft()
+            self.part_offset = 0
+        return piece
+
 
 __all__ = ["PART_BYTES", "WINDOW_BYTES", "OutgoingBody"]
--- a/tests/connection/test_peer_link.py
+++ b/tests/connection/test_peer_link.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import settings
@@ -225,6 +226,23 @@
         self.assertEqual(before, len(received))
         self.assertEqual([], self.pair.clock.getDelayedCalls())
 
+    def test_queued_bytes_leave_in_frames_of_their_own(self) -> None:
+        """Guards against thousands of frames for a body of small parts that waited."""
+        sink = self.open()
+        self.pair.deliver()
+        response_sink = self.pair.dispatched.calls[0][1]
+        server = self.pair.server
+        server.writer.pauseProducing()
+        response_sink.head(OK)
+        for _ in range(PART_BYTES):
+            response_sink.body(b"x", False)
+        response_sink.body(b"y", True)
+        with mock.patch.object(server.writer, "send", wraps=server.writer.send) as send:
+            server.writer.resumeProducing()
+        self.assertEqual(2, send.call_count)
+        self.pair.deliver()
+        self.assertEqual((b"x" * PART_BYTES + b"y", 1), (sink.data, sink.ended))
+
     def test_bytes_beyond_the_credit_end_the_link(self) -> None:
         self.open()
         self.pair.server.send(response(1, b"", False))
