Count the bytes of a recorded response once

Cause: for each part the lengths of all parts before it were added up again, up to 16,384 parts of one byte: 134 million additions for one response.

Ruled out: responses without a claim, of which nothing is recorded.

Test: test_forwarder. Before: the length of the first of 1,000 parts was asked for 1,001 times, expected 10 at most.

--- a/src/briarslip/request/exchange.py
+++ b/src/briarslip/request/exchange.py
@@ -82,7 +82,7 @@
         self.may_have_run = False
         self.head_sent = False
         self.stored_response: StoredResponse | None = None
-        self.body_parts: list[bytes] = []
+        self.recorded_body = bytearray()
         self.acquired_claim: AcquiredClaim | None = None
         self.is_claim_required = True
         self.timer: Timer | None = None
@@ -272,13 +272,14 @@
         response = self.stored_response
         if response is None or self.acquired_claim is None:
             return
-        self.body_parts.append(data)
-        size_bytes = response.size_bytes + sum(map(len, self.body_parts))
+        self.recorded_body += data
+        size_bytes = response.size_bytes + len(self.recorded_body)
         if size_bytes > MAX_STORED_RESPONSE_BYTES:
             self.stored_response = None
+            self.recorded_body.clear()
         elif last:
             acquired, self.acquired_claim = self.acquired_claim, None
-            complete_response = replace(response, body=b"".join(self.body_parts))
+            complete_response = replace(response, body=bytes(self.recorded_body))
             self.forwarder.dependencies.claims.store(acquired, complete_response)
 
     def cancel(self) -> None:
--- a/tests/request/test_forwarder.py
+++ b/tests/request/test_forwarder.py
@@ -40,6 +40,19 @@
     from briarslip.request.claim import ClaimDecision
 
 
+MAX_MEASUREMENTS = 10
+
+
+class MeasuredBytes(bytes):
+    """Bytes that count how often their length is asked for."""
+
+    measured = 0
+
+    def __len__(self) -> int:
+        self.measured += 1
+        return super().__len__()
+
+
 class OutcomeTest(unittest.TestCase):
     """The outcome that the caller sees is correct."""
 
@@ -325,6 +338,19 @@
         self.assertEqual([a.body for a in self.harness.claims.stored], [b"booked"])
         self.assertEqual(self.harness.claims.released, [])
 
+    def test_each_part_of_a_response_costs_the_parts_before_it(self) -> None:
+        """Guards against a response in single bytes that holds up the reactor."""
+        self.send(self.acquired)
+        sink = self.harness.sent[0].sink
+        sink.head(ResponseHead(200, b"", Outcome.RAN, Load(1, 9)))
+        parts = [MeasuredBytes(b"x") for _ in range(1000)]
+        for part in parts:
+            sink.body(part, False)
+        sink.body(b"", True)
+        stored = [response.body for response in self.harness.claims.stored]
+        self.assertEqual([b"x" * len(parts)], stored)
+        self.assertLessEqual(max(part.measured for part in parts), MAX_MEASUREMENTS)
+
     def test_decisions_that_prevent_a_second_run(self) -> None:
         cases: tuple[tuple[ClaimDecision, Outcome], ...] = (
             (AlreadyForwarded(), Outcome.UNKNOWN),
