Find the value of a header in linear time

Cause: the pattern that leaves out blanks around a value tries each blank inside of it as the end: time quadratic in the blanks, for the request id at each look-up and for the credentials.

Ruled out: the patterns of whole heads, which are possessive, and those of numbers, whose values hold no blanks.

Change: the pattern takes the line, and blanks are stripped from the value. It stood three times and now stands once (HeaderLines).

Test: test_header_conventions, 100,000 blanks.

--- a/src/briarslip/connection/header_conventions.py
+++ b/src/briarslip/connection/header_conventions.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
-import re
 from dataclasses import dataclass
 from functools import cached_property
 
+from briarslip.request.header_lines import HeaderLines
+
 
 @dataclass(frozen=True)
 class HeaderConventions:
@@ -66,25 +67,22 @@
         return self.names_set_by_daemon | {name.lower() for name in names if name}
 
     @cached_property
-    def _request_id_line(self) -> re.Pattern[bytes]:
-        name = re.escape(self.request_id)
-        return re.compile(rb"(?im)^%s:[ \t]*([^\r\n]*?)[ \t]*\r\n" % name)
+    def _request_id_lines(self) -> HeaderLines:
+        return HeaderLines(self.request_id)
 
     def request_id_of(self, headers: bytes) -> bytes:
         """Return the request id from header lines, empty if there is none."""
         if not self.request_id:
             return b""
-        match = self._request_id_line.search(headers)
-        return b"" if match is None else match[1]
+        return self._request_id_lines.first_value(headers)
 
     def request_id_text_of(self, headers: bytes) -> str:
         """Return the request id from header lines as text for logs."""
         return self.request_id_of(headers).decode("latin-1")
 
     @cached_property
-    def _credentials_line(self) -> re.Pattern[bytes]:
-        name = re.escape(self.credentials)
-        return re.compile(rb"(?im)^%s:[ \t]*([^\r\n]*?)[ \t]*\r\n" % name)
+    def _credentials_lines(self) -> HeaderLines:
+        return HeaderLines(self.credentials)
 
     def split_credentials(self, headers: bytes) -> tuple[bytes, bytes]:
         """Return the header lines without credentials, and the key in them or b"".
@@ -92,10 +90,10 @@
         Credentials of another scheme have no key. Two lines of them have none either,
         since servers and daemons could take different ones.
         """
-        lines = self._credentials_line.findall(headers)
+        lines = self._credentials_lines.all_values(headers)
         if not lines:
             return headers, b""
-        others = self._credentials_line.sub(b"", headers)
+        others = self._credentials_lines.remove_from(headers)
         scheme = self.credentials_scheme.lower()
         if not scheme:
             return others, lines[0] if len(lines) == 1 else b""
--- a/src/briarslip/request/fingerprint.py
+++ b/src/briarslip/request/fingerprint.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import hashlib
-import re
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from briarslip.request.body import Body
+from briarslip.request.header_lines import HeaderLines
 
 
 if TYPE_CHECKING:
@@ -17,7 +17,7 @@
 
 # Long enough that nobody finds a second request with the digest of another one's.
 DIGEST_BYTES = 16
-CREDENTIALS = re.compile(rb"(?im)^authorization:[ \t]*([^\r\n]*?)[ \t]*\r\n")
+CREDENTIALS = HeaderLines(b"Authorization")
 
 
 class Fingerprint(NamedTuple):
@@ -47,7 +47,7 @@
 def head_digest(call: Call) -> bytes:
     """Return the digest of a call's head."""
     # The first daemon removes the credentials of a caller with an organisation.
-    caller = call.organisation.encode() or _credentials(call.headers)
+    caller = call.organisation.encode() or CREDENTIALS.first_value(call.headers)
     fields = (
         call.service.encode(),
         call.route.encode(),
@@ -59,11 +59,6 @@
     return _digest(b"\n".join(fields))
 
 
-def _credentials(headers: bytes) -> bytes:
-    credentials = CREDENTIALS.search(headers)
-    return b"" if credentials is None else credentials[1]
-
-
 def body_digest(call: Call) -> bytes:
     """Return the digest of a call's body."""
     return call.body.digest or _digest(*call.body.parts)
--- a/tests/connection/test_header_conventions.py
+++ b/tests/connection/test_header_conventions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import unittest
 from typing import Any
 
@@ -36,6 +37,10 @@
     retry_after_decimals=3,
 )
 REQUEST_ID_LINE = b"Call-Id: 77\r\n"
+# Matching in linear time takes less than one thousandth of the limit for so many, in
+# quadratic time several times the limit.
+BLANKS = 100_000
+MAX_CPU_SECONDS = 2.0
 
 
 def response(
@@ -49,6 +54,20 @@
     return head + headers + b"\r\nok"
 
 
+class HeaderValueTest(unittest.TestCase):
+    """Values of single headers."""
+
+    def test_blanks_inside_a_value_take_quadratic_time(self) -> None:
+        """Guards against a daemon that hangs on a header of blanks."""
+        value = b"a" + b" " * BLANKS + b"b"
+        conventions = HeaderConventions(request_id=b"Call-Id", credentials=b"Key")
+        started = time.thread_time()
+        found = conventions.request_id_of(b"Call-Id: " + value + b"\r\n")
+        _, key = conventions.split_credentials(b"Key: " + value + b"\r\n")
+        self.assertEqual((value, value), (found, key))
+        self.assertLess(time.thread_time() - started, MAX_CPU_SECONDS)
+
+
 class BackendServerTest(unittest.TestCase):
     """Only a signed response to the request that was sent is forwarded."""
 
