Read 4 KiB at most at once from a connection to the daemon's own endpoints

Cause: twisted.web decodes all chunks of a read at once and can't stop halfway.

Change: a read is so short that all of it may be processed: 682 chunks of one byte. Reports and scrapes have some hundred bytes.

--- a/src/briarslip/connection/local_http.py
+++ b/src/briarslip/connection/local_http.py
@@ -26,6 +26,8 @@
 
 # An announcement has some hundred bytes.
 MAX_BODY_BYTES = 64 << 10
+# A read of this size has few chunks, however short they are.
+MAX_READ_BYTES = 4 << 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +97,15 @@
             return JsonReply(http.INTERNAL_SERVER_ERROR, {"error": text})
 
 
+class LocalChannel(http.HTTPChannel):
+    """A connection whose reads are short, since all of a read is processed at once."""
+
+    def connectionMade(self) -> None:
+        """Limit the reads of the transport."""
+        super().connectionMade()
+        self.transport.bufferSize = MAX_READ_BYTES
+
+
 class LocalHttpFactory(http.HTTPFactory):
     """Serves endpoints by method and path.
 
@@ -127,7 +138,7 @@
 
     def buildProtocol(self, addr: IAddress) -> http.HTTPChannel:
         """Build a plain HTTP/1.1 channel."""
-        channel = http.HTTPChannel()
+        channel = LocalChannel()
         channel.requestFactory = LocalRequest
         channel.factory = self
         channel.timeOut = self.timeOut
