Measure how long the reactor is held up by one of its turns

Ruled out: the processor time of the process, which a busy daemon uses as well.

Change: the delay of a timer every 0.1 s; the longest of the last one to two minutes is the gauge briarslip_longest_turn_seconds, and event 108 is logged from 0.5 s on.

Test: test_reactor_delay, in virtual time.

--- a/src/briarslip/process/daemon.py
+++ b/src/briarslip/process/daemon.py
@@ -43,6 +43,7 @@
 from briarslip.process.quarantine.task import QuarantineTask
 from briarslip.process.quota.limit_source import LimitSource
 from briarslip.process.quota.task import QuotaTask
+from briarslip.process.reactor_delay import ReactorDelay
 from briarslip.process.resource_limits import buffer_capacity_bytes
 from briarslip.process.resource_limits import max_caller_connections
 from briarslip.process.rollouts.report import RolloutReporter
@@ -205,6 +206,7 @@
         )
         self.service_levels = ServiceLevels(clock)
         self.client_errors = ClientErrors(partial(configuration_state, self))
+        self.reactor_delay = ReactorDelay(reactor, clock)
         self.metrics = Metrics(
             EVENT_COUNTS, DROPPED_LINES, gauges(self), self.client_errors.counts
         )
@@ -268,6 +270,7 @@
         self.quarantine.start()
         self.quotas.start()
         self.rollout_reporter.start()
+        self.reactor_delay.start()
         self.run_periodic_work()
 
     def _listen(self, address: Address, factory: Any) -> Any:
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -63,6 +63,7 @@
         Level.ERROR,
         "unexpected error; the daemon continues",
     )
+    REACTOR_HELD_UP = (108, Level.WARNING, "one turn of the reactor took long")
     SERVER_ANNOUNCED = (201, Level.INFO, "new backend server is registered")
     SERVER_EXPIRED = (202, Level.WARNING, "backend server's announcement lease expires")
     MEMBER_DEAD = (
--- a/src/briarslip/process/gauges.py
+++ b/src/briarslip/process/gauges.py
@@ -50,6 +50,7 @@
         "limited_organisations": lambda: daemon.quotas.node.count_mode(Mode.LIMITED),
         "near_limit_organisations": lambda: daemon.quotas.node.count_mode(Mode.NEAR),
         "over_limit_requests": lambda: daemon.quotas.node.refused,
+        "longest_turn_seconds": lambda: daemon.reactor_delay.longest_recent_seconds,
         "ready": lambda: daemon.is_ready,
     }
 
