Test that a poll of the store in tiny chunks takes short turns

Responses of the store use the connections of backend servers, so the decoder with steps applies to them. Before it, one read decoded 10,000 chunks of a long poll, 64 at most expected.

--- a/tests/process/store/test_http.py
+++ b/tests/process/store/test_http.py
@@ -16,9 +16,11 @@
 from briarslip.process.store.etcd_watch import GatewayWatch
 from briarslip.process.store.http import MAX_IDLE_SECONDS
 from briarslip.process.store.http import MAX_RESPONSE_BYTES
+from briarslip.process.store.http import HttpResponseSink
 from briarslip.process.store.http import StoreHttpClient
 from briarslip.request.outcome import Reason
 from tests.connection.support import FakeTransport
+from tests.connection.support import run_turn
 
 
 if TYPE_CHECKING:
@@ -28,6 +30,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
 STREAM = b"HTTP/1.1 200 OK\r\n\r\n"
 SILENCE_TIMEOUT = timedelta(seconds=5)
+MAX_CHUNKS_PER_READ = 64
 
 
 class StoreHttpClientTest(unittest.TestCase):
@@ -74,6 +77,20 @@
                 self.assertEqual(Reason.BODY_TOO_LARGE, results[0].err_value.reason)
                 self.assertTrue(connection.transport.aborted)
 
+    def test_one_read_of_a_poll_takes_the_reactor_for_all_of_its_chunks(self) -> None:
+        """Guards against a daemon that hangs on a store which sends tiny chunks."""
+        sink = HttpResponseSink()
+        self.http.open_stream("GET", "/-/kv-watch", None, sink)
+        connection = self.accept()
+        connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        connection.dataReceived(b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n")
+        self.assertLessEqual(len(sink.received), MAX_CHUNKS_PER_READ)
+        while connection.transport.producerState == "paused":
+            run_turn(self.reactor)
+        self.assertEqual(10_000, len(sink.received))
+
     def test_connection_is_reused(self) -> None:
         self.http.send("POST", "/v3/kv/range", {})
         connection = self.accept()
