Pull from another peer at once when one is busy

Cause: a peer that has used up what it serves a second names a wait, and the daemon waited half to one and a half times that before it asked any other peer, although others offered the version.

Ruled out: peers that are all busy; the wait applies to them as before.

Change: the next source is pulled from at once; the last one is asked again after the wait.

--- a/src/briarslip/version/puller.py
+++ b/src/briarslip/version/puller.py
@@ -131,13 +131,18 @@
     now: float,
     rng: random.Random,
 ) -> None:
-    """Record that a peer serves no pulls for ``retry_after_seconds``."""
+    """Record that a peer serves no pulls for ``retry_after_seconds``.
+
+    Another source is pulled from at once; the only one is asked again later.
+    """
     if puller.pulled_peer != peer:
         return
     puller.pulled_peer = None
-    if len(puller.sources) > 1:
-        # The peer may have been removed already, when another version arrived.
-        puller.sources.pop(peer, None)
+    other_sources = {p: v for p, v in puller.sources.items() if p != peer}
+    if other_sources:
+        puller.sources = other_sources
+        puller.next_pull_at = now
+        return
     puller.next_pull_at = now + retry_after_seconds * rng.uniform(0.5, 1.5)
 
 
