Serve deltas to a peer whose version lies between two of the daemon's own

Cause: in a storm of changes daemons skip versions, and not the same ones.

Change: the deltas begin at the last base that is not after the peer's version.

Test: test_skipped_versions.

--- a/src/briarslip/version/distribution.py
+++ b/src/briarslip/version/distribution.py
@@ -173,11 +173,16 @@
 
 
 def _deltas_from(state: DistributionState, peer_version: int) -> tuple[bytes, ...]:
+    """Return the deltas from a peer's version, or else from the one before it.
+
+    Load pattern: changes follow one another so closely that daemons skip versions,
+    and not the same ones. The first delta then has what the peer's version lacks.
+    """
     deltas = list(state.recent_deltas)
-    for index, delta in enumerate(deltas):
-        if delta.base_version == peer_version:
-            return tuple(following.data for following in deltas[index:])
-    return ()
+    earlier = [i for i, d in enumerate(deltas) if d.base_version <= peer_version]
+    if not earlier:
+        return ()
+    return tuple(following.data for following in deltas[earlier[-1] :])
 
 
 def _spend_credit(state: DistributionState, size_bytes: int, now: float) -> float:
--- a/tests/version/test_skipped_versions.py
+++ b/tests/version/test_skipped_versions.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from typing import TYPE_CHECKING
 
+from briarslip.version.configuration_codec import Deltas
 from briarslip.version.configuration_codec import compress
 from briarslip.version.delta import delta_between
 from briarslip.version.distribution import DistributionState
 from briarslip.version.distribution import apply_deltas
+from briarslip.version.distribution import install_snapshot
+from briarslip.version.distribution import serve_pull
 from tests.support.records import route
 from tests.support.records import service
 from tests.support.records import snapshot_of
@@ -54,6 +58,30 @@
         target = snapshot_of(3, SERVICE, route("r-2", "a"), route("r-3", "a"))
         self.assertIn("applies to version 2", self.push(running, base, target))
 
+    def test_daemon_between_two_versions_is_sent_the_full_snapshot(self) -> None:
+        """Guards against large replies, of which a peer serves few a second."""
+        rng = random.Random(1)
+        services = [service(f"{rng.getrandbits(64):x}") for _ in range(99)]
+        snapshots = [
+            snapshot_of(
+                version,
+                *services,
+                SERVICE,
+                *(route(f"r-{number}", "a") for number in range(version)),
+            )
+            for version in range(1, 6)
+        ]
+        serving = DistributionState(minimum_version=0)
+        for version in (1, 3, 5):
+            install_snapshot(serving, snapshots[version - 1])
+        for version in (1, 2, 3, 4):
+            behind = DistributionState(minimum_version=0)
+            install_snapshot(behind, snapshots[version - 1])
+            reply = serve_pull(serving, version, 0.0)
+            assert isinstance(reply, Deltas)
+            applied = apply_deltas(behind, reply.deltas)
+            self.assertEqual(snapshots[-1], applied.unwrap())
+
 
 if __name__ == "__main__":
     unittest.main()
