--- a/src/briarslip/process/distribution/task.py
+++ b/src/briarslip/process/distribution/task.py
@@ -12,6 +12,7 @@
 from briarslip.finding import format_findings
 from briarslip.process.distribution.bootstrap import Bootstrap
 from briarslip.process.distribution.peers import DistributionPeers
+from briarslip.process.distribution.pulls import Pulls
 from briarslip.process.distribution.source_activation import SourceActivation
 from briarslip.process.distribution.stored_configuration import READ_INTERVAL_SECONDS
 from briarslip.process.distribution.watch_duty import MAX_WATCHING_ZONE_MEMBERS
@@ -33,13 +34,6 @@
 from briarslip.version.distribution import install_snapshot
 from briarslip.version.distribution import serve_pull
 from briarslip.version.distribution import set_minimum_version
-from briarslip.version.puller import Puller
-from briarslip.version.puller import next_wakeup
-from briarslip.version.puller import record_busy
-from briarslip.version.puller import record_failure
-from briarslip.version.puller import record_reply
-from briarslip.version.puller import record_source
-from briarslip.version.puller import start_pull
 from briarslip.version.push_tree import push_targets
 
 
@@ -106,9 +100,8 @@
         self.on_version = on_version
         self.last_known_version = last_known_version
         self.state = DistributionState()
-        self.puller = Puller()
+        self.pulls = Pulls(reactor, clock, rng, self.state, self._send)
         self.peers = DistributionPeers(own_address, availability_zone, members)
-        self.pull_timer: Any = None
         self.chosen_as_relay_since: float | None = None
         self.is_relay = False
         self.started = False
@@ -292,8 +285,7 @@
             pull_grace_seconds = (
                 OWN_SOURCE_GRACE_SECONDS if has_own_source and is_settled else 0.0
             )
-            record_source(self.puller, peer, version, now, self.rng, pull_grace_seconds)
-            self._pull()
+            self.pulls.record_source(peer, version, pull_grace_seconds)
 
     def receive_message(self, sender: Address, payload: bytes) -> None:
         """Handle a configuration message from a peer."""
@@ -316,7 +308,7 @@
             case Deltas(deltas):
                 self._receive_snapshot(sender, apply_deltas(self.state, deltas))
             case Busy(retry_after_ms):
-                self._receive_busy(sender, retry_after_ms / MS_PER_SECOND)
+                self.pulls.record_busy(sender, retry_after_ms / MS_PER_SECOND)
             case VersionQuery():
                 last_known = self.last_known_version(sender)
                 self._send(sender, VersionReply(self.snapshot.version, last_known))
@@ -328,50 +320,18 @@
         self, sender: Address, decoded: Result[Snapshot, str]
     ) -> None:
         if isinstance(decoded, Err):
-            if self.puller.pulled_peer == sender:
-                record_failure(self.puller, self.clock.monotonic(), self.rng)
-                # The peer would answer the same version with the same deltas again.
-                self.puller.needs_full_snapshot = True
+            self.pulls.record_unusable_reply(sender)
             # Deltas of another base, for example: the sender has what is missing.
             emit(Event.PEER_VERSION_REJECTED, peer=sender, reason=decoded.err_value)
             newer_version = max(
                 self.peers.version_of(sender), self.state.newest_version + 1
             )
-            record_source(
-                self.puller, sender, newer_version, self.clock.monotonic(), self.rng
-            )
-            self._pull()
+            self.pulls.record_source(sender, newer_version)
             return
         self.peers.record_version(sender, decoded.ok_value.version)
         if not self.relay.refutes(decoded.ok_value):
             self.activate_snapshot(decoded.ok_value)
-        record_reply(self.puller, sender, self.state.newest_version)
-        self._pull()
-
-    def _receive_busy(self, sender: Address, retry_after_seconds: float) -> None:
-        now = self.clock.monotonic()
-        record_busy(self.puller, sender, retry_after_seconds, now, self.rng)
-        self._pull()
-
-    def _pull(self) -> None:
-        """Pull from the next peer if that is due, and schedule the next check."""
-        if self.pull_timer is not None and self.pull_timer.active():
-            self.pull_timer.cancel()
-        self.pull_timer = None
-        now = self.clock.monotonic()
-        self.puller.drop_outdated_sources(self.state.newest_version)
-        source = start_pull(self.puller, now, self.rng)
-        if source is not None:
-            base = 0 if self.puller.needs_full_snapshot else self.snapshot.version
-            self._send(source, Pull(base))
-        wakeup_at = next_wakeup(self.puller)
-        if wakeup_at is not None:
-            delay = max(wakeup_at - now, 0.001)
-            self.pull_timer = self.reactor.callLater(delay, self._pull_timer_expired)
-
-    def _pull_timer_expired(self) -> None:
-        self.pull_timer = None
-        self._pull()
+        self.pulls.record_reply(sender)
 
     def _send(self, peer: Address, message: ConfigurationMessage) -> None:
         self.send(peer, Topic.CONFIGURATION, encode_message(message))
--- a/src/briarslip/process/events.py
+++ b/src/briarslip/process/events.py
@@ -134,6 +134,11 @@
         "zone is evacuated: servers in it get no requests",
     )
     EVACUATION_ENDED = (313, Level.INFO, "evacuation of a zone has ended")
+    PULL_UNANSWERED = (
+        314,
+        Level.INFO,
+        "peer has not answered a pull of its version in time",
+    )
     MESSAGE_REJECTED = (401, Level.WARNING, "received message is rejected")
     REQUEST_FAILED = (
         402,
