Test real daemons beside a server that sends chunks of one byte without end

One more case of the test with real processes: memory stays below its bound and others are answered.

--- a/tests/process/test_endless_bytes.py
+++ b/tests/process/test_endless_bytes.py
@@ -55,6 +55,10 @@
         OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
         b"4000\r\n" + b"z" * 0x4000 + b"\r\n",
     ),
+    "body in chunks of one byte": (
+        OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nz\r\n",
+    ),
     "chunk extension": (OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n2;x=", b"y"),
 }
 MAX_SENT_BYTES = 400 << 20
