Take only statuses from 200 to 599 for those of a response

Here a server's 600 to 999, and any number in a frame of a peer, reached the caller, 0 as "HTTP/1.1 0".

Cause: the pattern of a response's head accepted all numbers of three digits that don't begin with 0, and the status of a frame was not checked.

Ruled out: 000, 099 and numbers of other lengths from a server beside the daemon or as interim responses; they were malformed before (tested now).

Change: other heads are malformed, with a log line that says how they begin; a frame with another status fails its call alone, since an older daemon may pass on what its server sends.

Test: test_no_status. Before: 25 of its cases fail, for instance 999 and the frame's 0 reach the caller. All statuses from 200 to 599 pass unchanged, before and after.

--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -173,7 +173,12 @@
                 self._abort()
             return False
         parsed = parse_response_head(self.buffer[: end + 2], self.conventions)
-        if isinstance(parsed, Err) or parsed.ok_value.status == SWITCHING_PROTOCOLS:
+        if isinstance(parsed, Err):
+            peer = str(self.transport.getPeer())
+            emit(Event.MESSAGE_REJECTED, peer=peer, reason=parsed.err_value)
+            self._abort()
+            return False
+        if parsed.ok_value.status == SWITCHING_PROTOCOLS:
             self._abort()
             return False
         head_bytes = end + len(HEAD_END)
--- a/src/briarslip/connection/http_head.py
+++ b/src/briarslip/connection/http_head.py
@@ -53,11 +53,13 @@
     rb"(%s) ([\x21-\x7e]++) HTTP/1\.([01])\r\n" % TOKEN + HEADER_LINES
 )
 RESPONSE_HEAD = re.compile(
-    rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\r\n\x00]*+)?\r\n" + HEADER_LINES
+    rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [^\r\n\x00]*+)?\r\n" + HEADER_LINES
 )
 DECLARED_LENGTH = re.compile(rb"(?im)^content-length:[ \t]*([0-9]+)[ \t]*\r\n")
 ABSOLUTE_FORM = re.compile(rb"(?i)http://([^/?#@]+)([/?][^#]*)?")
 MAX_NUMBER_DIGITS = 15
+# Of a malformed head, in its error.
+MAX_SHOWN_BYTES = 64
 FIRST_REDIRECTION_STATUS = 300
 DEPTH = re.compile(rb"[0-9]{1,%d}" % MAX_NUMBER_DIGITS)
 
@@ -249,7 +251,7 @@
     """Parse a response head without its final empty line."""
     match = RESPONSE_HEAD.fullmatch(data)
     if match is None:
-        return Err("the head is malformed")
+        return Err(f"the head is malformed, it begins with {data[:MAX_SHOWN_BYTES]!r}")
     minor, digits, header_lines = match.groups()
     status = int(digits)
     inspected = InspectedHeaders(header_lines, conventions)
--- a/src/briarslip/connection/link_stream.py
+++ b/src/briarslip/connection/link_stream.py
@@ -11,8 +11,14 @@
 from briarslip.connection.outgoing_body import PART_BYTES
 from briarslip.connection.outgoing_body import WINDOW_BYTES
 from briarslip.connection.outgoing_body import OutgoingBody
+from briarslip.process.events import Event
+from briarslip.process.events import emit
+from briarslip.request.call import FINAL_STATUSES
 from briarslip.request.call import Load
 from briarslip.request.call import ResponseHead
+from briarslip.request.outcome import Failure
+from briarslip.request.outcome import Outcome
+from briarslip.request.outcome import Reason
 
 
 if TYPE_CHECKING:
@@ -24,7 +30,6 @@
     from briarslip.connection.peer_link import PeerLink
     from briarslip.request.call import Call
     from briarslip.request.call import ResponseSink
-    from briarslip.request.outcome import Failure
 
 
 MICROSECONDS_PER_SECOND = 1_000_000
@@ -64,6 +69,9 @@
         """Receive the first frame of a response; return whether it is in order."""
         if self.head_received:
             return False
+        if frame.status not in FINAL_STATUSES:
+            self._reject_status(frame.status)
+            return True
         self.head_received = True
         if not frame.last:
             self.call.flow.on_change = self._on_flow_change
@@ -82,6 +90,16 @@
         self._forward(frame.body, frame.last)
         return True
 
+    def _reject_status(self, status: int) -> None:
+        """End the call alone: an older release passes on what its server sends."""
+        emit(
+            Event.MESSAGE_REJECTED,
+            peer=self.link.peer,
+            reason=f"got the status {status} of a response, expected 200 to 599",
+        )
+        self.link.cancel(self.number)
+        self.fail(Failure(Outcome.UNKNOWN, Reason.TRUNCATED), None)
+
     def receive_body(self, data: bytes, last: bool) -> bool:
         """Receive a further part; return whether it is in order and within credit."""
         if not self.head_received or len(data) > self.credit_bytes:
--- a/src/briarslip/connection/peer_link.py
+++ b/src/briarslip/connection/peer_link.py
@@ -300,7 +300,7 @@
             body.push(b"", True)
             self.writer.enqueue(body)
         call.withdrawal.on_request = partial(self._withdraw, number)
-        return lambda: self._cancel(number)
+        return lambda: self.cancel(number)
 
     def _allocate_stream_number(self) -> int:
         """Return a number that no open stream has."""
@@ -310,7 +310,8 @@
         self.next_stream_number = number % MAX_STREAM + 1
         return number
 
-    def _cancel(self, number: int) -> None:
+    def cancel(self, number: int) -> None:
+        """Cancel the call of a stream that this end has opened."""
         if self.client_streams.pop(number, None) is not None:
             self.writer.discard(number)
             self.send(CancelFrame(number))
--- a/src/briarslip/request/call.py
+++ b/src/briarslip/request/call.py
@@ -20,6 +20,10 @@
     from briarslip.request.outcome import Outcome
 
 
+# Statuses of responses that end a request (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """One forwarding of a request towards a backend server.
@@ -153,4 +157,12 @@
         """Forward ``call`` and send its response to ``sink``."""
 
 
-__all__ = ["Call", "Dispatch", "Load", "ResponseHead", "ResponseSink", "ServerStatus"]
+__all__ = [
+    "FINAL_STATUSES",
+    "Call",
+    "Dispatch",
+    "Load",
+    "ResponseHead",
+    "ResponseSink",
+    "ServerStatus",
+]
