Free the body of a queued call when it leaves the queue

Cause: a call that was cancelled, withdrawn or out of time left the set of waiting calls, but its entry stayed in the heap with the call and its body until a slot was free. By then the holding of the connection was closed, so that no budget counted it.

Ruled out: the buffers of connections, and timers; both were closed or cancelled.

Change: an entry is emptied when its call leaves, and empty entries are removed once they are more than half.

Test: test_body_lifetime.

--- a/src/briarslip/request/call_queue.py
+++ b/src/briarslip/request/call_queue.py
@@ -15,6 +15,19 @@
     from briarslip.request.pending_call import PendingCall
 
 
+# Entries of calls that have left the queue, up to which they stay in its heaps.
+MAX_EMPTY_ENTRIES = 64
+
+
+class QueueEntry:
+    """A place in the order of the calls, empty once its call has left the queue."""
+
+    __slots__ = ("pending",)
+
+    def __init__(self, pending: PendingCall) -> None:
+        self.pending: PendingCall | None = pending
+
+
 class CallQueue:
     """The queued calls of one priority.
 
@@ -25,9 +38,9 @@
     """
 
     def __init__(self) -> None:
-        self.waiting: set[PendingCall] = set()
-        self.by_latency_target: list[tuple[float, int, PendingCall]] = []
-        self.by_deadline: list[tuple[float, int, PendingCall]] = []
+        self.waiting: dict[PendingCall, QueueEntry] = {}
+        self.by_latency_target: list[tuple[float, int, QueueEntry]] = []
+        self.by_deadline: list[tuple[float, int, QueueEntry]] = []
         self.arrival_numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -38,13 +51,25 @@
 
     def add(self, pending: PendingCall) -> None:
         """Add a call to the queue."""
-        self.waiting.add(pending)
-        entry = (pending.call.latency_target_at, next(self.arrival_numbers), pending)
-        heapq.heappush(self.by_latency_target, entry)
+        entry = self.waiting[pending] = QueueEntry(pending)
+        target_at = pending.call.latency_target_at
+        number = next(self.arrival_numbers)
+        heapq.heappush(self.by_latency_target, (target_at, number, entry))
 
     def remove(self, pending: PendingCall) -> None:
-        """Remove a call; its heap entry is skipped later."""
-        self.waiting.discard(pending)
+        """Remove a call, and all references to it."""
+        entry = self.waiting.pop(pending, None)
+        if entry is None:
+            return
+        entry.pending = None
+        size = len(self.by_latency_target) + len(self.by_deadline)
+        if size > 2 * len(self.waiting) + MAX_EMPTY_ENTRIES:
+            self._remove_empty_entries()
+
+    def _remove_empty_entries(self) -> None:
+        for heap in (self.by_latency_target, self.by_deadline):
+            heap[:] = [item for item in heap if item[2].pending is not None]
+            heapq.heapify(heap)
 
     def count_ahead_of(self, call: Call, now: float) -> int:
         """Return the number of queued calls that would go before ``call``."""
@@ -72,17 +97,18 @@
         ``expected_end`` returns the time at which a call would end if started now.
         """
         while self.by_latency_target:
-            latency_target_at, number, pending = heapq.heappop(self.by_latency_target)
-            if pending not in self.waiting:
+            latency_target_at, number, entry = heapq.heappop(self.by_latency_target)
+            pending = entry.pending
+            if pending is None:
                 continue
             if expected_end(pending) <= latency_target_at:
-                self.waiting.discard(pending)
+                del self.waiting[pending]
                 return pending
-            heapq.heappush(self.by_deadline, (pending.call.deadline, number, pending))
+            heapq.heappush(self.by_deadline, (pending.call.deadline, number, entry))
         while self.by_deadline:
-            _, _, pending = heapq.heappop(self.by_deadline)
-            if pending in self.waiting:
-                self.waiting.discard(pending)
+            pending = heapq.heappop(self.by_deadline)[2].pending
+            if pending is not None:
+                del self.waiting[pending]
                 return pending
         return None
 
--- a/tests/request/test_body_lifetime.py
+++ b/tests/request/test_body_lifetime.py
@@ -75,6 +75,18 @@
         sent.pop().answer()
         self.assert_freed()
 
+    def test_queue_keeps_the_body_of_a_cancelled_call(self) -> None:
+        """Guards against bodies of callers that have left and fill the memory."""
+        time = VirtualTime()
+        admission = Admission(time, 1, lambda *_: lambda: None, time.call_later)
+        deadline = time.monotonic() + 9.0
+        admission(call(deadline=deadline), FakeSink())
+        cancel = admission(call(body=self.part, deadline=deadline), FakeSink())
+        self.assertEqual(1, len(admission.urgent_queue))
+        cancel()
+        del cancel
+        self.assert_freed()
+
     def test_open_connection_keeps_the_body_of_its_first_request(self) -> None:
         reactor: Any = MemoryReactorClock()
         pool = BackendPool(reactor, Address("127.0.0.1", 8000), 10)
