Reject reports of backend servers that do not name their start

Cause: a missing start was taken for 0, an unknown one. Neither the known start nor the sequence is compared then, so the report replaced that of the server, with its service, and revived a server that was draining.

Ruled out: reports with a start; an older one is ignored, an odd one rejected.

Deregistrations may come without one, as before.

Test: test_server_reports. Before: such reports are accepted.

--- a/src/briarslip/platform/server_reports.py
+++ b/src/briarslip/platform/server_reports.py
@@ -31,6 +31,8 @@
 DRAINING = "draining"
 STATES = frozenset(("ready", DRAINING))
 MAX_SLOTS = 65535
+# A report without a start would be taken for one of any start.
+MIN_STARTED_MS = 1
 MAX_STARTED_MS = 2**53
 MS_PER_SECOND = 1000.0
 
@@ -46,7 +48,8 @@
         status = document.nested("status")
         # The number of requests that the server runs at once.
         slots = min(info.whole_part("capacity", minimum=1), MAX_SLOTS)
-        started_ms = _read_start(document)
+        started_ms = document.integer("born", minimum=MIN_STARTED_MS)
+        _check_start(document, started_ms)
         endpoint = Endpoint(
             service=info.short_name("service"),
             version=info.short_name("version"),
@@ -73,12 +76,16 @@
 
 
 def _read_start(document: JsonObject) -> int:
-    """Return the start of a server in Unix milliseconds, 0 if it is not told."""
+    """Return the start of a server that deregisters, 0 if it does not name it."""
     started_ms = document.integer("born", default=0)
+    return started_ms if _check_start(document, started_ms) else 0
+
+
+def _check_start(document: JsonObject, started_ms: int) -> bool:
     if started_ms > MAX_STARTED_MS:
         document.add_finding("born", f"{started_ms} is above {MAX_STARTED_MS}")
-        return 0
-    return started_ms
+        return False
+    return True
 
 
 def server_endpoints(callbacks: ServerCallbacks) -> HttpEndpoints:
--- a/tests/platform/test_server_reports.py
+++ b/tests/platform/test_server_reports.py
@@ -38,6 +38,15 @@
         )
         self.assertEqual(0.0, announcement.warm_up_left_seconds)
 
+    def test_report_of_an_unknown_start_replaces_that_of_the_server(self) -> None:
+        """Guards against a report of another writer that changes the service."""
+        without_start = report()
+        del without_start["born"]
+        for odd in (without_start, report(born=0), report(born=-1), report(born=None)):
+            with self.subTest(odd):
+                read = read_report("i-7", json.dumps(odd).encode())
+                self.assertEqual("born", read.unwrap_err()[0].field)
+
     def test_remaining_warm_up(self) -> None:
         status = {"state": "ready", "sequence": 1}
         for fields, seconds in (({"warmup-left-ms": 2500}, 2.5), ({}, None)):
