Reserve room for the responses of requests that are forwarded ahead

Cause: a response that waits for its turn is held up to 64 KiB and one more read, for up to 8 requests a connection, and these bytes were counted in the budget of the process only when the caller sent or read something.

Ruled out: giving held responses up when the budget is used up; their requests have run, and the connection would end without a response.

Change: a request is forwarded ahead only while half of the budget has room for what its response may hold, and that is reserved until its turn. Otherwise it waits for the response before it, as requests did before they were forwarded ahead.

Test: test_pipeline.

--- a/src/briarslip/connection/buffer_budget.py
+++ b/src/briarslip/connection/buffer_budget.py
@@ -18,6 +18,8 @@
 # Share of the capacity that only small buffers may use, so that ordinary requests are
 # accepted while large ones use up the rest.
 SMALL_SHARE = 1 / 8
+# Share of the capacity up to which work may be taken on that can also wait.
+OPTIONAL_SHARE = 1 / 2
 # A buffer that has received less than ``PROGRESS_BYTES`` for so long is stalled.
 STALL_SECONDS = 1.0
 PROGRESS_BYTES = 16 << 10
@@ -85,6 +87,11 @@
         """Return a budget that is never used up."""
         return cls(clock, sys.maxsize)
 
+    def has_optional_room(self, size_bytes: int) -> bool:
+        """Return whether so many bytes may be buffered for work that can wait."""
+        limit_bytes = self.capacity_bytes * OPTIONAL_SHARE
+        return self.used_bytes + size_bytes <= limit_bytes
+
     def open(self, release: Callable[[], None] | None = None) -> Holding:
         """Return a new holding without bytes."""
         holding = Holding(self, release)
--- a/src/briarslip/connection/caller_connection.py
+++ b/src/briarslip/connection/caller_connection.py
@@ -18,6 +18,7 @@
 from briarslip.connection.caller_request import make_request
 from briarslip.connection.immediate_write import write_immediately
 from briarslip.connection.pipeline import MAX_PIPELINED
+from briarslip.connection.pipeline import RESERVED_BYTES
 from briarslip.connection.pipeline import Pipeline
 from briarslip.connection.pipeline import is_simple
 from briarslip.connection.reading import PauseReason
@@ -145,11 +146,10 @@
 
     def _count_bytes(self) -> None:
         """Count what is buffered; a request that may be running can't give way."""
-        size_bytes = self.reader.size_bytes + self.request_bytes
-        size_bytes += self.pipeline.held_bytes
+        size_bytes = self.reader.size_bytes + self.pipeline.reserved_bytes
         unsent = unsent_bytes(self.transport)
         can_give_way = self.exchange is None or bool(unsent or self.reader.buffer)
-        self.buffers.update(size_bytes + unsent, can_give_way)
+        self.buffers.update(size_bytes + self.request_bytes + unsent, can_give_way)
 
     def give_way(self) -> None:
         """Give up what is buffered, since the buffers of the process are full."""
@@ -207,11 +207,11 @@
         self.exchange = None
         self.factory.in_flight -= 1
         self.request_bytes = 0
-        self._count_bytes()
         self.last_active_at = self.factory.now
         if self.pipeline:
             self._write_next_response()
             return
+        self._count_bytes()
         if self.close_after_response:
             self.close()
             return
@@ -224,6 +224,7 @@
     def _write_next_response(self) -> None:
         response = self.pipeline.pop()
         self.exchange = response.exchange
+        self._count_bytes()
         response.exchange.flow.set_paused(self.paused)
         response.release()
 
@@ -309,7 +310,8 @@
     def _process_pipelined(self, current: CallerExchange) -> bool:
         """Forward the next request ahead of its turn, unless it has to wait for it."""
         may_repeat = self.factory.may_repeat
-        if self.pipeline.is_full or self.close_after_response:
+        has_room = self.factory.budget.has_optional_room(RESERVED_BYTES)
+        if self.pipeline.is_full or self.close_after_response or not has_room:
             return False
         if not may_repeat(current.request_head):
             return False
@@ -319,7 +321,9 @@
         if head is None:
             return False
         exchange = CallerExchange(self, head)
-        self._forward(head, EMPTY_BODY, exchange, self.pipeline.add(exchange))
+        response = self.pipeline.add(exchange)
+        self._count_bytes()
+        self._forward(head, EMPTY_BODY, exchange, response)
         return True
 
     def _dispatch(self, request: ReadRequest) -> None:
--- a/src/briarslip/connection/pipeline.py
+++ b/src/briarslip/connection/pipeline.py
@@ -22,6 +22,9 @@
 # A response that waits for its turn is read up to this size, which frees the slot of
 # most servers.
 MAX_HELD_BYTES = 64 << 10
+# The response is paused only after a read that exceeds the limit.
+MAX_READ_BYTES = 64 << 10
+RESERVED_BYTES = MAX_HELD_BYTES + MAX_READ_BYTES
 
 
 class PipelinedResponse:
@@ -85,9 +88,9 @@
         return len(self.responses) >= MAX_PIPELINED
 
     @property
-    def held_bytes(self) -> int:
-        """The bytes of responses that wait for their turn."""
-        return sum(response.held_bytes for response in self.responses)
+    def reserved_bytes(self) -> int:
+        """The most bytes that responses may hold while they wait for their turn."""
+        return len(self.responses) * RESERVED_BYTES
 
     def add(self, exchange: CallerExchange) -> PipelinedResponse:
         """Add a request; return the sink for its response."""
@@ -112,4 +115,10 @@
     return head.length == 0 and head.keep_alive and head.minor_version == b"1"
 
 
-__all__ = ["MAX_PIPELINED", "Pipeline", "PipelinedResponse", "is_simple"]
+__all__ = [
+    "MAX_PIPELINED",
+    "RESERVED_BYTES",
+    "Pipeline",
+    "PipelinedResponse",
+    "is_simple",
+]
--- a/tests/connection/test_pipeline.py
+++ b/tests/connection/test_pipeline.py
@@ -6,9 +6,11 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from briarslip.connection.buffer_budget import BufferBudget
 from briarslip.connection.caller_http import CallerHttpFactory
 from briarslip.connection.pipeline import MAX_HELD_BYTES
 from briarslip.connection.pipeline import MAX_PIPELINED
+from briarslip.connection.pipeline import PipelinedResponse
 from briarslip.request.outcome import Failure
 from briarslip.request.outcome import Outcome
 from briarslip.request.outcome import Reason
@@ -26,6 +28,8 @@
     from briarslip.request.forwarder import CallerRequest
 
 
+READ_BYTES = 64 << 10
+CAPACITY_BYTES = 2 << 20
 MAX_REQUESTS_PER_READ = 9
 MAX_REQUESTS_PER_TURN = 144
 
@@ -107,6 +111,43 @@
         self.assertEqual(len(targets), self.transport.take_written().count(b" 404 "))
         self.assertEqual("producing", self.transport.producerState)
 
+    def test_held_responses_of_many_connections_fill_the_memory(self) -> None:
+        """Guards against responses that wait for their turn beside all budgets."""
+        self.factory.budget = BufferBudget(self.clock, CAPACITY_BYTES)
+        connections: list[Any] = []
+        for _ in range(20):
+            connections.append(self.factory.buildProtocol(None))
+            connections[-1].makeConnection(FakeTransport())
+            requests = [get(f"/{number}") for number in range(9)]
+            connections[-1].dataReceived(b"".join(requests))
+        held: list[Any] = [
+            sink
+            for _, sink in self.forwarded.calls
+            if isinstance(sink, PipelinedResponse)
+        ]
+        self.assertGreater(len(held), 0)
+        for sink in held:
+            sink.head(OK)
+            while not sink.exchange.flow.paused:
+                sink.body(bytes(READ_BYTES), False)
+        held_bytes = sum(sink.held_bytes for sink in held)
+        self.assertLessEqual(held_bytes, CAPACITY_BYTES)
+        self.assertLessEqual(self.factory.budget.used_bytes, CAPACITY_BYTES)
+
+    def test_request_without_room_ahead_of_its_turn_is_lost(self) -> None:
+        """Guards against requests that are never forwarded after a shortage."""
+        self.factory.budget = BufferBudget(self.clock, CAPACITY_BYTES)
+        shortage = self.factory.budget.open()
+        shortage.resize(CAPACITY_BYTES // 2)
+        self.send(get("/1"), get("/2"), get("/3"))
+        self.assertEqual(["/1"], self.targets())
+        self.assertIn(b"first", self.respond(0, b"first"))
+        self.assertEqual(["/1", "/2"], self.targets())
+        shortage.close()
+        self.assertIn(b"second", self.respond(1, b"second"))
+        self.assertIn(b"third", self.respond(2, b"third"))
+        self.assertEqual(0, self.factory.budget.used_bytes)
+
     def test_one_connection_takes_any_number_of_slots(self) -> None:
         self.send(*(get(f"/{number}") for number in range(30)))
         self.assertEqual(1 + MAX_PIPELINED, len(self.forwarded.calls))
