--- a/src/briarslip/connection/backend_connection.py
+++ b/src/briarslip/connection/backend_connection.py
@@ -150,7 +150,7 @@
         self.input.process()
 
     def _process_step(self) -> bool:
-        """Process received data; return whether more can be without further data."""
+        """Process received data; return whether more can follow at once."""
         for _ in range(MAX_HEADS_PER_STEP):
             if not self._process_next():
                 body = self.response_body
--- a/src/briarslip/connection/caller_connection.py
+++ b/src/briarslip/connection/caller_connection.py
@@ -269,7 +269,7 @@
         self.transport.abortConnection()
 
     def _process_step(self) -> bool:
-        """Process received data; return whether more can be without further data."""
+        """Process received data; return whether more can follow at once."""
         if self.processing:
             return False
         self.processing = True
--- a/src/briarslip/connection/stepwise_input.py
+++ b/src/briarslip/connection/stepwise_input.py
@@ -17,9 +17,9 @@
 class StepwiseInput:
     """The received data of a connection: one step at once, others in later turns.
 
-    ``step`` processes a bounded part of the data and returns whether it could go on
-    without more. While it could, nothing is read from the connection, so that the
-    sender is slowed down.
+    ``step`` processes a bounded part of the data and returns whether more of it can
+    follow at once. Until it returns False, nothing is read from the connection, so that
+    the sender is slowed down.
     """
 
     def __init__(
